--- /dev/null
+++ b/commands/daemon.go
@@ -0,0 +1,223 @@
+// Package commands holds the command lines of pointpassd, the daemon, and of
+// pointpass, the operators' client.
+package commands
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/kataras/iris/v12"
+	"github.com/phuslu/log"
+
+	"github.com/pointpass/pointpass/common/control"
+	"github.com/pointpass/pointpass/config"
+	"github.com/pointpass/pointpass/deps"
+	"github.com/pointpass/pointpass/rpc"
+)
+
+// Exit codes of both programs.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+)
+
+// closeTimeout bounds closing the listeners once all requests have ended.
+const closeTimeout = 5 * time.Second
+
+const daemonUsage = `pointpassd serves callers of language models that span several VMs.
+
+Usage:
+  pointpassd -config FILE    run with the settings in FILE
+  pointpassd -check FILE     check FILE, name every mistake, and exit
+  pointpassd -version        print the version
+
+Signals:
+  SIGTERM, SIGINT            take no new work, end what is under way, exit
+
+Exit codes: 0 ended well, 1 failed, 2 wrong usage
+`
+
+// ExecuteDaemon runs pointpassd and returns its exit code.
+func ExecuteDaemon(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("pointpassd", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	flags.Usage = func() { fmt.Fprint(stderr, daemonUsage) }
+	configFile := flags.String("config", "", "settings file")
+	checkFile := flags.String("check", "", "settings file to check")
+	version := flags.Bool("version", false, "print the version")
+	if err := flags.Parse(args); err != nil {
+		return usageCode(err)
+	}
+	switch {
+	case *version:
+		fmt.Fprintln(stdout, "pointpassd", deps.Version)
+		return exitOK
+	case *checkFile != "":
+		return checkConfig(*checkFile, stdout, stderr)
+	case *configFile == "" || flags.NArg() > 0:
+		flags.Usage()
+		return exitUsage
+	}
+	cfg, err := config.Load(*configFile)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	if err := runDaemon(cfg); err != nil {
+		fmt.Fprintln(stderr, "pointpassd:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func usageCode(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	return exitUsage
+}
+
+func checkConfig(file string, stdout, stderr io.Writer) int {
+	if _, err := config.Load(file); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	fmt.Fprintf(stdout, "%s: ok\n", file)
+	return exitOK
+}
+
+func newLogger(cfg *config.Config) (*log.Logger, func(), error) {
+	logger := &log.Logger{Level: log.ParseLevel(cfg.LogLevel()), TimeFormat: time.RFC3339Nano}
+	logger.Context = log.NewContext(nil).Str("node", cfg.Node()).Value()
+	if cfg.LogFile() == "" {
+		logger.Writer = log.IOWriter{Writer: os.Stderr}
+		return logger, func() {}, nil
+	}
+	file, err := os.OpenFile(cfg.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, nil, err
+	}
+	logger.Writer = log.IOWriter{Writer: file}
+	return logger, func() { file.Close() }, nil
+}
+
+// runDaemon serves until a signal, then drains.
+func runDaemon(cfg *config.Config) error {
+	logger, closeLog, err := newLogger(cfg)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d, cleanUp := deps.New(cfg, logger)
+	defer cleanUp()
+	callers, err := net.Listen("tcp", cfg.CallersAddr())
+	if err != nil {
+		return err
+	}
+	controls, err := net.Listen("tcp", cfg.ControlAddr())
+	if err != nil {
+		return err
+	}
+	callersServer := newCallersServer(cfg, d)
+	controlServer, err := newControlServer(cfg, d)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 2)
+	go func() { failed <- callersServer.Serve(callers) }()
+	go func() { failed <- controlServer.Serve(controls) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go d.Run(ctx)
+	logger.Info().Str("callers", cfg.CallersAddr()).Str("control", cfg.ControlAddr()).Msg("serving")
+	select {
+	case err := <-failed:
+		return err
+	case s := <-signals:
+		logger.Info().Str("signal", s.String()).Msg("draining")
+	}
+	return drain(cfg, d, callersServer, controlServer)
+}
+
+// drain ends what is under way, then gives up the duties, so that no claim is
+// lost that a request under way still needs.
+func drain(cfg *config.Config, d *deps.Deps, callers, control *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.Timing().Drain)
+	defer cancel()
+	if err := d.Gateway.Drain(ctx); err != nil {
+		d.Log.Error().Err(err).Msg("requests cut off, they took longer than timing.drain")
+	}
+	releaseCtx, cancelRelease := context.WithTimeout(context.Background(), cfg.Timing().Platform)
+	defer cancelRelease()
+	if err := d.Keeper.Release(releaseCtx); err != nil {
+		d.Log.Warn().Err(err).Msg("duties not released, successors wait for the lease to lapse")
+	}
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClose()
+	callers.Shutdown(closeCtx)
+	control.Shutdown(closeCtx)
+	d.Log.Info().Msg("stopped")
+	return nil
+}
+
+func newCallersServer(cfg *config.Config, d *deps.Deps) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("/v1/chat/completions", d.Gateway)
+	mux.Handle("/svc/", d.Gateway)
+	mux.HandleFunc("/readyz", readyHandler(d))
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: cfg.Timing().HeaderRead,
+		MaxHeaderBytes:    cfg.Limits().HeaderBytes,
+		IdleTimeout:       time.Minute,
+	}
+}
+
+func readyHandler(d *deps.Deps) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if err := d.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	}
+}
+
+// newControlServer serves what daemons, operators and monitoring ask.
+func newControlServer(cfg *config.Config, d *deps.Deps) (*http.Server, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Get("/healthz", func(ctx iris.Context) { ctx.WriteString("ok\n") })
+	app.Get("/readyz", iris.FromStd(readyHandler(d)))
+	app.Get("/metrics", func(ctx iris.Context) {
+		d.Metrics.WritePrometheus(ctx.ResponseWriter())
+		metrics.WriteProcessMetrics(ctx.ResponseWriter())
+	})
+	peers := control.Require(cfg.ControlToken(), rpc.NewPeerServer(d.PeerServer))
+	operators := control.Require(cfg.ControlToken(), rpc.NewOperatorServer(d.Operator))
+	app.Post(rpc.PeerPathPrefix+"{method:path}", iris.FromStd(peers))
+	app.Post(rpc.OperatorPathPrefix+"{method:path}", iris.FromStd(operators))
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	return &http.Server{
+		Handler:           app,
+		ReadHeaderTimeout: cfg.Timing().HeaderRead,
+		MaxHeaderBytes:    cfg.Limits().HeaderBytes,
+		IdleTimeout:       2 * time.Minute,
+	}, nil
+}
--- /dev/null
+++ b/config/file.go
@@ -0,0 +1,110 @@
+package config
+
+import "time"
+
+// fileConfig is the settings file as it is written. Lengths of time are texts
+// such as "250ms"; pointers tell what the file leaves out.
+type fileConfig struct {
+	Node         string     `json:"node"`
+	Hall         string     `json:"hall"`
+	CallersAddr  string     `json:"callers_addr"`
+	ControlAddr  string     `json:"control_addr"`
+	PlatformAddr string     `json:"platform_addr"`
+	ControlToken string     `json:"control_token"`
+	Peers        []string   `json:"peers"`
+	LogLevel     string     `json:"log_level"`
+	LogFile      string     `json:"log_file"`
+	Timing       fileTiming `json:"timing"`
+	Limits       fileLimits `json:"limits"`
+}
+
+type fileTiming struct {
+	Lease       *string `json:"lease"`
+	LeaseMargin *string `json:"lease_margin"`
+	Poll        *string `json:"poll"`
+	Probe       *string `json:"probe"`
+	Suspect     *string `json:"suspect"`
+	Absent      *string `json:"absent"`
+	Order       *string `json:"order"`
+	Load        *string `json:"load"`
+	KeyAhead    *string `json:"key_ahead"`
+	KeepClaims  *string `json:"keep_claims"`
+	Platform    *string `json:"platform"`
+	Peer        *string `json:"peer"`
+	Drain       *string `json:"drain"`
+	Deadline    *string `json:"deadline"`
+	HeaderRead  *string `json:"header_read"`
+	BodyRead    *string `json:"body_read"`
+	CallerWrite *string `json:"caller_write"`
+}
+
+type fileLimits struct {
+	BodyBytes       *int64 `json:"body_bytes"`
+	HeaderBytes     *int   `json:"header_bytes"`
+	AnswerBytes     *int64 `json:"answer_bytes"`
+	KeptAnswerBytes *int   `json:"kept_answer_bytes"`
+	Claims          *int   `json:"claims"`
+	ClaimsBytes     *int64 `json:"claims_bytes"`
+	Requests        *int   `json:"requests"`
+	Slots           *int   `json:"slots"`
+	Holders         *int   `json:"holders"`
+	Loads           *int   `json:"loads"`
+	UndatedClaims   *int   `json:"undated_claims"`
+}
+
+func (c *compiler) timing(t *Timing, f fileTiming) {
+	c.duration("timing.lease", &t.Lease, f.Lease)
+	c.duration("timing.lease_margin", &t.LeaseMargin, f.LeaseMargin)
+	c.duration("timing.poll", &t.Poll, f.Poll)
+	c.duration("timing.probe", &t.Probe, f.Probe)
+	c.duration("timing.suspect", &t.Suspect, f.Suspect)
+	c.duration("timing.absent", &t.Absent, f.Absent)
+	c.duration("timing.order", &t.Order, f.Order)
+	c.duration("timing.load", &t.Load, f.Load)
+	c.duration("timing.key_ahead", &t.KeyAhead, f.KeyAhead)
+	c.duration("timing.keep_claims", &t.KeepClaims, f.KeepClaims)
+	c.duration("timing.platform", &t.Platform, f.Platform)
+	c.duration("timing.peer", &t.Peer, f.Peer)
+	c.duration("timing.drain", &t.Drain, f.Drain)
+	c.duration("timing.deadline", &t.Deadline, f.Deadline)
+	c.duration("timing.header_read", &t.HeaderRead, f.HeaderRead)
+	c.duration("timing.body_read", &t.BodyRead, f.BodyRead)
+	c.duration("timing.caller_write", &t.CallerWrite, f.CallerWrite)
+}
+
+func (c *compiler) limits(l *Limits, f fileLimits) {
+	atLeastOne(c, "limits.body_bytes", &l.BodyBytes, f.BodyBytes)
+	atLeastOne(c, "limits.header_bytes", &l.HeaderBytes, f.HeaderBytes)
+	atLeastOne(c, "limits.answer_bytes", &l.AnswerBytes, f.AnswerBytes)
+	atLeastOne(c, "limits.kept_answer_bytes", &l.KeptAnswerBytes, f.KeptAnswerBytes)
+	atLeastOne(c, "limits.claims", &l.Claims, f.Claims)
+	atLeastOne(c, "limits.claims_bytes", &l.ClaimsBytes, f.ClaimsBytes)
+	atLeastOne(c, "limits.requests", &l.Requests, f.Requests)
+	atLeastOne(c, "limits.slots", &l.Slots, f.Slots)
+	atLeastOne(c, "limits.holders", &l.Holders, f.Holders)
+	atLeastOne(c, "limits.loads", &l.Loads, f.Loads)
+	atLeastOne(c, "limits.undated_claims", &l.UndatedClaims, f.UndatedClaims)
+}
+
+func (c *compiler) duration(field string, into *time.Duration, written *string) {
+	if written == nil {
+		return
+	}
+	d, err := time.ParseDuration(*written)
+	if err != nil || d <= 0 {
+		c.mistake(field, "want a length of time above zero such as \"250ms\", found %q", *written)
+		return
+	}
+	*into = d
+}
+
+func atLeastOne[T int | int64](c *compiler, field string, into, written *T) {
+	if written == nil {
+		return
+	}
+	if *written < 1 {
+		c.mistake(field, "want 1 or more, found %d", *written)
+		return
+	}
+	*into = *written
+}
--- /dev/null
+++ b/deps/deps.go
@@ -0,0 +1,286 @@
+// Package deps wires the parts of a daemon together. Nothing else knows all of
+// them.
+package deps
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"github.com/pointpass/pointpass/audit"
+	"github.com/pointpass/pointpass/claims"
+	"github.com/pointpass/pointpass/common/control"
+	"github.com/pointpass/pointpass/config"
+	"github.com/pointpass/pointpass/dispatch"
+	"github.com/pointpass/pointpass/duty"
+	"github.com/pointpass/pointpass/engine"
+	"github.com/pointpass/pointpass/fleet"
+	"github.com/pointpass/pointpass/gateway"
+	"github.com/pointpass/pointpass/groups"
+	"github.com/pointpass/pointpass/mirror"
+	"github.com/pointpass/pointpass/operator"
+	"github.com/pointpass/pointpass/peer"
+	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/presence"
+	"github.com/pointpass/pointpass/retry"
+	"github.com/pointpass/pointpass/stops"
+	"github.com/pointpass/pointpass/tree"
+)
+
+// Deps holds the parts of one daemon.
+type Deps struct {
+	Config     *config.Config
+	Log        *log.Logger
+	Metrics    *metrics.Set
+	Platform   *platform.Client
+	Fleet      *fleet.Registry
+	Groups     *groups.Registry
+	Stops      *stops.Board
+	Tree       *tree.Holder
+	Mirror     *mirror.Mirror
+	Keeper     *duty.Keeper
+	Ledger     *claims.Ledger
+	Owner      *claims.Owner
+	Controller *groups.Controller
+	Tracker    *presence.Tracker
+	Dispatcher *dispatch.Dispatcher
+	Gateway    *gateway.Gateway
+	Peers      *peer.Client
+	PeerServer *peer.Server
+	Operator   *operator.Server
+}
+
+// New wires a daemon. Nothing runs before Run. The function returned frees
+// what the parts hold.
+func New(cfg *config.Config, logger *log.Logger) (*Deps, func()) {
+	d := &Deps{
+		Config:  cfg,
+		Log:     logger,
+		Metrics: metrics.NewSet(),
+		Fleet:   fleet.NewRegistry(),
+		Groups:  groups.NewRegistry(),
+		Stops:   stops.NewBoard(),
+	}
+	client, closeClient := platform.NewClient(cfg.PlatformAddr(), cfg.Timing().Platform)
+	controlHTTP, closeControl := control.NewClient(cfg.ControlToken())
+	endpoints, closeEndpoints := engine.NewClient()
+	sender, closeSender := engine.NewSender()
+	d.Platform = client
+	d.Tree = tree.NewHolder(d.treeChanged)
+	d.Mirror = mirror.New(client, cfg.Timing().Poll, time.Now, d.Fleet.Apply)
+	d.Peers = peer.NewClient(controlHTTP, cfg.Timing().Peer, cfg.ControlAddr(), cfg.Peers(), d.Fleet, time.Now, logger)
+	d.wireDuties()
+	d.wireClaims()
+	d.wireControl(endpoints)
+	closeDispatcher := d.wireRequests(sender)
+	d.wireServers()
+	d.follow()
+	return d, func() {
+		closeDispatcher()
+		closeSender()
+		closeEndpoints()
+		closeControl()
+		closeClient()
+	}
+}
+
+func (d *Deps) treeChanged(t *tree.Tree) {
+	d.Log.Info().Uint64("revision", t.Revision()).Msg("settings in force")
+}
+
+func (d *Deps) wireDuties() {
+	d.Keeper = duty.NewKeeper(d.Platform, duty.Options{
+		Node:       d.Config.Node(),
+		Addr:       d.Config.ControlAddr(),
+		Lease:      d.Config.Timing().Lease,
+		Margin:     d.Config.Timing().LeaseMargin,
+		Candidates: d.candidates,
+		Wanted:     d.wantedDuties,
+		OnTaken:    d.dutyTaken,
+		Now:        time.Now,
+		Log:        d.Log,
+	})
+}
+
+// candidates returns the daemons that may hold duties: a bounded number of
+// them, so that the writes for leases don't grow with the number of daemons.
+func (d *Deps) candidates() []string {
+	var nodes []string
+	for _, vm := range d.Fleet.InPool(fleet.EntryPool) {
+		if vm.State() == fleet.Live {
+			nodes = append(nodes, vm.ID())
+		}
+	}
+	ranked := duty.Rank("holders", nodes)
+	return ranked[:min(d.Config.Limits().Holders, len(ranked))]
+}
+
+func (d *Deps) wantedDuties() []string {
+	var wanted []string
+	for slot := range d.Config.Limits().Slots {
+		wanted = append(wanted, duty.SlotDuty(slot))
+	}
+	for _, domain := range d.Fleet.Domains() {
+		wanted = append(wanted, duty.DomainDuty(domain))
+	}
+	return wanted
+}
+
+func (d *Deps) dutyTaken(t duty.Taken) {
+	if slot, ok := strings.CutPrefix(t.Name(), "slot/"); ok {
+		if n, err := strconv.Atoi(slot); err == nil {
+			d.Owner.Taken(n, t)
+		}
+		return
+	}
+	if domain, ok := strings.CutPrefix(t.Name(), "domain/"); ok {
+		d.Controller.Taken(domain)
+	}
+}
+
+func (d *Deps) wireClaims() {
+	limits := d.Config.Limits()
+	timing := d.Config.Timing()
+	d.Ledger = claims.NewLedger(claims.Bounds{
+		Claims:      limits.Claims,
+		AnswerBytes: limits.ClaimsBytes,
+		Keep:        timing.KeepClaims,
+		KeyAhead:    timing.KeyAhead,
+	})
+	d.Owner = claims.NewOwner(d.Ledger, d.Keeper, limits.Slots, timing.KeyAhead, time.Now)
+}
+
+func (d *Deps) wireControl(endpoints *engine.Client) {
+	d.Controller = groups.NewController(groups.Options{
+		Node:      d.Config.Node(),
+		Timing:    d.Config.Timing(),
+		MaxLoads:  d.Config.Limits().Loads,
+		Duties:    d.Keeper,
+		Endpoints: endpoints,
+		Store:     d.Platform,
+		Stops:     d.Stops,
+		Spreader:  d,
+		Groups:    d.Groups,
+		Fleet:     d.Fleet,
+		Tree:      d.Tree.Current,
+		Changed:   d.Mirror.Kick,
+		Now:       time.Now,
+		Log:       d.Log,
+	})
+	d.Tracker = presence.NewTracker(presence.Options{
+		Timing:    d.Config.Timing(),
+		Directory: d.Keeper,
+		Remote:    d.Peers,
+		Prober:    endpoints,
+		Local:     d.Controller.Reports,
+		Groups:    d.Groups,
+		Fleet:     d.Fleet,
+		Stopping:  d.Stops.StopsVM,
+		Now:       time.Now,
+	})
+}
+
+// GroupStopped tells this daemon and all others that a group is over.
+func (d *Deps) GroupStopped(g groups.Group) {
+	d.Tracker.Stopped(g.ID())
+	d.Peers.GroupStopped(g)
+}
+
+func (d *Deps) wireRequests(sender *engine.Sender) func() {
+	limits := d.Config.Limits()
+	timing := d.Config.Timing()
+	dispatcher, closeDispatcher := dispatch.New(dispatch.Options{
+		Hall:    d.Config.Hall(),
+		Targets: d.Tracker,
+		Daemons: func() int { return len(d.Fleet.InPool(fleet.EntryPool)) },
+		Pool:    d.pool,
+		Now:     time.Now,
+		Tick:    timing.Probe / 4,
+	})
+	d.Dispatcher = dispatcher
+	durable := claims.NewTable(d.Platform, limits.UndatedClaims, time.Now)
+	d.Gateway = gateway.New(gateway.Options{
+		Config:     d.Config,
+		Tree:       d.Tree.Current,
+		Claims:     claims.NewClient(d.Owner, d.Keeper, d.Peers, durable, limits.Slots, timing.Probe),
+		Dispatcher: dispatcher,
+		Sender:     sender,
+		Presence:   d.Tracker,
+		Budgets:    retry.NewBudgets(),
+		Metrics:    d.Metrics,
+		Now:        time.Now,
+		Log:        d.Log,
+	})
+	return closeDispatcher
+}
+
+func (d *Deps) pool(name string) (tree.Pool, bool) {
+	t := d.Tree.Current()
+	if t == nil {
+		return tree.Pool{}, false
+	}
+	return t.Pool(name)
+}
+
+func (d *Deps) wireServers() {
+	d.PeerServer = peer.NewServer(d.Owner, d.Controller.Reports, d.Tracker.Stopped, d.Tree.Current, time.Now)
+	d.Operator = operator.NewServer(operator.Options{
+		Tree:      d.editableTree,
+		Editor:    tree.NewEditor(d.Platform, time.Now),
+		Accepted:  d.Tree.Replace,
+		Announcer: stops.NewAnnouncer(d.Platform, time.Now),
+		Stops:     d.Stops.List,
+		Audit:     d.Platform,
+		Status:    d.status,
+		Changed:   d.Mirror.Kick,
+		Now:       time.Now,
+	})
+	d.Metrics.NewGauge("pointpass_settings_revision", func() float64 { return float64(d.Tree.Revision()) })
+	d.Metrics.NewGauge("pointpass_claims", func() float64 { return float64(d.Ledger.Len()) })
+	d.Metrics.NewGauge("pointpass_table_age_seconds", func() float64 { return min(d.Mirror.Age().Seconds(), 1e9) })
+}
+
+// editableTree returns the newest tree. Before the first edit it is empty, but
+// only if the platform's table says so.
+func (d *Deps) editableTree() *tree.Tree {
+	if t := d.Tree.Current(); t != nil {
+		return t
+	}
+	if d.Mirror.Age() < tableSilent*d.Config.Timing().Poll {
+		return tree.Empty()
+	}
+	return nil
+}
+
+// follow hands the table's rows to the parts that keep them. Leases come before
+// duties, since a duty's holder is judged by its lease.
+func (d *Deps) follow() {
+	d.Mirror.OnGap(d.Keeper.Resumed)
+	d.Mirror.Follow(duty.NodePrefix, d.Keeper.ApplyNodes)
+	d.Mirror.Follow(duty.DutyPrefix, d.Keeper.ApplyDuties)
+	d.Mirror.Follow(groups.DomainPrefix, d.Groups.ApplyDomains)
+	d.Mirror.Follow(groups.MemberPrefix, d.Groups.ApplyMembers)
+	d.Mirror.Follow(groups.GroupPrefix, d.Groups.ApplyGroups)
+	d.Mirror.Follow(stops.Prefix, d.Stops.ApplyRows)
+	d.Mirror.Follow(tree.Prefix, d.applyTree)
+}
+
+func (d *Deps) applyTree(rows []platform.Row, _ time.Time) {
+	if err := d.Tree.ApplyRows(rows); err != nil {
+		d.Log.Error().Err(err).Msg("settings from the platform's table can't be read; the last ones stay in force")
+	}
+}
+
+// Ready tells whether the daemon may serve callers, and if not, why.
+func (d *Deps) Ready() error {
+	if d.Tree.Current() == nil {
+		return fmt.Errorf("no settings revision is known yet")
+	}
+	return nil
+}
+
+var _ audit.Reader = (*platform.Client)(nil)
--- /dev/null
+++ b/duty/take.go
@@ -0,0 +1,182 @@
+package duty
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pointpass/pointpass/audit"
+	"github.com/pointpass/pointpass/platform"
+)
+
+// settleTime is how long a daemon that has just started waits before it takes
+// duties, so that daemons started together share them.
+const settleTime = 1500 * time.Millisecond
+
+// Rank orders nodes for a subject by highest random weight (Thaler and
+// Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998): a
+// node that comes or goes moves only what falls to it.
+func Rank(subject string, nodes []string) []string {
+	weight := func(node string) uint64 { return xxhash.Sum64String(subject + "\x00" + node) }
+	ranked := slices.Clone(nodes)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
+	})
+	return ranked
+}
+
+// free is a duty that this daemon should take.
+type free struct {
+	name    string
+	state   dutyState
+	dead    string // holder whose lapsed lease must be ended first
+	version uint64 // of the dead holder's row
+}
+
+// takeFree takes, in one transaction, the duties that nobody holds and that
+// fall to this daemon.
+func (k *Keeper) takeFree(ctx context.Context) {
+	wanted := k.opts.Wanted()
+	candidates := k.opts.Candidates()
+	k.mu.Lock()
+	chosen := k.chooseFree(wanted, candidates)
+	self := k.self
+	ready := !k.releasing && k.lease.left(k.opts.Now()) > k.opts.Lease/2 && k.opts.Now().Sub(k.joined) > settleTime
+	k.mu.Unlock()
+	if len(chosen) == 0 || !ready {
+		return
+	}
+	txn := takeTransaction(chosen, self)
+	names := make([]string, 0, len(chosen))
+	for _, f := range chosen {
+		names = append(names, f.name)
+	}
+	entry := audit.NewEntry(k.opts.Now(), k.opts.Node, "duty.take", strings.Join(names, " "), reason(chosen))
+	audit.Append(txn, entry.WithChange(chosen[0].state.row.Holder, self.holder()))
+	version, err := k.store.Commit(ctx, *txn)
+	if err != nil {
+		k.takeFailed(err)
+		return
+	}
+	k.tookOver(chosen, self, version)
+}
+
+func reason(chosen []free) string {
+	for _, f := range chosen {
+		if f.dead != "" {
+			return "lease lapsed"
+		}
+	}
+	return "not held"
+}
+
+func (k *Keeper) takeFailed(err error) {
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		k.opts.Log.Debug().Err(err).Msg("duties not taken, another daemon came first")
+		return
+	}
+	k.opts.Log.Warn().Err(err).Msg("duties not taken")
+}
+
+func (k *Keeper) tookOver(chosen []free, self nodeRow, version uint64) {
+	k.mu.Lock()
+	var news []Taken
+	if k.self.Boot == self.Boot {
+		for _, f := range chosen {
+			if k.duties[f.name].version >= version {
+				continue
+			}
+			d := dutyRow{Holder: self.holder(), Addr: self.Addr, Epoch: f.state.row.Epoch + 1}
+			k.duties[f.name] = dutyState{row: d, version: version}
+			news = k.noteTaken(news, f.name, d, f.dead != "")
+		}
+	}
+	k.mu.Unlock()
+	k.tell(news)
+}
+
+func takeTransaction(chosen []free, self nodeRow) *platform.Txn {
+	txn := &platform.Txn{}
+	ended := map[string]bool{}
+	for _, f := range chosen {
+		key := DutyPrefix + f.name
+		txn.Check(key, f.state.version)
+		txn.Put(key, dutyRow{Holder: self.holder(), Addr: self.Addr, Epoch: f.state.row.Epoch + 1})
+		if f.dead != "" && !ended[f.dead] {
+			ended[f.dead] = true
+			txn.Check(NodePrefix+f.dead, f.version)
+			txn.Delete(NodePrefix + f.dead)
+		}
+	}
+	return txn
+}
+
+// chooseFree returns the duties that nobody holds and that rank this daemon
+// first among the live candidates.
+func (k *Keeper) chooseFree(wanted, candidates []string) []free {
+	live := k.liveLocked(candidates)
+	var chosen []free
+	for _, name := range wanted {
+		f, ok := k.freeLocked(name)
+		if !ok || len(chosen) == maxTaken {
+			continue
+		}
+		if ranked := Rank(name, live); len(ranked) > 0 && ranked[0] == k.opts.Node {
+			chosen = append(chosen, f)
+		}
+	}
+	return chosen
+}
+
+func (k *Keeper) freeLocked(name string) (free, bool) {
+	state := k.duties[name]
+	f := free{name: name, state: state}
+	holder := state.row.Holder
+	if holder == "" {
+		return f, true
+	}
+	if holder == k.self.holder() {
+		return free{}, false
+	}
+	seen, listed := k.nodes[holder]
+	if !listed {
+		return f, true
+	}
+	if !k.lapsedLocked(holder) {
+		return free{}, false
+	}
+	f.dead = holder
+	f.version = seen.version
+	return f, true
+}
+
+// liveLocked returns the candidates whose lease this daemon has seen renewed
+// lately, itself included.
+func (k *Keeper) liveLocked(candidates []string) []string {
+	fresh := map[string]bool{k.opts.Node: true}
+	for _, seen := range k.nodes {
+		if k.opts.Now().Sub(seen.since) < k.opts.Lease {
+			fresh[seen.row.Node] = true
+		}
+	}
+	var live []string
+	for _, node := range candidates {
+		if fresh[node] {
+			live = append(live, node)
+		}
+	}
+	return live
+}
+
+// SlotDuty returns the name of the duty over one slot of keys.
+func SlotDuty(slot int) string { return fmt.Sprintf("slot/%03d", slot) }
+
+// DomainDuty returns the name of the duty over one fabric domain's groups.
+func DomainDuty(domain string) string { return "domain/" + domain }
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,182 @@
+// Package operator serves the operators' client: commands that edit the
+// settings or announce stops, and queries that change nothing.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/pointpass/pointpass/audit"
+	"github.com/pointpass/pointpass/rpc"
+	"github.com/pointpass/pointpass/stops"
+	"github.com/pointpass/pointpass/tree"
+)
+
+// Editor writes accepted edits.
+type Editor interface {
+	Edit(ctx context.Context, req tree.Request) (uint64, *tree.Tree, error)
+}
+
+// Announcer writes and removes planned stops.
+type Announcer interface {
+	Announce(ctx context.Context, s stops.Stop) error
+	Cancel(ctx context.Context, id, who string) error
+}
+
+// Options wires a server.
+type Options struct {
+	Tree      func() *tree.Tree
+	Editor    Editor
+	Accepted  func(*tree.Tree)
+	Announcer Announcer
+	Stops     func() []stops.Stop
+	Audit     audit.Reader
+	Status    func() *rpc.StatusReply
+	Changed   func()
+	Now       func() time.Time
+}
+
+// Server answers the operators' client. It implements rpc.Operator.
+type Server struct {
+	opts Options
+}
+
+// NewServer returns a server.
+func NewServer(opts Options) *Server { return &Server{opts: opts} }
+
+// TreeGet returns the settings at and below a path.
+func (s *Server) TreeGet(_ context.Context, m *rpc.TreeGetRequest) (*rpc.TreeGetReply, error) {
+	path, err := tree.ParsePath(m.Path)
+	if err != nil {
+		return nil, twirp.InvalidArgument.Error(err.Error())
+	}
+	t := s.opts.Tree()
+	if t == nil {
+		return nil, twirp.Unavailable.Error("this daemon has no settings yet")
+	}
+	reply := &rpc.TreeGetReply{Revision: t.Revision()}
+	for _, p := range t.Paths(path) {
+		data, _ := json.Marshal(t.Overrides(p))
+		reply.Nodes = append(reply.Nodes, &rpc.SettingsNode{Path: string(p), FieldsJson: data})
+	}
+	if effective, ok := t.Effective(path); ok {
+		reply.EffectiveJson, _ = json.Marshal(effective)
+	}
+	return reply, nil
+}
+
+// TreeEdit accepts an edit or tells what is against it.
+func (s *Server) TreeEdit(ctx context.Context, m *rpc.TreeEditRequest) (*rpc.TreeEditReply, error) {
+	if m.Id == "" || m.Who == "" {
+		return nil, twirp.InvalidArgument.Error("an edit needs an id and the operator's name")
+	}
+	var changes []tree.Change
+	for _, c := range m.Changes {
+		change, err := tree.NewChange(c.Path, c.Field, c.ValueJson)
+		if err != nil {
+			return nil, twirp.InvalidArgument.Error(err.Error())
+		}
+		changes = append(changes, change)
+	}
+	revision, t, err := s.opts.Editor.Edit(ctx, tree.NewRequest(m.Id, m.Who, m.Why, m.BaseRevision, changes))
+	if err != nil {
+		return editFailed(err)
+	}
+	s.opts.Accepted(t)
+	s.opts.Changed()
+	return &rpc.TreeEditReply{Revision: revision}, nil
+}
+
+func editFailed(err error) (*rpc.TreeEditReply, error) {
+	var conflict *tree.ConflictError
+	if errors.As(err, &conflict) {
+		return &rpc.TreeEditReply{Conflict: conflict.Error()}, nil
+	}
+	var field *tree.FieldError
+	if errors.As(err, &field) {
+		return nil, twirp.InvalidArgument.Error(field.Error())
+	}
+	return nil, twirp.Unavailable.Error(err.Error())
+}
+
+// maxAudit is the most entries of the trail that are returned at once.
+const maxAudit = 10_000
+
+// Audit returns the last entries of the trail.
+func (s *Server) Audit(ctx context.Context, m *rpc.AuditRequest) (*rpc.AuditReply, error) {
+	if m.Limit < 1 || m.Limit > maxAudit {
+		return nil, twirp.InvalidArgument.Error(fmt.Sprintf("limit: want 1 to %d", maxAudit))
+	}
+	entries, err := audit.Last(ctx, s.opts.Audit, int(m.Limit))
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	reply := &rpc.AuditReply{}
+	for _, e := range entries {
+		reply.Entries = append(reply.Entries, &rpc.AuditEntry{
+			TimeUnixMs: e.Time().UnixMilli(),
+			Who:        e.Who(),
+			What:       e.What(),
+			Subject:    e.Subject(),
+			Why:        e.Why(),
+			Before:     e.Before(),
+			After:      e.After(),
+		})
+	}
+	return reply, nil
+}
+
+// StopAnnounce announces a planned stop.
+func (s *Server) StopAnnounce(ctx context.Context, m *rpc.StopAnnounceRequest) (*rpc.StopAnnounceReply, error) {
+	if m.Id == "" || m.Who == "" {
+		return nil, twirp.InvalidArgument.Error("a stop needs an id and the operator's name")
+	}
+	if (m.Vm == "") == (m.Group == "") {
+		return nil, twirp.InvalidArgument.Error("a stop is of a VM or of a group")
+	}
+	if err := s.opts.Announcer.Announce(ctx, stops.NewStop(m.Id, m.Who, m.Why, m.Vm, m.Group, s.opts.Now())); err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	s.opts.Changed()
+	return &rpc.StopAnnounceReply{Id: m.Id}, nil
+}
+
+// StopCancel takes an announced stop back.
+func (s *Server) StopCancel(ctx context.Context, m *rpc.StopCancelRequest) (*rpc.StopCancelReply, error) {
+	err := s.opts.Announcer.Cancel(ctx, m.Id, m.Who)
+	var missing *stops.NotFoundError
+	if errors.As(err, &missing) {
+		return nil, twirp.NotFound.Error(err.Error())
+	}
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	s.opts.Changed()
+	return &rpc.StopCancelReply{}, nil
+}
+
+// StopList returns the announced stops.
+func (s *Server) StopList(context.Context, *rpc.StopListRequest) (*rpc.StopListReply, error) {
+	reply := &rpc.StopListReply{}
+	for _, stop := range s.opts.Stops() {
+		reply.Stops = append(reply.Stops, &rpc.Stop{
+			Id:         stop.ID(),
+			Who:        stop.Who(),
+			Why:        stop.Why(),
+			Vm:         stop.VM(),
+			Group:      stop.Group(),
+			TimeUnixMs: stop.Time().UnixMilli(),
+		})
+	}
+	return reply, nil
+}
+
+// Status returns what this daemon knows and does.
+func (s *Server) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusReply, error) {
+	return s.opts.Status(), nil
+}
--- /dev/null
+++ b/stops/stop.go
@@ -0,0 +1,194 @@
+// Package stops keeps the planned stops that operators announce. An announced
+// VM takes no new work; its group finishes what it has and is then dissolved.
+package stops
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pointpass/pointpass/audit"
+	"github.com/pointpass/pointpass/platform"
+)
+
+// Prefix is where the announced stops are kept.
+const Prefix = "control/stop/"
+
+// Stop is one announced stop, of a VM or of a group.
+type Stop struct {
+	id    string
+	who   string
+	why   string
+	vm    string
+	group string
+	time  time.Time
+}
+
+// NewStop returns a stop of a VM or of a group; the other is empty.
+func NewStop(id, who, why, vm, group string, now time.Time) Stop {
+	return Stop{id: id, who: who, why: why, vm: vm, group: group, time: now}
+}
+
+// ID returns the stop's name.
+func (s Stop) ID() string { return s.id }
+
+// Who returns the operator.
+func (s Stop) Who() string { return s.who }
+
+// Why returns the reason.
+func (s Stop) Why() string { return s.why }
+
+// VM returns the VM that stops, or "".
+func (s Stop) VM() string { return s.vm }
+
+// Group returns the group that stops, or "".
+func (s Stop) Group() string { return s.group }
+
+// Time returns when the stop was announced.
+func (s Stop) Time() time.Time { return s.time }
+
+type stopRow struct {
+	Who    string `json:"who"`
+	Why    string `json:"why"`
+	VM     string `json:"vm,omitempty"`
+	Group  string `json:"group,omitempty"`
+	TimeMS int64  `json:"time_ms"`
+}
+
+// Board holds the announced stops that this daemon knows.
+type Board struct {
+	mu       sync.RWMutex
+	stops    map[string]Stop
+	versions map[string]uint64
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{stops: map[string]Stop{}, versions: map[string]uint64{}} }
+
+// ApplyRows takes in rows of the platform's table.
+func (b *Board) ApplyRows(rows []platform.Row, _ time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, row := range rows {
+		id := strings.TrimPrefix(row.Key(), Prefix)
+		var r stopRow
+		if row.Deleted() || row.Decode(&r) != nil {
+			delete(b.stops, id)
+			delete(b.versions, id)
+			continue
+		}
+		b.stops[id] = NewStop(id, r.Who, r.Why, r.VM, r.Group, time.UnixMilli(r.TimeMS))
+		b.versions[id] = row.Version()
+	}
+}
+
+// List returns the stops in order of their ids.
+func (b *Board) List() []Stop {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var list []Stop
+	for _, id := range slices.Sorted(maps.Keys(b.stops)) {
+		list = append(list, b.stops[id])
+	}
+	return list
+}
+
+// StopsVM tells whether a stop is announced for the VM itself.
+func (b *Board) StopsVM(vm string) bool {
+	return b.any(func(s Stop) bool { return s.vm == vm })
+}
+
+// StopsGroup tells whether a stop is announced for the group itself.
+func (b *Board) StopsGroup(group string) bool {
+	return b.any(func(s Stop) bool { return s.group == group })
+}
+
+func (b *Board) any(match func(Stop) bool) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, s := range b.stops {
+		if match(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// Store is what announcing needs of the platform's table.
+type Store interface {
+	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
+	Scan(ctx context.Context, after uint64, prefixes ...string) (platform.Changes, error)
+}
+
+// Announcer writes stops.
+type Announcer struct {
+	store Store
+	now   func() time.Time
+}
+
+// NewAnnouncer returns an announcer.
+func NewAnnouncer(store Store, now func() time.Time) *Announcer {
+	return &Announcer{store: store, now: now}
+}
+
+// Announce writes a stop. Announcing the same id again changes nothing, so a
+// lost answer can be asked for again.
+func (a *Announcer) Announce(ctx context.Context, s Stop) error {
+	row := stopRow{Who: s.who, Why: s.why, VM: s.vm, Group: s.group, TimeMS: s.time.UnixMilli()}
+	txn := (&platform.Txn{}).Check(Prefix+s.id, 0).Put(Prefix+s.id, row)
+	audit.Append(txn, audit.NewEntry(a.now(), s.who, "stop.announce", s.vm+s.group, s.why).WithChange("", s.id))
+	_, err := a.store.Commit(ctx, *txn)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	if err != nil {
+		return &WriteError{id: s.id, err: err}
+	}
+	return nil
+}
+
+// Cancel removes a stop.
+func (a *Announcer) Cancel(ctx context.Context, id, who string) error {
+	changes, err := a.store.Scan(ctx, 0, Prefix+id)
+	if err != nil {
+		return &WriteError{id: id, err: err}
+	}
+	for _, row := range changes.Rows() {
+		if row.Key() != Prefix+id || row.Deleted() {
+			continue
+		}
+		txn := (&platform.Txn{}).Check(row.Key(), row.Version()).Delete(row.Key())
+		audit.Append(txn, audit.NewEntry(a.now(), who, "stop.cancel", id, ""))
+		if _, err := a.store.Commit(ctx, *txn); err != nil {
+			return &WriteError{id: id, err: err}
+		}
+		return nil
+	}
+	return &NotFoundError{id: id}
+}
+
+// WriteError says that a stop could not be written or removed.
+type WriteError struct {
+	id  string
+	err error
+}
+
+// Error names the stop.
+func (e *WriteError) Error() string { return fmt.Sprintf("stop %s: %v", e.id, e.err) }
+
+// Unwrap returns the cause.
+func (e *WriteError) Unwrap() error { return e.err }
+
+// NotFoundError says that there is no such stop.
+type NotFoundError struct {
+	id string
+}
+
+// Error names the stop.
+func (e *NotFoundError) Error() string { return fmt.Sprintf("no stop named %q is announced", e.id) }
--- /dev/null
+++ b/testbed/cmd/demo/main.go
@@ -0,0 +1,110 @@
+// Command demo shows the whole path on one machine: stand-ins for the platform,
+// the model engines and the plain services, and three real pointpassd. It sends
+// one request of each kind, prints what happened, and exits 0 only if every
+// answer was whole and every request that may not be repeated ran once.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/google/uuid"
+
+	"github.com/pointpass/pointpass/testbed/ask"
+	"github.com/pointpass/pointpass/testbed/engine"
+	"github.com/pointpass/pointpass/testbed/world"
+)
+
+// groupsEach is how many groups each deployment forms here: one in each hall.
+const groupsEach = 3
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	fmt.Println("Starting stand-ins and three pointpassd ...")
+	w, closeWorld, err := world.Start(world.Options{
+		Layouts: []world.Layout{world.NilePawn(12), world.Ostrava(12)},
+		Daemons: 3,
+		Timing:  engine.DefaultTiming(),
+		Limits:  world.DefaultLimits(),
+	})
+	if err != nil {
+		return err
+	}
+	defer closeWorld()
+	for _, pool := range []string{"arbiter-lm", "route-llm"} {
+		if err := w.WaitGroups(pool, groupsEach); err != nil {
+			return err
+		}
+	}
+	out, err := w.Client(w.Daemons[0], "groups")
+	if err != nil {
+		return err
+	}
+	fmt.Println(out)
+	return askAll(w)
+}
+
+// requests is one of each kind of both deployments.
+func requests() []ask.Request {
+	nile := world.Key("nile-1")
+	ostrava := world.Key("ostrava-1")
+	arabic := "قواعد الطاولة: لا يجوز تحريك الحجر بعد رمي النرد."
+	return []ask.Request{
+		{Key: nile, Service: "arbiter-lm", Kind: "question", Stream: true, Context: arabic, Question: "هل يجوز تغيير النقلة بعد لمس الحجر؟", Tokens: 24},
+		{Key: nile, Service: "arbiter-lm", Kind: "ruling", ID: newKey(), Stream: true, Context: arabic, Question: "نزاع على الطاولة ٧", Tokens: 16},
+		{Key: nile, Service: "table-app", Kind: "score", ID: newKey(), Path: "/scores", Question: `{"table": 7, "white": 3}`},
+		{Key: ostrava, Service: "route-llm", Kind: "day-plan", Context: "streets of Ostrava", Question: "plan of van 12", Tokens: 30},
+		{Key: ostrava, Service: "route-llm", Kind: "detour", Stream: true, Context: "streets of Ostrava", Question: "Nádražní is closed", Tokens: 12},
+		{Key: ostrava, Service: "van-desk", Kind: "ping", Path: "/positions", Question: `{"van": 12, "at": [49.83, 18.28]}`},
+		{Key: ostrava, Service: "van-desk", Kind: "confirmation", ID: newKey(), Path: "/doorsteps", Question: `{"van": 12, "door": 481}`},
+	}
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+func askAll(w *world.World) error {
+	client := ask.NewClient()
+	failed := 0
+	fmt.Printf("%-13s %-6s %-4s %-24s %-6s %s\n", "KIND", "STATUS", "NODE", "SERVED BY", "WHOLE", "RAN")
+	for i, req := range requests() {
+		req.Addr = w.Daemons[i%len(w.Daemons)].Callers
+		result := ask.Do(context.Background(), client, req)
+		ran := "-"
+		if req.ID != "" {
+			ran = fmt.Sprint(w.Record.Runs(req.ID))
+		}
+		fmt.Printf("%-13s %-6d %-4s %-24s %-6t %s %s\n", req.Kind, result.Status, result.Node, result.Group, result.Whole, ran, result.Detail)
+		if !result.Whole || (req.ID != "" && ran != "1") {
+			failed++
+		}
+	}
+	failed += askTwice(w, client)
+	if failed > 0 {
+		return fmt.Errorf("%d requests did not end as they must", failed)
+	}
+	fmt.Println("\nEvery answer was whole, and what may not be repeated ran once.")
+	return nil
+}
+
+// askTwice asks for the same doorstep confirmation at two daemons: the second
+// answer is the first one's.
+func askTwice(w *world.World, client interface{ CloseIdleConnections() }) int {
+	fmt.Println("\nThe same confirmation asked for again at another daemon:")
+	req := requests()[6]
+	for _, d := range w.Daemons[:2] {
+		req.Addr = d.Callers
+		result := ask.Do(context.Background(), ask.NewClient(), req)
+		fmt.Printf("%-13s %-6d %-4s replayed=%t ran=%d\n", req.Kind, result.Status, result.Node, result.Replayed, w.Record.Runs(req.ID))
+		if !result.Whole || w.Record.Runs(req.ID) != 1 {
+			return 1
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/tree/editor.go
@@ -0,0 +1,145 @@
+package tree
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/pointpass/pointpass/audit"
+	"github.com/pointpass/pointpass/platform"
+)
+
+// editTries is how often an edit is tried when others come between or the
+// platform doesn't answer.
+const editTries = 5
+
+// Store is what the editor needs of the platform's table.
+type Store interface {
+	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
+	Scan(ctx context.Context, after uint64, prefixes ...string) (platform.Changes, error)
+}
+
+// Editor writes accepted edits to the platform's table: one transaction each,
+// on the condition that nobody else's came between.
+type Editor struct {
+	store Store
+	now   func() time.Time
+}
+
+// NewEditor returns an editor.
+func NewEditor(store Store, now func() time.Time) *Editor {
+	return &Editor{store: store, now: now}
+}
+
+// Request is an operator's edit.
+type Request struct {
+	id      string
+	who     string
+	why     string
+	base    uint64
+	changes []Change
+}
+
+// NewRequest returns an edit by an operator who looked at revision base. The
+// id lets a lost answer be asked for again.
+func NewRequest(id, who, why string, base uint64, changes []Change) Request {
+	return Request{id: id, who: who, why: why, base: base, changes: changes}
+}
+
+type editRow struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Edit writes the edit and returns its revision and the tree that holds it. An
+// edit that was accepted before, under the same id, is not written again.
+func (e *Editor) Edit(ctx context.Context, req Request) (uint64, *Tree, error) {
+	var last error
+	unknown := false
+	for range editTries {
+		revision, t, err := e.try(ctx, req)
+		if err == nil {
+			return revision, t, nil
+		}
+		last = err
+		var conflict *platform.ConflictError
+		var unavailable *platform.UnavailableError
+		switch {
+		case errors.As(err, &conflict):
+		case errors.As(err, &unavailable):
+			unknown = unknown || unavailable.MayHaveRun()
+		default:
+			return 0, nil, err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return 0, nil, &StoreError{err: last, unknown: unknown}
+}
+
+func (e *Editor) try(ctx context.Context, req Request) (uint64, *Tree, error) {
+	editKey := editPrefix + req.id
+	changes, err := e.store.Scan(ctx, 0, Prefix, editKey)
+	if err != nil {
+		return 0, nil, err
+	}
+	current, headVersion, err := fromScan(changes)
+	if err != nil {
+		return 0, nil, err
+	}
+	if revision, done := acceptedBefore(changes, editKey); done {
+		return revision, current, nil
+	}
+	next, err := current.Edit(req.base, req.changes)
+	if err != nil {
+		return 0, nil, err
+	}
+	txn := e.transaction(req, current, next, headVersion)
+	if _, err := e.store.Commit(ctx, *txn); err != nil {
+		return 0, nil, err
+	}
+	return next.revision, next, nil
+}
+
+func (e *Editor) transaction(req Request, current, next *Tree, headVersion uint64) *platform.Txn {
+	txn := &platform.Txn{}
+	txn.Check(headKey, headVersion)
+	txn.Check(editPrefix+req.id, 0)
+	txn.Put(headKey, headRow{Revision: next.revision})
+	txn.Put(editPrefix+req.id, editRow{Revision: next.revision})
+	for _, change := range req.changes {
+		txn.Put(nodePrefix+string(change.path), next.nodes[change.path])
+		before := current.nodes[change.path][change.field]
+		subject := "tree" + string(change.path) + " " + change.field
+		record := audit.NewEntry(e.now(), req.who, "settings.edit", subject, req.why).WithChange(string(before.Value), string(change.value))
+		audit.Append(txn, record)
+	}
+	return txn
+}
+
+func fromScan(changes platform.Changes) (*Tree, uint64, error) {
+	headVersion := uint64(0)
+	for _, row := range changes.Rows() {
+		if row.Key() == headKey {
+			headVersion = row.Version()
+		}
+	}
+	t, err := mergeRows(nil, changes.Rows())
+	if err != nil {
+		return nil, 0, err
+	}
+	if t == nil {
+		t = Empty()
+	}
+	return t, headVersion, nil
+}
+
+func acceptedBefore(changes platform.Changes, editKey string) (uint64, bool) {
+	for _, row := range changes.Rows() {
+		var accepted editRow
+		if row.Key() == editKey && row.Decode(&accepted) == nil {
+			return accepted.Revision, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/tree/path.go
@@ -0,0 +1,82 @@
+// Package tree is the operators' tree of settings: customers, their services
+// and the services' events, each inheriting from its parent what it doesn't
+// override. A Tree never changes; an edit makes the next one.
+package tree
+
+import (
+	"regexp"
+	"strings"
+)
+
+// Level is how deep in the tree a path is.
+type Level int
+
+// The levels of the tree, outermost first.
+const (
+	RootLevel Level = iota
+	CustomerLevel
+	ServiceLevel
+	EventLevel
+)
+
+var levelNames = [...]string{"root", "customer", "service", "event"}
+
+// String returns the level's name.
+func (l Level) String() string { return levelNames[l] }
+
+// Path names a node of the tree: "/", "/customer", "/customer/service" or
+// "/customer/service/event".
+type Path string
+
+// Root is the path of the node that all others inherit from.
+const Root Path = "/"
+
+var validName = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// ParsePath checks a path.
+func ParsePath(text string) (Path, error) {
+	if text == string(Root) {
+		return Root, nil
+	}
+	names := strings.Split(strings.TrimPrefix(text, "/"), "/")
+	if !strings.HasPrefix(text, "/") || len(names) > int(EventLevel) {
+		return "", &FieldError{path: text, text: "want / or /customer[/service[/event]]"}
+	}
+	for _, name := range names {
+		if !validName.MatchString(name) {
+			return "", &FieldError{path: text, text: "names are made of a-z, 0-9 and -, at most 63 of them"}
+		}
+	}
+	return Path(text), nil
+}
+
+// NewPath joins names below the root.
+func NewPath(names ...string) Path { return Path("/" + strings.Join(names, "/")) }
+
+// Level returns how deep the path is.
+func (p Path) Level() Level {
+	if p == Root {
+		return RootLevel
+	}
+	return Level(strings.Count(string(p), "/"))
+}
+
+// Parent returns the path that this one inherits from; the root is its own.
+func (p Path) Parent() Path {
+	i := strings.LastIndexByte(string(p), '/')
+	if i <= 0 {
+		return Root
+	}
+	return p[:i]
+}
+
+// Customer returns the name of the customer that the path belongs to.
+func (p Path) Customer() string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(string(p), "/"), "/")
+	return name
+}
+
+// Within tells whether the path is at or below another.
+func (p Path) Within(other Path) bool {
+	return other == Root || p == other || strings.HasPrefix(string(p), string(other)+"/")
+}
--- /dev/null
+++ b/tree/tree.go
@@ -0,0 +1,136 @@
+package tree
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+)
+
+// entry is one field of a node with the revision that set or removed it. A
+// removed field keeps its entry, so that a late reader can't bring it back.
+type entry struct {
+	Value    json.RawMessage `json:"value"`
+	Revision uint64          `json:"revision"`
+}
+
+func (e entry) set() bool { return len(e.Value) > 0 && !bytes.Equal(e.Value, []byte("null")) }
+
+// node is what one path overrides.
+type node map[string]entry
+
+func (n node) revision() uint64 {
+	newest := uint64(0)
+	for _, e := range n {
+		newest = max(newest, e.Revision)
+	}
+	return newest
+}
+
+// Tree is the settings as of one revision.
+type Tree struct {
+	revision  uint64
+	nodes     map[Path]node
+	customers map[string]string // hash of an API key to the customer's name
+	effective map[Path]*Effective
+	pools     map[string]Pool
+}
+
+// Empty returns the tree before its first edit.
+func Empty() *Tree {
+	t, _ := compile(0, map[Path]node{})
+	return t
+}
+
+// Revision returns the number of the last edit that the tree holds.
+func (t *Tree) Revision() uint64 { return t.revision }
+
+// Pools returns the names of all pools in order.
+func (t *Tree) Pools() []string { return slices.Sorted(maps.Keys(t.pools)) }
+
+// Pool returns a pool's settings.
+func (t *Tree) Pool(name string) (Pool, bool) {
+	pool, ok := t.pools[name]
+	return pool, ok
+}
+
+// CustomerOf returns the customer whose API key has the SHA-256 hash, in hex.
+func (t *Tree) CustomerOf(keyHash string) (string, bool) {
+	customer, ok := t.customers[keyHash]
+	return customer, ok
+}
+
+// Effective returns what is in force at a path, after inheritance. A path
+// that was never edited is unknown.
+func (t *Tree) Effective(path Path) (*Effective, bool) {
+	e, ok := t.effective[path]
+	return e, ok
+}
+
+// Paths returns the paths at and below another, in order.
+func (t *Tree) Paths(below Path) []Path {
+	var paths []Path
+	for path := range t.nodes {
+		if path.Within(below) {
+			paths = append(paths, path)
+		}
+	}
+	slices.Sort(paths)
+	return paths
+}
+
+// Overrides returns what a path itself sets, by field.
+func (t *Tree) Overrides(path Path) map[string]json.RawMessage {
+	overrides := map[string]json.RawMessage{}
+	for name, e := range t.nodes[path] {
+		if e.set() {
+			overrides[name] = e.Value
+		}
+	}
+	return overrides
+}
+
+// Effective is what is in force at one path.
+type Effective struct {
+	path         Path
+	values       map[string]json.RawMessage
+	pool         string
+	share        float64
+	queue        int
+	retryPercent int
+	kinds        map[string]Kind
+}
+
+// What is in force where no node says otherwise.
+const (
+	defaultShare        = 1.0
+	defaultQueue        = 256
+	defaultRetryPercent = 10
+)
+
+// Path returns the path that the values hold for.
+func (e *Effective) Path() Path { return e.path }
+
+// Pool returns the name of the pool that serves requests.
+func (e *Effective) Pool() string { return e.pool }
+
+// Share returns the customer's weight among those that wait.
+func (e *Effective) Share() float64 { return e.share }
+
+// Queue returns how many requests of a customer may wait at one daemon.
+func (e *Effective) Queue() int { return e.queue }
+
+// RetryPercent returns how many retries there may be for 100 requests.
+func (e *Effective) RetryPercent() int { return e.retryPercent }
+
+// Kind returns how requests of a kind are treated.
+func (e *Effective) Kind(name string) (Kind, bool) {
+	kind, ok := e.kinds[name]
+	return kind, ok
+}
+
+// Kinds returns the names of the kinds in order.
+func (e *Effective) Kinds() []string { return slices.Sorted(maps.Keys(e.kinds)) }
+
+// MarshalJSON writes all values in force.
+func (e *Effective) MarshalJSON() ([]byte, error) { return json.Marshal(e.values) }
