testbed: Throw each promise's failures at real processes

Cause: the promises were code without proof.

The operators' client gains -base; a query of the tree reads the table first.

Found by them and mended: - drain used a sync.WaitGroup whose Add raced with Wait: a request that came with SIGTERM could be missed. Seen as a data race in stop_daemon; now a counter under a mutex that refuses once draining. - a body that never came kept its connection until the caller left, since the read deadline was lifted before the refusal was written (slow_body: no answer in 30 s, now 408 after body_read). - ports given out by the kernel were taken by other connections before a daemon listened; the testbed now gives out ports below that range.

Not run yet: ten times in a row; each mechanism switched off.

--- a/commands/client.go
+++ b/commands/client.go
@@ -51,6 +51,8 @@
   -id ID          id of the edit or stop; give it again when an answer was lost
   -vm ID          VM to stop (stop announce)
   -group ID       group to stop (stop announce)
+  -base N         revision that the edit is based on; a change of the same field
+                  since then is a conflict (tree set, unset, edit; the newest)
   -limit N        how many entries to show (audit, tree history; 50)
 
 Examples:
@@ -77,6 +79,7 @@
 	vm             string
 	group          string
 	limit          int
+	base           uint64
 	json           bool
 	args           []string
 	operator       rpc.Operator
@@ -140,6 +143,7 @@
 	flags.StringVar(&c.id, "id", "", "")
 	flags.StringVar(&c.vm, "vm", "", "")
 	flags.StringVar(&c.group, "group", "", "")
+	flags.Uint64Var(&c.base, "base", 0, "")
 	flags.IntVar(&c.limit, "limit", 50, "")
 	flags.BoolVar(&c.json, "json", false, "")
 	for len(args) > 0 {
--- a/commands/tree.go
+++ b/commands/tree.go
@@ -92,6 +92,9 @@
 	if c.id == "" {
 		c.id = uuid.NewString()
 	}
+	if c.base != 0 {
+		base = c.base
+	}
 	reply, err := c.operator.TreeEdit(ctx, &rpc.TreeEditRequest{
 		Id:           c.id,
 		Who:          c.who,
--- a/deps/deps.go
+++ b/deps/deps.go
@@ -230,6 +230,7 @@
 	d.PeerServer = peer.NewServer(d.Owner, d.Controller.Reports, d.Tracker.Stopped, d.Tree.Current, time.Now)
 	d.Operator = operator.NewServer(operator.Options{
 		Tree:      d.editableTree,
+		Refresh:   d.Mirror.Poll,
 		Editor:    tree.NewEditor(d.Platform, time.Now),
 		Accepted:  d.Tree.Replace,
 		Announcer: stops.NewAnnouncer(d.Platform, time.Now),
--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -312,10 +312,15 @@
 }
 
 func (k *Keeper) tell(news []Taken) {
+	if len(news) == 0 {
+		return
+	}
+	names := make([]string, 0, len(news))
 	for _, t := range news {
-		k.opts.Log.Info().Str("duty", t.name).Uint64("epoch", t.epoch).Bool("lapsed", t.lapsed).Msg("duty taken")
+		names = append(names, t.name)
 		k.opts.OnTaken(t)
 	}
+	k.opts.Log.Info().Strs("duties", names).Msg("duties taken")
 }
 
 // lapsedLocked tells whether a holder's lease has certainly run out by itself.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -156,7 +156,6 @@
 func (p *parser) readBody(w http.ResponseWriter, r *http.Request, c *call) *problem.Problem {
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(p.bodyRead))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.bodyBytes))
-	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		return problem.New(http.StatusRequestEntityTooLarge, problem.NotRun, "at most %d bytes are taken", tooLong.Limit).WithField("body")
@@ -164,6 +163,9 @@
 	if err != nil {
 		return problem.New(http.StatusRequestTimeout, problem.NotRun, "the body did not arrive whole in time").WithField("body").WithRetryAfter(time.Second)
 	}
+	// A body that failed keeps its deadline, or the server would wait for the
+	// rest before it answers.
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
 	c.body = body
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,8 +7,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -68,8 +66,7 @@
 	parser   parser
 	counters counters
 	places   chan struct{}
-	draining atomic.Bool
-	work     sync.WaitGroup
+	work     *work
 }
 
 // settleTimeout bounds telling an owner how an attempt ended.
@@ -83,30 +80,16 @@
 		parser:   parser{tree: opts.Tree, bodyBytes: limits.BodyBytes, bodyRead: opts.Config.Timing().BodyRead, now: opts.Now},
 		counters: newCounters(opts.Metrics),
 		places:   make(chan struct{}, limits.Requests),
+		work:     newWork(),
 	}
 }
 
 // Drain makes the gateway refuse new requests. It returns once those under way
 // have ended, or with the context's error.
-func (g *Gateway) Drain(ctx context.Context) error {
-	g.draining.Store(true)
-	ended := make(chan struct{})
-	go func() {
-		g.work.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (g *Gateway) Drain(ctx context.Context) error { return g.work.drain(ctx) }
 
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.work.Add(1)
-	defer g.work.Done()
 	begun := g.opts.Now()
 	w.Header().Set(headerNode, g.opts.Config.Node())
 	c, fault := g.parser.parse(w, r)
@@ -127,9 +110,10 @@
 // admitted serves a checked request if the daemon has room for it.
 func (g *Gateway) admitted(w http.ResponseWriter, r *http.Request, c *call) *problem.Problem {
 	c.mayHaveRun = c.once() && c.key != ""
-	if g.draining.Load() {
+	if !g.work.begin() {
 		return problem.New(http.StatusServiceUnavailable, c.refusalOutcome(), "%s", admission.Stopping).WithRetryAfter(time.Second)
 	}
+	defer g.work.end()
 	select {
 	case g.places <- struct{}{}:
 		defer func() { <-g.places }()
@@ -179,7 +163,7 @@
 	if answer != nil && len(answer.Body()) > g.opts.Config.Limits().KeptAnswerBytes {
 		answer = nil
 	}
-	g.work.Go(func() {
+	g.work.follow(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := g.opts.Claims.Settle(ctx, req, s, answer); err != nil {
--- a/operator/server.go
+++ b/operator/server.go
@@ -30,7 +30,10 @@
 
 // Options wires a server.
 type Options struct {
-	Tree      func() *tree.Tree
+	Tree func() *tree.Tree
+	// Refresh reads what changed from the platform's table, if it answers, so
+	// that operators look at the newest settings.
+	Refresh   func(ctx context.Context)
 	Editor    Editor
 	Accepted  func(*tree.Tree)
 	Announcer Announcer
@@ -50,11 +53,12 @@
 func NewServer(opts Options) *Server { return &Server{opts: opts} }
 
 // TreeGet returns the settings at and below a path.
-func (s *Server) TreeGet(_ context.Context, m *rpc.TreeGetRequest) (*rpc.TreeGetReply, error) {
+func (s *Server) TreeGet(ctx context.Context, m *rpc.TreeGetRequest) (*rpc.TreeGetReply, error) {
 	path, err := tree.ParsePath(m.Path)
 	if err != nil {
 		return nil, twirp.InvalidArgument.Error(err.Error())
 	}
+	s.opts.Refresh(ctx)
 	t := s.opts.Tree()
 	if t == nil {
 		return nil, twirp.Unavailable.Error("this daemon has no settings yet")
--- a/testbed/world/daemon.go
+++ b/testbed/world/daemon.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pointpass/pointpass/testbed/platform"
@@ -62,25 +64,47 @@
 	return d, nil
 }
 
+// Daemons get ports below those that the system gives out by itself, so that
+// no connection takes a daemon's port before it listens.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
+// freeAddr returns an address on loopback where nobody listens, each one once.
+// Where the search begins differs between processes.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	nextPort.CompareAndSwap(0, int64(os.Getpid()*97%(lastPort-firstPort)))
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // LogFile returns where the daemon logs.
 func (d *Daemon) LogFile() string { return filepath.Join(d.world.Dir, d.Node+".log") }
 
+// ErrorFile returns where the daemon's standard error goes.
+func (d *Daemon) ErrorFile() string { return filepath.Join(d.world.Dir, d.Node+".stderr") }
+
 // PID returns the process's number.
 func (d *Daemon) PID() int { return d.cmd.Process.Pid }
 
 // Start starts the process and waits until it listens.
 func (d *Daemon) Start() error {
 	d.cmd = exec.Command(d.world.opts.Program, "-config", d.config)
-	d.cmd.Stderr = os.Stderr
+	stderr, err := os.OpenFile(d.ErrorFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer stderr.Close()
+	d.cmd.Stderr = stderr
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
@@ -89,7 +113,16 @@
 		d.exitErr = cmd.Wait()
 		close(exited)
 	}(d.cmd, d.exited)
-	return Wait(d.Node+" listens", func() bool { return d.get("/readyz") != 0 })
+	return Wait(d.Node+" listens", func() bool { return d.ended() || d.get("/readyz") != 0 })
+}
+
+func (d *Daemon) ended() bool {
+	select {
+	case <-d.exited:
+		return true
+	default:
+		return false
+	}
 }
 
 func (d *Daemon) get(path string) int {
--- a/testbed/world/world.go
+++ b/testbed/world/world.go
@@ -44,9 +44,9 @@
 	Daemons  []*Daemon
 	Dir      string
 
-	opts     Options
-	closers  []func()
-	proxies  *proxies
+	opts    Options
+	closers []func()
+	proxies *proxies
 }
 
 // DefaultLimits are the stand-ins' limits: eight streams a group, as the
@@ -135,9 +135,11 @@
 	return err
 }
 
-// Build builds both programs into a folder.
-func Build(dir string) (program, client string, err error) {
-	out, err := exec.Command("go", "build", "-o", dir+"/", "github.com/pointpass/pointpass/cmd/pointpassd", "github.com/pointpass/pointpass/cmd/pointpass").CombinedOutput()
+// Build builds both programs into a folder, with flags of "go build".
+func Build(dir string, flags ...string) (program, client string, err error) {
+	args := append([]string{"build", "-o", dir + "/"}, flags...)
+	args = append(args, "github.com/pointpass/pointpass/cmd/pointpassd", "github.com/pointpass/pointpass/cmd/pointpass")
+	out, err := exec.Command("go", args...).CombinedOutput()
 	if err != nil {
 		return "", "", fmt.Errorf("building: %w\n%s", err, out)
 	}
