all: Test the decisions on random histories

Cause: only whole processes were tested; decisions need many more histories than processes can play.

The table in memory moves into package platform, so that tests and stand-in share one.

--- /dev/null
+++ b/dispatch/dispatcher_test.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/admission"
+	"github.com/pointpass/pointpass/presence"
+	"github.com/pointpass/pointpass/tree"
+)
+
+// fakeTargets are the groups that are present.
+type fakeTargets []presence.Target
+
+func (f fakeTargets) Targets(string) []presence.Target { return f }
+
+func targets(n int) fakeTargets {
+	var list fakeTargets
+	for i := range n {
+		list = append(list, presence.NewTarget(fmt.Sprint("g", i), 1, "addr", "hall"))
+	}
+	return list
+}
+
+func newDispatcher(t *testing.T, groups int, policy tree.Policy) *Dispatcher {
+	d, closeDispatcher := New(Options{
+		Hall:    "hall",
+		Targets: targets(groups),
+		Daemons: func() int { return 2 },
+		Pool:    func(string) (tree.Pool, bool) { return tree.Pool{Streams: 4, Policy: policy}, true },
+		Now:     time.Now,
+		Tick:    time.Hour,
+	})
+	t.Cleanup(closeDispatcher)
+	return d
+}
+
+func testRequest(limit int, deadline time.Duration) Request {
+	return NewRequest("c", "p", "k", 1, limit, time.Now().Add(deadline), 0)
+}
+
+func acquire(t *testing.T, d *Dispatcher) *Permit {
+	permit, err := d.Acquire(context.Background(), testRequest(10, time.Minute), nil)
+	must.NoError(t, err)
+	return permit
+}
+
+func reasonOf(err error) admission.Reason {
+	var refusal *admission.Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Reason()
+	}
+	return ""
+}
+
+func TestDispatcher_LetsInItsShareAndQueuesTheRest(t *testing.T) {
+	d := newDispatcher(t, 2, tree.PolicyDeadline) // a share of 4
+	var permits []*Permit
+	for range 4 {
+		permits = append(permits, acquire(t, d))
+	}
+	entered := make(chan *Permit)
+	go func() { entered <- acquire(t, d) }()
+	select {
+	case <-entered:
+		t.Fatal("a fifth request was let in")
+	case <-time.After(50 * time.Millisecond):
+	}
+	permits[0].Done(true)
+	must.NotNil(t, <-entered)
+}
+
+func TestDispatcher_Refuses(t *testing.T) {
+	d := newDispatcher(t, 1, tree.PolicyDeadline) // a share of 2
+	first := acquire(t, d)
+	first.begun = time.Now().Add(-2 * time.Second) // answers take two seconds
+	first.Done(true)
+	acquire(t, d)
+	acquire(t, d)
+	_, err := d.Acquire(context.Background(), testRequest(0, time.Minute), nil)
+	must.EqOp(t, admission.QueueFull, reasonOf(err))
+	_, err = d.Acquire(context.Background(), testRequest(10, time.Second), nil)
+	must.EqOp(t, admission.TooLate, reasonOf(err))
+	_, err = newDispatcher(t, 0, tree.PolicyDeadline).Acquire(context.Background(), testRequest(10, time.Minute), nil)
+	must.EqOp(t, admission.NothingServes, reasonOf(err))
+	_, err = d.Acquire(context.Background(), testRequest(10, time.Minute), map[string]bool{"g0": true})
+	must.EqOp(t, admission.NothingServes, reasonOf(err))
+}
+
+func TestDispatcher_ACallerThatLeavesGivesItsPlaceBack(t *testing.T) {
+	d := newDispatcher(t, 1, tree.PolicyDeadline)
+	held := []*Permit{acquire(t, d), acquire(t, d)}
+	ctx, cancel := context.WithCancel(context.Background())
+	left := make(chan error)
+	go func() {
+		_, err := d.Acquire(ctx, testRequest(10, time.Minute), nil)
+		left <- err
+	}()
+	for d.waiting("p") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	must.ErrorIs(t, <-left, context.Canceled)
+	held[0].Done(true)
+	must.EqOp(t, 1, d.UnderWay("p", "g0"))
+	must.NotNil(t, acquire(t, d))
+}
+
+func (d *Dispatcher) waiting(pool string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pools[pool].queue.Len()
+}
+
+func TestDispatcher_ClosingRefusesWhoWaits(t *testing.T) {
+	d := newDispatcher(t, 1, tree.PolicyDeadline)
+	acquire(t, d)
+	acquire(t, d)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		_, err := d.Acquire(context.Background(), testRequest(10, time.Minute), nil)
+		must.EqOp(t, admission.Stopping, reasonOf(err))
+	})
+	for d.waiting("p") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	d.close()
+	wg.Wait()
+	_, err := d.Acquire(context.Background(), testRequest(10, time.Minute), nil)
+	must.EqOp(t, admission.Stopping, reasonOf(err))
+}
+
+func TestWindow_StaysBetweenOneAndTheCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(0, 100).Draw(t, "capacity")
+		w := newWindow(capacity, rapid.IntRange(0, 50).Draw(t, "daemons"))
+		now := time.Now()
+		for range rapid.IntRange(0, 100).Draw(t, "answers") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			waiting := rapid.IntRange(0, 1).Draw(t, "waiting")
+			w.answered(now, waiting, rapid.IntRange(0, 100).Draw(t, "used"), capacity)
+			must.True(t, w.width >= 1 && w.width <= max(1, float64(capacity)))
+		}
+	})
+}
--- /dev/null
+++ b/duty/keeper_test.go
@@ -0,0 +1,242 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/platform"
+)
+
+const (
+	testLease  = 4 * time.Second
+	testMargin = 1500 * time.Millisecond
+)
+
+// flaky is a table that is out at times and loses answers.
+type flaky struct {
+	*platform.Memory
+	out, lose bool
+}
+
+func (f *flaky) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	if f.out {
+		return 0, platform.NewUnavailableError("commit", errors.New("outage"), false)
+	}
+	version, err := f.Memory.Commit(ctx, txn)
+	if f.lose {
+		f.lose = false
+		return 0, platform.NewUnavailableError("commit", errors.New("answer lost"), true)
+	}
+	return version, err
+}
+
+// member is one keeper and how far it has followed the table.
+type member struct {
+	keeper   *Keeper
+	version  uint64
+	lastPoll time.Time
+	taken    []Taken
+}
+
+// cluster is a number of keepers on one table and one clock.
+type cluster struct {
+	now     time.Time
+	table   *flaky
+	members []*member
+}
+
+func newCluster(n int) *cluster {
+	c := &cluster{now: time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC), table: &flaky{Memory: platform.NewMemory()}}
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint("e", i))
+	}
+	for _, name := range names {
+		m := &member{}
+		m.keeper = NewKeeper(c.table, Options{
+			Node:       name,
+			Lease:      testLease,
+			Margin:     testMargin,
+			Candidates: func() []string { return names },
+			Wanted:     func() []string { return []string{"d"} },
+			OnTaken:    func(t Taken) { m.taken = append(m.taken, t) },
+			Now:        func() time.Time { return c.now },
+			Log:        &log.Logger{Level: log.PanicLevel},
+		})
+		c.members = append(c.members, m)
+	}
+	return c
+}
+
+func (c *cluster) poll(m *member) {
+	if c.table.out {
+		return
+	}
+	if c.now.Sub(m.lastPoll) > 2*time.Second {
+		m.keeper.Resumed()
+	}
+	m.lastPoll = c.now
+	changes, _ := c.table.Scan(context.Background(), m.version, NodePrefix, DutyPrefix)
+	var nodes, duties []platform.Row
+	for _, r := range changes.Rows() {
+		if r.Under(NodePrefix) {
+			nodes = append(nodes, r)
+		} else {
+			duties = append(duties, r)
+		}
+	}
+	m.keeper.ApplyNodes(nodes, c.now)
+	m.keeper.ApplyDuties(duties, c.now)
+	m.version = changes.Version()
+}
+
+func (c *cluster) step(m *member) {
+	c.poll(m)
+	m.keeper.Step(context.Background())
+	c.poll(m)
+}
+
+// run lets everybody work for a while, but for those that are paused.
+func (c *cluster) run(d time.Duration, paused ...*member) {
+	for end := c.now.Add(d); c.now.Before(end); c.now = c.now.Add(500 * time.Millisecond) {
+		for _, m := range c.members {
+			if len(paused) == 0 || paused[0] != m {
+				c.step(m)
+			}
+		}
+	}
+}
+
+func (c *cluster) holders() []*member {
+	var holders []*member
+	for _, m := range c.members {
+		if _, held := m.keeper.Held("d"); held {
+			holders = append(holders, m)
+		}
+	}
+	return holders
+}
+
+func TestKeeper_OneTakesTheDutyAndKeepsIt(t *testing.T) {
+	c := newCluster(3)
+	c.run(10 * time.Second)
+	first := c.holders()
+	must.SliceLen(t, 1, first)
+	must.True(t, first[0].taken[0].First())
+	c.run(time.Minute)
+	must.Eq(t, first, c.holders())
+	must.SliceLen(t, 1, first[0].taken)
+}
+
+func TestKeeper_SuccessorWaitsForTheLeaseAndTheMargin(t *testing.T) {
+	c := newCluster(3)
+	c.run(10 * time.Second)
+	old := c.holders()[0]
+	c.run(testLease-time.Second, old)
+	must.Eq(t, []*member{old}, c.holders(), must.Sprint("the lease still holds"))
+	c.run(testMargin, old)
+	must.SliceEmpty(t, c.holders(), must.Sprint("the margin has to pass"))
+	c.run(3*time.Second, old)
+	next := c.holders()
+	must.SliceLen(t, 1, next)
+	must.True(t, next[0] != old)
+	must.True(t, next[0].taken[0].Lapsed())
+	epoch, _ := next[0].keeper.Held("d")
+	must.EqOp(t, 2, epoch)
+	c.run(5 * time.Second)
+	must.Eq(t, next, c.holders(), must.Sprint("the old holder is back and stays out"))
+}
+
+func TestKeeper_ReleaseNeedsNoWait(t *testing.T) {
+	c := newCluster(3)
+	c.run(10 * time.Second)
+	old := c.holders()[0]
+	must.NoError(t, old.keeper.Release(context.Background()))
+	must.SliceEmpty(t, c.holders())
+	c.run(2*time.Second, old)
+	next := c.holders()
+	must.SliceLen(t, 1, next)
+	must.False(t, next[0].taken[0].Lapsed())
+	must.False(t, next[0].taken[0].First())
+}
+
+func TestKeeper_HoldersComeFirstAfterAnOutage(t *testing.T) {
+	c := newCluster(3)
+	c.run(10 * time.Second)
+	old := c.holders()
+	c.table.out = true
+	c.run(time.Minute)
+	must.SliceEmpty(t, c.holders())
+	c.table.out = false
+	c.run(10 * time.Second)
+	must.Eq(t, old, c.holders())
+	must.SliceLen(t, 1, old[0].taken, must.Sprint("the same epoch goes on"))
+}
+
+func TestKeeper_LostAnswerOfARenewalKeepsTheLease(t *testing.T) {
+	c := newCluster(1)
+	c.run(10 * time.Second)
+	must.SliceLen(t, 1, c.holders())
+	for range 10 {
+		c.table.lose = true
+		c.run(time.Second)
+		must.SliceLen(t, 1, c.holders())
+	}
+	must.SliceLen(t, 1, c.members[0].taken)
+}
+
+// TestKeeper_Histories plays random pauses, outages and lost answers: no two
+// ever hold a duty at the same moment, and epochs grow.
+func TestKeeper_Histories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(3)
+		resumeAt := map[*member]time.Time{}
+		epoch := uint64(0)
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			c.now = c.now.Add(time.Duration(rapid.IntRange(10, 1200).Draw(t, "ms")) * time.Millisecond)
+			m := c.members[rapid.IntRange(0, 2).Draw(t, "member")]
+			switch rapid.IntRange(0, 12).Draw(t, "step") {
+			case 0:
+				resumeAt[m] = c.now.Add(time.Duration(rapid.IntRange(0, 15).Draw(t, "pause")) * time.Second)
+			case 1:
+				c.table.out = !c.table.out
+			case 2:
+				c.table.lose = true
+			default:
+				if !c.now.Before(resumeAt[m]) {
+					c.step(m)
+				}
+			}
+			holders := c.holders()
+			must.True(t, len(holders) <= 1, must.Sprint("two hold the duty"))
+			for _, h := range holders {
+				held, _ := h.keeper.Held("d")
+				must.True(t, held >= epoch, must.Sprint("the epoch went back"))
+				epoch = held
+			}
+		}
+	})
+}
+
+func TestRank_MovesOnlyWhatTheLostNodeHad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 2, 9, rapid.ID[string]).Draw(t, "nodes")
+		subject := rapid.String().Draw(t, "subject")
+		ranked := Rank(subject, nodes)
+		lost := rapid.SampledFrom(ranked[1:]).Draw(t, "lost")
+		var left []string
+		for _, n := range nodes {
+			if n != lost {
+				left = append(left, n)
+			}
+		}
+		must.EqOp(t, ranked[0], Rank(subject, left)[0])
+	})
+}
--- /dev/null
+++ b/engine/sender_test.go
@@ -0,0 +1,166 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// server accepts connections and does with the n-th request on each of them
+// what the function says. It counts requests.
+type server struct {
+	addr     string
+	requests atomic.Int64
+}
+
+func serve(t *testing.T, handle func(n int, conn net.Conn)) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	s := &server{addr: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serveConn(conn, handle)
+		}
+	}()
+	return s
+}
+
+func (s *server) serveConn(conn net.Conn, handle func(n int, conn net.Conn)) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := 1; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		buffer := make([]byte, r.ContentLength)
+		r.Body.Read(buffer)
+		s.requests.Add(1)
+		handle(n, conn)
+	}
+}
+
+const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func post(addr string, once bool) Call {
+	return Call{Addr: addr, Method: http.MethodPost, Path: "/", Body: []byte("body"), Key: "k", Stream: "s", Once: once,
+		Header: http.Header{"Content-Type": {"text/plain"}}}
+}
+
+// send sends a call and takes the answer's body, so that the connection can be
+// used again.
+func send(t *testing.T, s *Sender, call Call) error {
+	reply, err := s.Send(context.Background(), call)
+	if err != nil {
+		return err
+	}
+	buffer := make([]byte, 2)
+	reply.Body().Read(buffer)
+	return reply.Body().Close()
+}
+
+// TestSender_NeverSendsAgainByItself lets a connection be used once and then
+// breaks it under the second request, when Go's own client would send that
+// request again on a new connection.
+func TestSender_NeverSendsAgainByItself(t *testing.T) {
+	for _, once := range []bool{false, true} {
+		s := serve(t, func(n int, conn net.Conn) {
+			if n == 2 || once {
+				conn.Close()
+				return
+			}
+			conn.Write([]byte(okReply))
+		})
+		sender, closeSender := NewSender()
+		defer closeSender()
+		sent := int64(1)
+		if !once {
+			must.NoError(t, send(t, sender, post(s.addr, once)))
+			sent = 2
+		}
+		err := send(t, sender, post(s.addr, once))
+		var lost *LostError
+		must.True(t, errors.As(err, &lost), must.Sprintf("%v", err))
+		must.EqOp(t, sent, s.requests.Load())
+	}
+}
+
+func TestSender_OnceUsesNoConnectionTwice(t *testing.T) {
+	s := serve(t, func(n int, conn net.Conn) {
+		if n > 1 {
+			t.Error("a connection was used again")
+		}
+		conn.Write([]byte(okReply))
+	})
+	sender, closeSender := NewSender()
+	defer closeSender()
+	for range 3 {
+		must.NoError(t, send(t, sender, post(s.addr, true)))
+	}
+}
+
+func TestSender_TellsNotRunFromLost(t *testing.T) {
+	cases := []struct {
+		name   string
+		handle func(n int, conn net.Conn)
+		notRun bool
+	}{
+		{"refused by the engine", func(_ int, conn net.Conn) {
+			conn.Write([]byte("HTTP/1.1 409 Conflict\r\nEngine-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"))
+		}, true},
+		{"closed without an answer", func(_ int, conn net.Conn) { conn.Close() }, false},
+		{"half an answer", func(_ int, conn net.Conn) {
+			conn.Write([]byte("HTTP/1.1 200"))
+			conn.Close()
+		}, false},
+		{"somebody else's answer", func(_ int, conn net.Conn) {
+			conn.Write([]byte("HTTP/1.1 200 OK\r\nEngine-Stream: other\r\nContent-Length: 0\r\n\r\n"))
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := serve(t, c.handle)
+			sender, closeSender := NewSender()
+			defer closeSender()
+			_, err := sender.Send(context.Background(), post(s.addr, true))
+			var notRun *NotRunError
+			var lost *LostError
+			must.EqOp(t, c.notRun, errors.As(err, &notRun))
+			must.EqOp(t, !c.notRun, errors.As(err, &lost))
+		})
+	}
+}
+
+func TestSender_NobodyListensIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	listener.Close()
+	sender, closeSender := NewSender()
+	defer closeSender()
+	_, err = sender.Send(context.Background(), post(listener.Addr().String(), true))
+	var notRun *NotRunError
+	must.True(t, errors.As(err, &notRun))
+}
+
+func TestSender_DeadlineAfterSendingIsLost(t *testing.T) {
+	s := serve(t, func(int, net.Conn) {})
+	sender, closeSender := NewSender()
+	defer closeSender()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := sender.Send(ctx, post(s.addr, true))
+	var lost *LostError
+	must.True(t, errors.As(err, &lost))
+}
--- /dev/null
+++ b/testbed/load/policy.go
@@ -0,0 +1,62 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pointpass/pointpass/tree"
+
+	"github.com/pointpass/pointpass/testbed/world"
+)
+
+// SetPolicy puts a policy in force for the model pool at every daemon.
+func SetPolicy(w *world.World, s Scenario, policy string) error {
+	pool := tree.Pool{
+		Type:           tree.ModelPool,
+		VMsPerGroup:    4,
+		Streams:        world.DefaultLimits().Streams,
+		DowntimeWeight: 1,
+		StrandedWeight: 1,
+		Fenced:         true,
+		Policy:         tree.Policy(policy),
+	}
+	value, err := json.Marshal(pool)
+	if err != nil {
+		return err
+	}
+	field := "pools." + s.ModelPool
+	if _, err := w.Client(w.Daemons[0], "tree", "set", "/", field, string(value), "-why", "load test"); err != nil {
+		return err
+	}
+	for _, d := range w.Daemons {
+		err := world.Wait("policy in force at "+d.Node, func() bool {
+			out, err := w.Client(d, "tree", "get", "/", "-json")
+			return err == nil && inForce(out, field, policy)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func inForce(out, field, policy string) bool {
+	var reply struct {
+		Effective map[string]json.RawMessage `json:"effective"`
+	}
+	var pool tree.Pool
+	if json.Unmarshal([]byte(out), &reply) != nil || json.Unmarshal(reply.Effective[field], &pool) != nil {
+		return false
+	}
+	return fmt.Sprint(pool.Policy) == policy
+}
+
+// warmUp is how long the surge is that fills caches before the measured one.
+const warmUp = 2 * time.Second
+
+// Short returns a short surge of the same mix.
+func (s Scenario) Short() Scenario {
+	s.Surge = warmUp
+	return s
+}
--- a/testbed/platform/server.go
+++ b/testbed/platform/server.go
@@ -1,7 +1,11 @@
+// Package platform is a stand-in for the platform that pointpass runs on: a
+// transactional table and a VM list, with their limits and their failures.
 package platform
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,6 +14,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/pointpass/pointpass/platform"
 )
 
 // The limits of the platform's table, as the users state them.
@@ -36,7 +42,7 @@
 
 // Platform is the stand-in. It listens on loopback until closed.
 type Platform struct {
-	table  *table
+	table  *platform.Memory
 	writes *rate.Limiter
 	reads  *rate.Limiter
 	server *http.Server
@@ -60,7 +66,7 @@
 // stops it.
 func Start() (*Platform, func(), error) {
 	p := &Platform{
-		table:  newTable(),
+		table:  platform.NewMemory(),
 		writes: rate.NewLimiter(WritesPerSecond, WritesPerSecond),
 		reads:  rate.NewLimiter(ReadsPerSecond, ReadsPerSecond),
 		vms:    map[string]listed{},
@@ -118,23 +124,27 @@
 	return Usage{Writes: p.written.Load(), Reads: p.read.Load(), Refused: p.refused.Load(), BytesSent: p.sent.Load()}
 }
 
+// rows returns the present rows under a prefix.
+func (p *Platform) rows(prefix string) []platform.Row {
+	changes, _ := p.table.Scan(context.Background(), 0, prefix)
+	return changes.Rows()
+}
+
 // Keys returns the keys of present rows under a prefix, for checks of what
 // really stands in the table.
 func (p *Platform) Keys(prefix string) []string {
-	_, rows := p.table.scan(0, []string{prefix})
-	keys := make([]string, 0, len(rows))
-	for _, r := range rows {
-		keys = append(keys, r.Key)
+	var keys []string
+	for _, r := range p.rows(prefix) {
+		keys = append(keys, r.Key())
 	}
 	return keys
 }
 
 // Value decodes the row with a key; it tells whether there is one.
 func (p *Platform) Value(key string, into any) bool {
-	_, rows := p.table.scan(0, []string{key})
-	for _, r := range rows {
-		if r.Key == key {
-			return json.Unmarshal(r.Value, into) == nil
+	for _, r := range p.rows(key) {
+		if r.Key() == key {
+			return r.Decode(into) == nil
 		}
 	}
 	return false
@@ -165,7 +175,7 @@
 }
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
-	var txn transaction
+	var txn platform.Txn
 	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -174,7 +184,7 @@
 		return
 	}
 	p.written.Add(1)
-	version, conflicts := p.table.commit(txn)
+	version, err := p.table.Commit(r.Context(), txn)
 	lose := false
 	p.locked(func() {
 		if p.loseAnswers > 0 {
@@ -185,8 +195,9 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	if conflicts != nil {
-		p.reply(w, http.StatusConflict, map[string]any{"rows": conflicts})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		p.reply(w, http.StatusConflict, map[string]any{"rows": conflict.Rows()})
 		return
 	}
 	p.reply(w, http.StatusOK, map[string]any{"version": version})
@@ -198,15 +209,14 @@
 	}
 	p.read.Add(1)
 	query := r.URL.Query()
-	var version uint64
-	var rows []row
+	var changes platform.Changes
 	if limit, err := strconv.Atoi(query.Get("last")); err == nil {
-		version, rows = p.table.last(query.Get("prefix"), limit)
+		changes, _ = p.table.Last(r.Context(), query.Get("prefix"), limit)
 	} else {
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
-		version, rows = p.table.scan(after, query["prefix"])
+		changes, _ = p.table.Scan(r.Context(), after, query["prefix"]...)
 	}
-	p.reply(w, http.StatusOK, map[string]any{"version": version, "rows": rows})
+	p.reply(w, http.StatusOK, map[string]any{"version": changes.Version(), "rows": changes.Rows()})
 }
 
 func (p *Platform) listVMs(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/tree/tree_test.go
@@ -0,0 +1,175 @@
+package tree
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/platform"
+)
+
+func change(path, field, value string) Change {
+	c, err := NewChange(path, field, json.RawMessage(value))
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+const somePool = `{"type":"model","vms_per_group":4,"groups":0,"streams":8,"downtime_weight":1,"stranded_weight":1,"fenced":true}`
+
+func edited(t *Tree, changes ...Change) *Tree {
+	next, err := t.Edit(t.Revision(), changes)
+	if err != nil {
+		panic(err)
+	}
+	return next
+}
+
+func TestTree_InheritsUnlessOverridden(t *testing.T) {
+	tree := edited(Empty(),
+		change("/", "pools.p", somePool),
+		change("/", "queue", "10"),
+		change("/", "kinds.ruling", `{"repeatable":false,"deadline_ms":8000,"weight":5}`),
+		change("/", "kinds.question", `{"repeatable":true,"deadline_ms":6000,"weight":1}`),
+		change("/c", "queue", "20"),
+		change("/c/s", "pool", `"p"`),
+		change("/c/s/final", "kinds.ruling", `{"repeatable":false,"deadline_ms":2000,"weight":9}`),
+	)
+	final, ok := tree.Effective("/c/s/final")
+	must.True(t, ok)
+	must.EqOp(t, 20, final.Queue())
+	must.EqOp(t, "p", final.Pool())
+	ruling, _ := final.Kind("ruling")
+	must.EqOp(t, 2*time.Second, ruling.Deadline())
+	question, _ := final.Kind("question")
+	must.EqOp(t, 6*time.Second, question.Deadline())
+	tree = edited(tree, change("/c", "queue", ""))
+	final, _ = tree.Effective("/c/s/final")
+	must.EqOp(t, 10, final.Queue())
+}
+
+func TestNewChange_NamesWhatIsWrong(t *testing.T) {
+	cases := []struct{ path, field, value, want string }{
+		{"c", "queue", "1", "want / or /customer"},
+		{"/a/b/c/d", "queue", "1", "want / or /customer"},
+		{"/A", "queue", "1", "names are made of"},
+		{"/c", "queues", "1", "unknown field"},
+		{"/c", "kinds", "{}", "unknown field"},
+		{"/c", "queue", "-1", "want 0 or more"},
+		{"/c", "queue", `"x"`, "cannot unmarshal"},
+		{"/c", "api_keys", `["short"]`, "want SHA-256"},
+		{"/c/s", "api_keys", `[]`, "can't be set at the level of a service"},
+		{"/c", "opens_at", `"20:00"`, "can't be set at the level of a customer"},
+		{"/c/s/e", "opens_at", `"25:00"`, "time of day"},
+		{"/", "pools.p", `{"type":"model"}`, "vms_per_group"},
+		{"/", "pools.p", `{"typo":1}`, "unknown field"},
+		{"/", "kinds.k", `{"repeatable":true}`, "deadline_ms"},
+	}
+	for _, c := range cases {
+		_, err := NewChange(c.path, c.field, json.RawMessage(c.value))
+		must.ErrorContains(t, err, c.want)
+	}
+}
+
+func TestEdit_RefusesWhatContradictsTheTree(t *testing.T) {
+	_, err := Empty().Edit(0, []Change{change("/c/s", "pool", `"missing"`)})
+	must.ErrorContains(t, err, "no pool named missing")
+	hash := fmt.Sprintf("%064d", 7)
+	tree := edited(Empty(), change("/a", "api_keys", `["`+hash+`"]`))
+	_, err = tree.Edit(1, []Change{change("/b", "api_keys", `["`+hash+`"]`)})
+	must.ErrorContains(t, err, "belongs to a already")
+}
+
+func TestEdit_ConflictsOnlyOnTheSameField(t *testing.T) {
+	base := edited(Empty(), change("/c", "queue", "1"))
+	after := edited(base, change("/c", "queue", "2"))
+	_, err := after.Edit(base.Revision(), []Change{change("/c", "queue", "3")})
+	var conflict *ConflictError
+	must.True(t, errors.As(err, &conflict))
+	must.StrContains(t, err.Error(), "queue was changed meanwhile, in revision 2, to 2")
+	_, err = after.Edit(base.Revision(), []Change{change("/c", "share", "3")})
+	must.NoError(t, err)
+}
+
+// lossy is a table that loses the answers of commits.
+type lossy struct {
+	*platform.Memory
+	lose int
+}
+
+func (l *lossy) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+	version, err := l.Memory.Commit(ctx, txn)
+	if l.lose > 0 {
+		l.lose--
+		return 0, platform.NewUnavailableError("commit", errors.New("answer lost"), true)
+	}
+	return version, err
+}
+
+func TestEditor_LostAnswerIsAskedForAgain(t *testing.T) {
+	store := &lossy{Memory: platform.NewMemory(), lose: 1}
+	editor := NewEditor(store, time.Now)
+	req := NewRequest("id-1", "me", "why", 0, []Change{change("/c", "queue", "1")})
+	for range 2 {
+		revision, _, err := editor.Edit(context.Background(), req)
+		must.NoError(t, err)
+		must.EqOp(t, 1, revision)
+	}
+	store.lose = 100
+	_, _, err := editor.Edit(context.Background(), NewRequest("id-2", "me", "", 1, []Change{change("/c", "queue", "2")}))
+	must.NoError(t, err, must.Sprint("the second try finds the edit accepted"))
+}
+
+// TestHolder_NeverGoesBack gives a holder reads of the table and trees of peers
+// of all ages, in any order: its revision never falls, and its content is
+// always that of the revision it claims.
+func TestHolder_NeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := platform.NewMemory()
+		editor := NewEditor(store, time.Now)
+		history := []*Tree{Empty()}
+		type read struct{ changes platform.Changes }
+		var reads []read
+		for i := range rapid.IntRange(1, 12).Draw(t, "edits") {
+			path := rapid.SampledFrom([]string{"/", "/a", "/b", "/a/s"}).Draw(t, "path")
+			value := rapid.SampledFrom([]string{"1", "2", "3", ""}).Draw(t, "value")
+			after := rapid.Uint64Range(0, uint64(i)).Draw(t, "after")
+			_, tree, err := editor.Edit(context.Background(), NewRequest(fmt.Sprint(i), "me", "", uint64(i), []Change{change(path, "queue", value)}))
+			must.NoError(t, err)
+			history = append(history, tree)
+			changes, _ := store.Scan(context.Background(), after, Prefix)
+			reads = append(reads, read{changes})
+		}
+		holder := NewHolder(func(*Tree) {})
+		newest := uint64(0)
+		version := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "peer") {
+				peer := rapid.SampledFrom(history[1:]).Draw(t, "tree")
+				exported := map[Path][]byte{}
+				for _, n := range peer.Export() {
+					exported[n.Path()] = n.Fields()
+				}
+				imported, err := Import(peer.Revision(), exported)
+				must.NoError(t, err)
+				holder.Replace(imported)
+			} else {
+				changes, _ := store.Scan(context.Background(), version, Prefix)
+				must.NoError(t, holder.ApplyRows(changes.Rows()))
+				version = changes.Version()
+			}
+			must.True(t, holder.Revision() >= newest)
+			newest = holder.Revision()
+			want, _ := json.Marshal(history[newest].nodes)
+			got, _ := json.Marshal(holder.Current().nodes)
+			must.EqOp(t, string(want), string(got))
+		}
+	})
+}
