--- a/commands/client.go
+++ b/commands/client.go
@@ -210,7 +210,7 @@
 	if _, err := netip.ParseAddrPort(c.addr); err != nil {
 		return &usageError{text: "-addr: want the IP number and port of a daemon's control address"}
 	}
-	httpClient, closeClient := control.NewClient(c.token)
+	httpClient, closeClient := control.NewClient(c.token, nil)
 	defer closeClient()
 	c.operator = rpc.NewOperatorProtobufClient("http://"+c.addr, httpClient)
 	return cmd.run(c, ctx, rest)
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -139,7 +139,7 @@
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- callersServer.Serve(callers) }()
-	go func() { failed <- controlServer.Serve(controls) }()
+	go func() { failed <- controlServer.Serve(d.Control.Listener(controls)) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go d.Run(ctx)
--- a/deps/deps.go
+++ b/deps/deps.go
@@ -14,6 +14,7 @@
 	"github.com/pointpass/pointpass/audit"
 	"github.com/pointpass/pointpass/claims"
 	"github.com/pointpass/pointpass/common/control"
+	"github.com/pointpass/pointpass/common/meter"
 	"github.com/pointpass/pointpass/config"
 	"github.com/pointpass/pointpass/dispatch"
 	"github.com/pointpass/pointpass/duty"
@@ -36,6 +37,7 @@
 	Config     *config.Config
 	Log        *log.Logger
 	Metrics    *metrics.Set
+	Control    *meter.Meter // all traffic but that of requests
 	Platform   *platform.Client
 	Fleet      *fleet.Registry
 	Groups     *groups.Registry
@@ -61,13 +63,14 @@
 		Config:  cfg,
 		Log:     logger,
 		Metrics: metrics.NewSet(),
+		Control: &meter.Meter{},
 		Fleet:   fleet.NewRegistry(),
 		Groups:  groups.NewRegistry(),
 		Stops:   stops.NewBoard(),
 	}
-	client, closeClient := platform.NewClient(cfg.PlatformAddr(), cfg.Timing().Platform)
-	controlHTTP, closeControl := control.NewClient(cfg.ControlToken())
-	endpoints, closeEndpoints := engine.NewClient()
+	client, closeClient := platform.NewClient(cfg.PlatformAddr(), cfg.Timing().Platform, d.Control.DialContext)
+	controlHTTP, closeControl := control.NewClient(cfg.ControlToken(), d.Control.DialContext)
+	endpoints, closeEndpoints := engine.NewClient(d.Control.DialContext)
 	sender, closeSender := engine.NewSender()
 	d.Platform = client
 	d.Tree = tree.NewHolder(d.treeChanged)
@@ -241,6 +244,7 @@
 		Now:       time.Now,
 	})
 	d.Metrics.NewGauge("pointpass_settings_revision", func() float64 { return float64(d.Tree.Revision()) })
+	d.Metrics.NewGauge("pointpass_control_bytes", func() float64 { return float64(d.Control.Bytes()) })
 	d.Metrics.NewGauge("pointpass_claims", func() float64 { return float64(d.Ledger.Len()) })
 	d.Metrics.NewGauge("pointpass_table_age_seconds", func() float64 { return min(d.Mirror.Age().Seconds(), 1e9) })
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -55,9 +56,12 @@
 	http *http.Client
 }
 
+// Dial opens connections.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewClient returns a client and a function that frees its connections.
-func NewClient() (*Client, func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}
+func NewClient(dial Dial) (*Client, func()) {
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}
 	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/tmaxmax/go-sse"
@@ -72,8 +72,10 @@
 	id      eventID // of the last event that was relayed
 	name    string  // of the stream at the engine
 	kept    []byte  // what a repeat of a once-only request will get
-	gone    bool    // the caller no longer reads
-	ended   bool    // the end mark was relayed
+	buffer  bytes.Buffer
+	limit   time.Time // until when the caller may leave a write unread
+	gone    bool      // the caller no longer reads
+	ended   bool      // the end mark was relayed
 }
 
 // relayStream passes on events until the end mark. A connection that breaks
@@ -125,21 +127,35 @@
 
 func (s *stream) pass(data string) {
 	s.ended = data == endMark
-	message := s.encode(data)
+	message := s.encode(sse.Message{ID: sse.ID(s.id.String())}, data)
 	if s.call.once() && len(s.kept) <= s.gateway.opts.Config.Limits().KeptAnswerBytes {
 		s.kept = append(s.kept, message...)
 	}
 	if !s.gone {
-		s.gone = s.gateway.write(s.w, message) != nil || s.control.Flush() != nil
+		s.gone = s.write(message) != nil
 	}
 }
 
-func (s *stream) encode(data string) []byte {
-	var b strings.Builder
-	message := sse.Message{ID: sse.ID(s.id.String())}
+// encode returns an event as bytes, which are good until the next.
+func (s *stream) encode(message sse.Message, data string) []byte {
+	s.buffer.Reset()
 	message.AppendData(data)
-	message.WriteTo(&b)
-	return []byte(b.String())
+	message.WriteTo(&s.buffer)
+	return s.buffer.Bytes()
+}
+
+// write sends an event. The limit on how long the caller may leave it unread is
+// moved on in steps, since moving it costs about as much as a write.
+func (s *stream) write(message []byte) error {
+	allowed := s.gateway.opts.Config.Timing().CallerWrite
+	if now := time.Now(); s.limit.Sub(now) < allowed/2 {
+		s.limit = now.Add(allowed)
+		s.control.SetWriteDeadline(s.limit)
+	}
+	if _, err := s.w.Write(message); err != nil {
+		return err
+	}
+	return s.control.Flush()
 }
 
 // takeUp asks the engine for the rest of a stream whose connection broke. It
@@ -188,12 +204,7 @@
 
 func (s *stream) sendError(fault *problem.Problem) {
 	data, _ := json.Marshal(fault.WithRequestID(s.id.request))
-	message := sse.Message{Type: sse.Type("error")}
-	message.AppendData(string(data))
-	var b strings.Builder
-	message.WriteTo(&b)
-	s.gateway.write(s.w, []byte(b.String()))
-	s.control.Flush()
+	s.write(s.encode(sse.Message{Type: sse.Type("error")}, string(data)))
 }
 
 func (s *stream) cancel() {
