--- a/testbed/load/measure.go
+++ b/testbed/load/measure.go
@@ -151,3 +151,6 @@
 	}
 	return strings.Join(slices.Clip(cells), "\t")
 }
+
+// Gauge returns one daemon's metric, added up over its labels.
+func Gauge(d *world.Daemon, name string) float64 { return counterOf(d, name) }
--- a/testbed/world/daemon.go
+++ b/testbed/world/daemon.go
@@ -15,7 +15,8 @@
 	"github.com/pointpass/pointpass/testbed/platform"
 )
 
-const controlToken = "testbed-token"
+// ControlToken is the secret of every daemon in a testbed.
+const ControlToken = "testbed-token"
 
 // Daemon is a real pointpassd process.
 type Daemon struct {
@@ -56,7 +57,7 @@
   "control_token": %q, "log_file": %q,
   %s
 }
-`, node, hall, callers, control, platformAddr, controlToken, d.LogFile(), w.opts.Extra)
+`, node, hall, callers, control, platformAddr, ControlToken, d.LogFile(), w.opts.Extra)
 	if err := os.WriteFile(d.config, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
--- a/testbed/world/world.go
+++ b/testbed/world/world.go
@@ -237,7 +237,7 @@
 // Client runs the operators' client against a daemon.
 func (w *World) Client(d *Daemon, args ...string) (string, error) {
 	cmd := exec.Command(w.opts.Client, args...)
-	cmd.Env = append(os.Environ(), "POINTPASS_ADDR="+d.Control, "POINTPASS_TOKEN="+controlToken, "POINTPASS_WHO=testbed")
+	cmd.Env = append(os.Environ(), "POINTPASS_ADDR="+d.Control, "POINTPASS_TOKEN="+ControlToken, "POINTPASS_WHO=testbed")
 	out, err := cmd.CombinedOutput()
 	if err != nil {
 		return string(out), &ClientError{args: args, output: string(out), err: err}
