--- a/testbed/scenarios/session_test.go
+++ b/testbed/scenarios/session_test.go
@@ -64,6 +64,7 @@
 	"thaw":      cmdThaw,
 	"cut":       cmdCut,
 	"heal":      cmdHeal,
+	"delay":     cmdDelay,
 	"terminate": cmdTerminate,
 	"outage":    cmdOutage,
 	"slow":      cmdSlow,
@@ -267,6 +268,13 @@
 	failOn(ts, s.world.Cut(s.daemon(ts, args[0]), link(ts, args[1])))
 }
 
+// delay DAEMON platform|control DURATION makes what goes over a link arrive
+// late.
+func cmdDelay(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	failOn(ts, s.world.Delay(s.daemon(ts, args[0]), link(ts, args[1]), duration(ts, args[2])))
+}
+
 func cmdHeal(ts *testscript.TestScript, _ bool, args []string) {
 	s := of(ts)
 	failOn(ts, s.world.Heal(s.daemon(ts, args[0]), link(ts, args[1])))
--- a/testbed/world/daemon.go
+++ b/testbed/world/daemon.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pointpass/pointpass/testbed/platform"
 )
@@ -126,8 +127,15 @@
 	}
 }
 
+// getTimeout bounds how long a daemon may take to say how it is.
+const getTimeout = 2 * time.Second
+
+// Up tells whether the daemon answers at all.
+func (d *Daemon) Up() bool { return d.get("/readyz") != 0 }
+
 func (d *Daemon) get(path string) int {
-	resp, err := http.Get("http://" + d.Callers + path)
+	client := http.Client{Timeout: getTimeout}
+	resp, err := client.Get("http://" + d.Callers + path)
 	if err != nil {
 		return 0
 	}
--- a/testbed/world/proxies.go
+++ b/testbed/world/proxies.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
@@ -83,7 +84,16 @@
 	})
 }
 
-// Heal takes a cut back.
+// Delay makes what a daemon sends over a link arrive late.
+func (w *World) Delay(d *Daemon, link Link, by time.Duration) error {
+	toxic := fmt.Sprintf(`{"name": "late", "type": "latency", "stream": "upstream", "attributes": {"latency": %d}}`, by.Milliseconds())
+	return w.onLink(d, link, func(c *toxiproxy.ToxicCollection) error {
+		_, err := c.AddToxicJson(strings.NewReader(toxic))
+		return err
+	})
+}
+
+// Heal takes cuts and delays back.
 func (w *World) Heal(d *Daemon, link Link) error {
 	return w.onLink(d, link, func(c *toxiproxy.ToxicCollection) error {
 		c.ResetToxics(context.Background())
