admission: Book returns, weigh value, hand claims over at shutdown

The window shrank at the first request that waited at an engine, so engines ran empty, and refused callers came back into the same crowd.

Change: the window tolerates half to one batch of waiting at an engine; engines get priorities; order by worth for the time taken; each refused caller gets an appointment behind those refused before. At SIGTERM a daemon hands the claims of its slots to the next owners.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -17,6 +17,10 @@
 	// EarliestDeadline serves the nearest deadline first (Liu and Layland,
 	// JACM 1973).
 	EarliestDeadline
+	// MostValue serves first what is worth most for the time it takes, and the
+	// nearest deadline among equals (value density, after Jensen, Locke and
+	// Tokuda, "A Time-Driven Scheduling Model", RTSS 1985).
+	MostValue
 	// LeastSlack serves first what can wait least: deadline less the time that
 	// loading and computing will take (CALVO, section 4).
 	LeastSlack
@@ -30,6 +34,7 @@
 	arrived  time.Time
 	deadline time.Time
 	need     time.Duration
+	weight   float64
 
 	sequence uint64
 	index    int // in its customer's heap, -1 when in none
@@ -37,11 +42,17 @@
 
 // NewTicket returns a ticket of a customer with a share of the capacity and a
 // limit of waiting requests. Need is how long the request will probably take
-// once it is let in.
-func NewTicket(customer string, share float64, limit int, arrived, deadline time.Time, need time.Duration) *Ticket {
-	return &Ticket{customer: customer, share: share, limit: limit, arrived: arrived, deadline: deadline, need: need, index: -1}
+// once it is let in, weight what its answer in time is worth.
+func NewTicket(customer string, share float64, limit int, arrived, deadline time.Time, need time.Duration, weight float64) *Ticket {
+	return &Ticket{customer: customer, share: share, limit: limit, arrived: arrived, deadline: deadline, need: need, weight: weight, index: -1}
 }
 
+// leastNeed stands in for the need of requests of which nothing is known yet.
+const leastNeed = 10 * time.Millisecond
+
+// Density returns what a second of work on the request is worth.
+func (t *Ticket) Density() float64 { return t.weight / max(t.need, leastNeed).Seconds() }
+
 // Deadline returns when the answer must be whole.
 func (t *Ticket) Deadline() time.Time { return t.deadline }
 
@@ -185,6 +196,8 @@
 	switch q.order {
 	case EarliestDeadline:
 		order = a.deadline.Compare(b.deadline)
+	case MostValue:
+		order = cmp.Or(cmp.Compare(b.Density(), a.Density()), a.deadline.Compare(b.deadline))
 	case LeastSlack:
 		order = a.latest().Compare(b.latest())
 	}
--- a/admission/refusal.go
+++ b/admission/refusal.go
@@ -39,10 +39,32 @@
 // RetryAfter returns how long the caller should wait.
 func (r *Refusal) RetryAfter() time.Duration { return r.retryAfter }
 
-// Spread returns when a refused caller should come back: after the backlog is
-// worked off, and spread over as long again, so that the refused don't return
-// together. Random is in [0, 1).
-func Spread(backlog time.Duration, random float64) time.Duration {
-	base := max(backlog, time.Second)
-	return base + time.Duration(random*float64(base))
+// The shortest and the longest time after which a refused caller is asked to
+// come back.
+const (
+	soonest = time.Second
+	latest  = 2 * time.Minute
+)
+
+// Appointments spreads refused callers over the time that the queue will need:
+// each gets the next place behind those that wait and those that were refused
+// before, so that they neither return together nor into the same crowd.
+type Appointments struct {
+	next time.Time
+}
+
+// Book returns after how long a refused caller should come back. Backlog is how
+// long those that wait will take, each how long one request takes the whole
+// daemon's share. Random, in [0, 1), keeps daemons from booking in step.
+func (a *Appointments) Book(now time.Time, backlog, each time.Duration, random float64) time.Duration {
+	earliest := now.Add(max(backlog, soonest))
+	if a.next.Before(earliest) {
+		a.next = earliest
+	}
+	wait := a.next.Sub(now) + time.Duration(random*float64(soonest))
+	if wait > latest {
+		return latest - time.Duration(random*float64(latest/2))
+	}
+	a.next = a.next.Add(each)
+	return wait
 }
--- a/claims/client.go
+++ b/claims/client.go
@@ -9,8 +9,9 @@
 	"github.com/pointpass/pointpass/duty"
 )
 
-// claimTries is how often an owner is asked under the same attempt.
-const claimTries = 3
+// claimTries is how often an owner is asked under the same attempt. With the
+// wait between them they outlast a slot's handing over.
+const claimTries = 5
 
 // Directory tells who owns a slot.
 type Directory interface {
--- a/claims/ledger_test.go
+++ b/claims/ledger_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/common/histories"
 )
 
+func TestMain(m *testing.M) { os.Exit(histories.Run(m)) }
+
 var start = time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC)
 
 const ahead = time.Second
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"sync"
 	"time"
 
 	"github.com/pointpass/pointpass/common/reqkey"
@@ -19,17 +20,40 @@
 	slots   int
 	ahead   time.Duration
 	now     func() time.Time
+
+	mu     sync.Mutex
+	staged map[int]Transfer // handed over, until the slot is ours
 }
 
 // NewOwner returns the owner's side of claims over a number of slots.
 func NewOwner(ledger *Ledger, holding Holding, slots int, ahead time.Duration, now func() time.Time) *Owner {
-	return &Owner{ledger: ledger, holding: holding, slots: slots, ahead: ahead, now: now}
+	return &Owner{ledger: ledger, holding: holding, slots: slots, ahead: ahead, now: now, staged: map[int]Transfer{}}
+}
+
+// Stage keeps what the last owner of a slot knew, for when the slot is ours.
+func (o *Owner) Stage(t Transfer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.staged[t.slot] = t
 }
 
-// Taken opens a slot after its duty was taken. Where the last owner's lease was
-// waited out, the wait covers how far ahead of a clock a key may be dated;
-// where the last owner released it, that has to be added.
+func (o *Owner) unstage(slot int, epoch uint64) (Transfer, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t, ok := o.staged[slot]
+	delete(o.staged, slot)
+	return t, ok && epoch != 0 && t.epoch == epoch
+}
+
+// Taken opens a slot after its duty was taken. Where the last owner handed over
+// what it knew, the slot goes on with that. Where its lease was waited out, the
+// wait covers how far ahead of a clock a key may be dated; where it released the
+// slot, that has to be added.
 func (o *Owner) Taken(slot int, t duty.Taken) {
+	if transfer, ok := o.unstage(slot, t.Sealed()); ok {
+		o.ledger.Adopt(t.Epoch(), transfer)
+		return
+	}
 	since := o.now()
 	switch {
 	case t.First():
--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -163,8 +163,8 @@
 	}
 	releaseCtx, cancelRelease := context.WithTimeout(context.Background(), cfg.Timing().Platform)
 	defer cancelRelease()
-	if err := d.Keeper.Release(releaseCtx); err != nil {
-		d.Log.Warn().Err(err).Msg("duties not released, successors wait for the lease to lapse")
+	if err := d.HandOver(releaseCtx); err != nil {
+		d.Log.Warn().Err(err).Msg("duties not handed over, successors wait for the lease to lapse")
 	}
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
--- a/deps/deps.go
+++ b/deps/deps.go
@@ -134,10 +134,8 @@
 }
 
 func (d *Deps) dutyTaken(t duty.Taken) {
-	if slot, ok := strings.CutPrefix(t.Name(), "slot/"); ok {
-		if n, err := strconv.Atoi(slot); err == nil {
-			d.Owner.Taken(n, t)
-		}
+	if slot, ok := slotOf(t.Name()); ok {
+		d.Owner.Taken(slot, t)
 		return
 	}
 	if domain, ok := strings.CutPrefix(t.Name(), "domain/"); ok {
@@ -145,6 +143,13 @@
 	}
 }
 
+// slotOf returns the slot that a duty is over, if it is over one.
+func slotOf(name string) (int, bool) {
+	number, found := strings.CutPrefix(name, "slot/")
+	slot, err := strconv.Atoi(number)
+	return slot, found && err == nil
+}
+
 func (d *Deps) wireClaims() {
 	limits := d.Config.Limits()
 	timing := d.Config.Timing()
@@ -238,6 +243,7 @@
 		Accepted:  d.Tree.Replace,
 		Announcer: stops.NewAnnouncer(d.Platform, time.Now),
 		Stops:     d.Stops.List,
+		Known:     d.known,
 		Audit:     d.Platform,
 		Status:    d.status,
 		Changed:   d.Mirror.Kick,
@@ -249,6 +255,16 @@
 	d.Metrics.NewGauge("pointpass_table_age_seconds", func() float64 { return min(d.Mirror.Age().Seconds(), 1e9) })
 }
 
+// known tells whether the VM list or the table has a VM or a group.
+func (d *Deps) known(vm, group string) bool {
+	if group != "" {
+		_, ok := d.Groups.Group(group)
+		return ok
+	}
+	_, ok := d.Fleet.VM(vm)
+	return ok
+}
+
 // editableTree returns the newest tree. Before the first edit it is empty, but
 // only if the platform's table says so.
 func (d *Deps) editableTree() *tree.Tree {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -51,6 +51,7 @@
 	loads     map[string]*load // by target
 	occupancy map[string]*admission.Estimate
 	overall   admission.Estimate
+	returns   admission.Appointments
 	waiters   map[*admission.Ticket]*waiter
 }
 
@@ -80,15 +81,22 @@
 	pool     string
 	kind     string
 	share    float64
+	weight   float64
 	limit    int
 	deadline time.Time
 	prefix   uint64
 }
 
-// NewRequest returns a request of a customer for a pool. Limit is how many of
-// the customer's requests may wait.
+// NewRequest returns a request of a customer for a pool. Share is the
+// customer's part of the capacity and limit how many of its requests may wait.
 func NewRequest(customer, pool, kind string, share float64, limit int, deadline time.Time, prefix uint64) Request {
-	return Request{customer: customer, pool: pool, kind: kind, share: share, limit: limit, deadline: deadline, prefix: prefix}
+	return Request{customer: customer, pool: pool, kind: kind, share: share, weight: 1, limit: limit, deadline: deadline, prefix: prefix}
+}
+
+// WithWeight returns the request with what its answer in time is worth.
+func (r Request) WithWeight(weight float64) Request {
+	r.weight = weight
+	return r
 }
 
 // New returns a dispatcher, and a function that refuses all that wait and all
@@ -144,12 +152,16 @@
 	dispatcher *Dispatcher
 	request    Request
 	target     presence.Target
+	priority   int
 	begun      time.Time
 }
 
 // Target returns where the request goes.
 func (p *Permit) Target() presence.Target { return p.target }
 
+// Priority returns what the endpoint is told: the larger, the sooner.
+func (p *Permit) Priority() int { return p.priority }
+
 // Observe takes in the load that the target told with its answer.
 func (p *Permit) Observe(running, waiting int) { p.dispatcher.observe(p, running, waiting) }
 
@@ -184,7 +196,23 @@
 }
 
 func (d *Dispatcher) permitFor(r Request, target presence.Target) *Permit {
-	return &Permit{dispatcher: d, request: r, target: target, begun: d.opts.Now()}
+	return &Permit{dispatcher: d, request: r, target: target, priority: d.priority(r), begun: d.opts.Now()}
+}
+
+// priorityScale keeps two digits of a request's density in its priority.
+const priorityScale = 100
+
+// priority has endpoints continue the order of the daemons' queues.
+func (d *Dispatcher) priority(r Request) int {
+	pool, ok := d.opts.Pool(r.pool)
+	if !ok || orderOf(pool.Policy) != admission.MostValue {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.opts.Now()
+	ticket := admission.NewTicket(r.customer, r.share, r.limit, now, r.deadline, d.pools[r.pool].need(r.kind), r.weight)
+	return int(priorityScale * ticket.Density())
 }
 
 // enqueue lets a request in at once, makes it wait or refuses it.
@@ -197,7 +225,7 @@
 	p := d.pool(r.pool, pool)
 	targets := d.opts.Targets.Targets(r.pool)
 	if len(targets) == 0 {
-		return nil, nil, admission.NewRefusal(admission.NothingServes, admission.Spread(time.Second, d.random.Float64()))
+		return nil, nil, d.refuse(p, admission.NothingServes)
 	}
 	w := &waiter{request: r, ready: make(chan outcome, 1)}
 	if pool.Policy == tree.PolicyBaseline {
@@ -223,7 +251,7 @@
 		}
 	}
 	if len(others) == 0 {
-		return nil, nil, admission.NewRefusal(admission.NothingServes, admission.Spread(time.Second, d.random.Float64()))
+		return nil, nil, d.refuse(p, admission.NothingServes)
 	}
 	d.start(p, w, d.choose(p, others, pool, w.request.prefix))
 	return w, nil, nil
@@ -234,19 +262,25 @@
 	now := d.opts.Now()
 	r := w.request
 	need := p.need(r.kind)
-	ticket := admission.NewTicket(r.customer, r.share, r.limit, now, r.deadline, need)
-	backlog := admission.Wait(p.queue.Len()+1, p.window.width, p.overall.Mean())
+	ticket := admission.NewTicket(r.customer, r.share, r.limit, now, r.deadline, need, r.weight)
 	wait := admission.Wait(p.queue.Ahead(ticket)+1, p.window.width, p.overall.Mean())
 	if now.Add(wait + need).After(r.deadline) {
-		return nil, nil, admission.NewRefusal(admission.TooLate, admission.Spread(backlog, d.random.Float64()))
+		return nil, nil, d.refuse(p, admission.TooLate)
 	}
 	if !p.queue.Push(ticket) {
-		return nil, nil, admission.NewRefusal(admission.QueueFull, admission.Spread(backlog, d.random.Float64()))
+		return nil, nil, d.refuse(p, admission.QueueFull)
 	}
 	p.waiters[ticket] = w
 	return w, ticket, nil
 }
 
+// refuse books a place for the caller's return.
+func (d *Dispatcher) refuse(p *poolState, reason admission.Reason) *admission.Refusal {
+	each := admission.Wait(1, p.window.width, p.overall.Mean())
+	backlog := time.Duration(p.queue.Len()) * each
+	return admission.NewRefusal(reason, p.returns.Book(d.opts.Now(), backlog, each, d.random.Float64()))
+}
+
 func (p *poolState) need(kind string) time.Duration {
 	if e, ok := p.occupancy[kind]; ok {
 		return e.Mean()
@@ -280,8 +314,10 @@
 		return admission.FIFO
 	case tree.PolicySlack:
 		return admission.LeastSlack
+	case tree.PolicyDeadline:
+		return admission.EarliestDeadline
 	}
-	return admission.EarliestDeadline
+	return admission.MostValue
 }
 
 func (p *poolState) load(target string) *load {
@@ -345,8 +381,7 @@
 	for _, t := range late {
 		w := p.waiters[t]
 		delete(p.waiters, t)
-		backlog := admission.Wait(p.queue.Len()+1, p.window.width, p.overall.Mean())
-		w.ready <- outcome{refusal: admission.NewRefusal(admission.TooLate, admission.Spread(backlog, d.random.Float64()))}
+		w.ready <- outcome{refusal: d.refuse(p, admission.TooLate)}
 	}
 }
 
@@ -405,7 +440,7 @@
 	l.atReport = l.underWay
 	if pool, ok := d.opts.Pool(name); ok {
 		capacity := pool.Streams * len(d.opts.Targets.Targets(name))
-		p.window.answered(d.opts.Now(), waiting, p.underWay, capacity)
+		p.window.answered(d.opts.Now(), waiting, p.underWay, pool.Streams, capacity)
 	}
 	d.advance(p)
 }
--- /dev/null
+++ b/duty/handover.go
@@ -0,0 +1,97 @@
+package duty
+
+import (
+	"context"
+	"strings"
+
+	"github.com/pointpass/pointpass/audit"
+	"github.com/pointpass/pointpass/platform"
+)
+
+// Handover is one duty on its way to another holder.
+type Handover struct {
+	name  string
+	epoch uint64
+	to    Holder
+}
+
+// Name returns the duty.
+func (h Handover) Name() string { return h.name }
+
+// Epoch returns the epoch under which it was held.
+func (h Handover) Epoch() uint64 { return h.epoch }
+
+// To returns who holds it next.
+func (h Handover) To() Holder { return h.to }
+
+// Seal stops acting on all duties, for good, and returns to whom each should
+// go. Duties for which nobody else is there are left out.
+func (k *Keeper) Seal() []Handover {
+	candidates := k.opts.Candidates()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.releasing = true
+	others := k.othersLocked(candidates)
+	var nodes []string
+	for node := range others {
+		nodes = append(nodes, node)
+	}
+	var handovers []Handover
+	for name, d := range k.duties {
+		if d.row.Holder != k.self.holder() || len(nodes) == 0 {
+			continue
+		}
+		next := others[Rank(name, nodes)[0]]
+		handovers = append(handovers, Handover{name: name, epoch: d.row.Epoch, to: next})
+	}
+	return handovers
+}
+
+// othersLocked returns the live holders of other nodes, by node.
+func (k *Keeper) othersLocked(candidates []string) map[string]Holder {
+	live := map[string]bool{}
+	for _, node := range k.liveLocked(candidates) {
+		live[node] = node != k.opts.Node
+	}
+	others := map[string]Holder{}
+	for name, seen := range k.nodes {
+		if live[seen.row.Node] && k.opts.Now().Sub(seen.since) < k.opts.Lease {
+			others[seen.row.Node] = Holder{name: name, addr: seen.row.Addr}
+		}
+	}
+	return others
+}
+
+// HandOver names the next holder of each duty in the table, and gives up all
+// others, in one transaction. Seal comes first.
+func (k *Keeper) HandOver(ctx context.Context, handovers []Handover) error {
+	next := map[string]Handover{}
+	for _, h := range handovers {
+		next[h.name] = h
+	}
+	k.mu.Lock()
+	holder := k.self.holder()
+	version := k.version
+	txn := (&platform.Txn{}).Check(NodePrefix+holder, version).Delete(NodePrefix + holder)
+	var names []string
+	for name, d := range k.duties {
+		if d.row.Holder != holder {
+			continue
+		}
+		key := DutyPrefix + name
+		txn.Check(key, d.version)
+		row := dutyRow{Epoch: d.row.Epoch}
+		if h, handed := next[name]; handed {
+			row = dutyRow{Holder: h.to.name, Addr: h.to.addr, Epoch: d.row.Epoch + 1, Sealed: d.row.Epoch}
+			names = append(names, name)
+		}
+		txn.Put(key, row)
+	}
+	k.mu.Unlock()
+	if version == 0 {
+		return nil
+	}
+	audit.Append(txn, audit.NewEntry(k.opts.Now(), k.opts.Node, "duty.handover", strings.Join(names, " "), "shutting down"))
+	_, err := k.store.Commit(ctx, *txn)
+	return err
+}
--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -15,7 +15,6 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"github.com/pointpass/pointpass/audit"
 	"github.com/pointpass/pointpass/platform"
 )
 
@@ -393,27 +392,3 @@
 	defer k.mu.Unlock()
 	return k.self.holder()
 }
-
-// Release gives up all duties at once, so that successors need not wait. The
-// daemon acts on none of them from before the release is sent.
-func (k *Keeper) Release(ctx context.Context) error {
-	k.mu.Lock()
-	k.releasing = true
-	holder := k.self.holder()
-	version := k.version
-	txn := (&platform.Txn{}).Check(NodePrefix+holder, version).Delete(NodePrefix + holder)
-	for name, d := range k.duties {
-		if d.row.Holder == holder {
-			key := DutyPrefix + name
-			txn.Check(key, d.version)
-			txn.Put(key, dutyRow{Epoch: d.row.Epoch})
-		}
-	}
-	k.mu.Unlock()
-	if version == 0 {
-		return nil
-	}
-	audit.Append(txn, audit.NewEntry(k.opts.Now(), k.opts.Node, "duty.release", holder, "shutting down"))
-	_, err := k.store.Commit(ctx, *txn)
-	return err
-}
--- a/engine/sender.go
+++ b/engine/sender.go
@@ -22,8 +22,10 @@
 	headerRunning = "Engine-Running"
 	headerWaiting = "Engine-Waiting"
 	headerOutcome = "Engine-Outcome"
-	headerKey     = "Pointpass-Key"
-	outcomeNotRun = "not-run"
+	// Engines start what has the larger priority first.
+	headerPriority = "Engine-Priority"
+	headerKey      = "Pointpass-Key"
+	outcomeNotRun  = "not-run"
 )
 
 // dialTimeout bounds how long connecting to an endpoint may take.
@@ -40,6 +42,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Priority is the larger, the sooner the request should start.
+	Priority int
 	// Once tells that the request may not be repeated.
 	Once bool
 }
@@ -138,6 +142,9 @@
 		r.Header.Set(headerEpoch, strconv.FormatUint(call.Epoch, 10))
 	}
 	r.Header.Set(headerStream, call.Stream)
+	if call.Priority != 0 {
+		r.Header.Set(headerPriority, strconv.Itoa(call.Priority))
+	}
 	if call.Key != "" {
 		r.Header.Set(headerKey, call.Key)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -53,14 +53,14 @@
 
 func (g *Gateway) dispatchRequest(c *call) dispatch.Request {
 	e := c.effective
-	return dispatch.NewRequest(c.customer, e.Pool(), c.kindName, e.Share(), e.Queue(), c.deadline, c.prefix)
+	return dispatch.NewRequest(c.customer, e.Pool(), c.kindName, e.Share(), e.Queue(), c.deadline, c.prefix).WithWeight(c.kind.Weight)
 }
 
 // sendOnce makes one attempt at one target. Again tells that another target
 // may be tried; the problem is what to answer if none is.
 func (g *Gateway) sendOnce(ctx context.Context, w http.ResponseWriter, c *call, permit *dispatch.Permit, settle settleFunc) (fault *problem.Problem, again bool) {
 	target := permit.Target()
-	reply, err := g.opts.Sender.Send(ctx, g.engineCall(c, target))
+	reply, err := g.opts.Sender.Send(ctx, g.engineCall(c, permit))
 	if err != nil {
 		permit.Done(false)
 		return g.sendFailed(ctx, c, target, err, settle)
@@ -91,16 +91,18 @@
 	w.Header().Set(headerGroup, target.ID()+"; epoch="+strconv.FormatUint(target.Epoch(), 10))
 }
 
-func (g *Gateway) engineCall(c *call, target presence.Target) engine.Call {
+func (g *Gateway) engineCall(c *call, permit *dispatch.Permit) engine.Call {
+	target := permit.Target()
 	call := engine.Call{
-		Addr:   target.Addr(),
-		Stream: streamName(c.customer, c.id),
-		Key:    c.key,
-		Method: c.method,
-		Path:   c.path,
-		Header: c.header,
-		Body:   c.body,
-		Once:   c.once(),
+		Addr:     target.Addr(),
+		Stream:   streamName(c.customer, c.id),
+		Key:      c.key,
+		Method:   c.method,
+		Path:     c.path,
+		Header:   c.header,
+		Body:     c.body,
+		Once:     c.once(),
+		Priority: permit.Priority(),
 	}
 	if target.Epoch() != 0 {
 		call.Group = target.ID()
--- a/groups/controller.go
+++ b/groups/controller.go
@@ -258,6 +258,17 @@
 		return c.stopped[groupID(v.Domain, epoch)]
 	})
 	c.reports[v.Domain] = NewReport(v.Domain, dutyEpoch, present)
+	c.forgetStopped()
+}
+
+// forgetStopped drops the marks of groups whose rows are gone: their epochs
+// never come again.
+func (c *Controller) forgetStopped() {
+	for id := range c.stopped {
+		if _, known := c.opts.Groups.Group(id); !known {
+			delete(c.stopped, id)
+		}
+	}
 }
 
 // probe asks every VM of the domain that has no probe under way.
--- a/groups/plan_test.go
+++ b/groups/plan_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/pointpass/pointpass/common/histories"
 	"github.com/pointpass/pointpass/engine"
 	"github.com/pointpass/pointpass/fleet"
 	"github.com/pointpass/pointpass/tree"
 )
 
+func TestMain(m *testing.M) { os.Exit(histories.Run(m)) }
+
 var now = time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC)
 
 const (
--- a/operator/server.go
+++ b/operator/server.go
@@ -38,10 +38,12 @@
 	Accepted  func(*tree.Tree)
 	Announcer Announcer
 	Stops     func() []stops.Stop
-	Audit     audit.Reader
-	Status    func() *rpc.StatusReply
-	Changed   func()
-	Now       func() time.Time
+	// Known tells whether there is such a VM or group.
+	Known   func(vm, group string) bool
+	Audit   audit.Reader
+	Status  func() *rpc.StatusReply
+	Changed func()
+	Now     func() time.Time
 }
 
 // Server answers the operators' client. It implements rpc.Operator.
@@ -143,6 +145,9 @@
 	if (m.Vm == "") == (m.Group == "") {
 		return nil, twirp.InvalidArgument.Error("a stop is of a VM or of a group")
 	}
+	if !s.opts.Known(m.Vm, m.Group) {
+		return nil, twirp.NotFound.Error(fmt.Sprintf("no VM or group named %q", m.Vm+m.Group))
+	}
 	if err := s.opts.Announcer.Announce(ctx, stops.NewStop(m.Id, m.Who, m.Why, m.Vm, m.Group, s.opts.Now())); err != nil {
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// Transfer hands the claims of a slot to the daemon that will own it next.
+func (c *Client) Transfer(ctx context.Context, addr string, t claims.Transfer) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if _, err := c.stub(addr).Transfer(ctx, transferMessage(t)); err != nil {
+		return &CallError{addr: addr, err: err}
+	}
+	return nil
+}
+
 // Presence asks a daemon for its reports and dates them by our own clock, from
 // before the question was sent.
 func (c *Client) Presence(ctx context.Context, addr string) ([]groups.Report, error) {
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -46,3 +46,31 @@
 	}
 	return claims.NewAnswer(int(m.Status), m.ContentType, m.Body)
 }
+
+func transferMessage(t claims.Transfer) *rpc.TransferRequest {
+	m := &rpc.TransferRequest{Slot: int32(t.Slot()), Epoch: t.Epoch(), SinceUnixMs: t.Since().UnixMilli()}
+	for _, r := range t.Records() {
+		req := r.Request()
+		m.Claims = append(m.Claims, &rpc.TransferredClaim{
+			Customer:        req.Customer(),
+			Key:             req.Key(),
+			Fingerprint:     req.Fingerprint(),
+			Attempt:         req.Attempt(),
+			State:           rpc.ClaimState(r.State()),
+			Answer:          answerMessage(r.Answer()),
+			GrantedUnixMs:   r.Granted().UnixMilli(),
+			HoldUntilUnixMs: r.HoldUntil().UnixMilli(),
+		})
+	}
+	return m
+}
+
+func transferFromMessage(m *rpc.TransferRequest) claims.Transfer {
+	var records []claims.Record
+	for _, c := range m.Claims {
+		req := claims.NewRequest(c.Customer, c.Key, c.Fingerprint, c.Attempt, 0)
+		granted, holdUntil := time.UnixMilli(c.GrantedUnixMs), time.UnixMilli(c.HoldUntilUnixMs)
+		records = append(records, claims.NewRecord(req, claims.State(c.State), answerFromMessage(c.Answer), granted, holdUntil))
+	}
+	return claims.NewTransfer(int(m.Slot), m.Epoch, time.UnixMilli(m.SinceUnixMs), records)
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,6 +14,7 @@
 type Owner interface {
 	Claim(req claims.Request) claims.Result
 	Settle(customer, key, attempt string, s claims.Settlement, answer *claims.Answer) bool
+	Stage(t claims.Transfer)
 }
 
 // Server answers other daemons. It implements rpc.Peer.
@@ -43,6 +44,12 @@
 	return &rpc.SettleReply{Accepted: accepted}, nil
 }
 
+// Transfer keeps the claims of a slot that will be ours.
+func (s *Server) Transfer(_ context.Context, m *rpc.TransferRequest) (*rpc.TransferReply, error) {
+	s.owner.Stage(transferFromMessage(m))
+	return &rpc.TransferReply{}, nil
+}
+
 // Presence returns this daemon's reports, with the age of their evidence in
 // place of a time, since clocks differ.
 func (s *Server) Presence(context.Context, *rpc.PresenceRequest) (*rpc.PresenceReply, error) {
--- a/presence/tracker.go
+++ b/presence/tracker.go
@@ -54,7 +54,7 @@
 
 	mu      sync.RWMutex
 	reports map[string]groups.Report
-	stopped map[string]bool // groups announced to be over
+	stopped map[string]time.Time // groups announced to be over, and when
 	cache   map[string]cached
 }
 
@@ -67,6 +67,10 @@
 // age that evidence may have.
 const cacheFor = 20 * time.Millisecond
 
+// keepStopped is how long a group that is over is remembered at the least, so
+// that a daemon behind in reading the table doesn't take its row for new.
+const keepStopped = time.Minute
+
 // Target is where requests can be sent: a group, by its leader, or a plain VM.
 type Target struct {
 	id    string
@@ -94,7 +98,7 @@
 
 // NewTracker returns a tracker that knows nothing yet.
 func NewTracker(opts Options) *Tracker {
-	return &Tracker{opts: opts, reports: map[string]groups.Report{}, stopped: map[string]bool{}, cache: map[string]cached{}}
+	return &Tracker{opts: opts, reports: map[string]groups.Report{}, stopped: map[string]time.Time{}, cache: map[string]cached{}}
 }
 
 // Run keeps the reports fresh until ctx ends.
@@ -256,7 +260,14 @@
 func (t *Tracker) Stopped(group string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stopped[group] = true
+	now := t.opts.Now()
+	for id, at := range t.stopped {
+		_, known := t.opts.Groups.Group(id)
+		if !known && now.Sub(at) > keepStopped {
+			delete(t.stopped, id)
+		}
+	}
+	t.stopped[group] = now
 	clear(t.cache)
 }
 
@@ -290,7 +301,8 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	r, ok := t.reports[g.Domain()]
-	return ok && t.fresh(r) && !t.stopped[g.ID()] && slices.Contains(r.Present().Epochs, g.Epoch())
+	_, over := t.stopped[g.ID()]
+	return ok && t.fresh(r) && !over && slices.Contains(r.Present().Epochs, g.Epoch())
 }
 
 func (t *Tracker) target(g groups.Group) (Target, bool) {
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -3,12 +3,17 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/common/histories"
 )
 
+func TestMain(m *testing.M) { os.Exit(histories.Run(m)) }
+
 func candidates(loads ...float64) []Candidate {
 	var list []Candidate
 	for i, load := range loads {
--- a/testbed/cmd/load/main.go
+++ b/testbed/cmd/load/main.go
@@ -37,7 +37,7 @@
 
 func readOptions() (options, error) {
 	o := options{}
-	policies := flag.String("policies", "baseline,deadline", "policies to compare: baseline, fifo, deadline, slack")
+	policies := flag.String("policies", "baseline,value", "policies to compare: baseline, fifo, deadline, slack, value")
 	levels := flag.String("levels", "0.7,1,1.5,3", "offered load, as multiples of what the groups can do")
 	flag.StringVar(&o.scenario, "scenario", "evening-round", "evening-round or van-shift")
 	flag.IntVar(&o.daemons, "daemons", 9, "how many pointpassd")
--- a/testbed/engine/batch.go
+++ b/testbed/engine/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,11 +18,12 @@
 	told    int      // how many of them it has said
 	failed  bool
 	prompt  string // what its prefix is cached under
+	urgent  int    // priority: the larger, the sooner it starts
 	readyAt time.Time
 }
 
-func newGeneration(tokens []string, prompt string) *generation {
-	g := &generation{tokens: tokens, prompt: prompt}
+func newGeneration(tokens []string, prompt string, priority int) *generation {
+	g := &generation{tokens: tokens, prompt: prompt, urgent: priority}
 	g.grown = sync.NewCond(&g.mu)
 	return g
 }
@@ -101,7 +103,11 @@
 		return
 	}
 	b.known[name] = g
-	b.waiting = append(b.waiting, g)
+	at := slices.IndexFunc(b.waiting, func(other *generation) bool { return other.urgent < g.urgent })
+	if at < 0 {
+		at = len(b.waiting)
+	}
+	b.waiting = slices.Insert(b.waiting, at, g)
 	b.admit()
 	if !b.ticking {
 		b.ticking = true
--- a/testbed/engine/serve.go
+++ b/testbed/engine/serve.go
@@ -129,7 +129,8 @@
 		c.MaxTokens = defaultTokens
 	}
 	question := c.Messages[len(c.Messages)-1].Content
-	g := newGeneration(Answer(question, c.MaxTokens), c.Messages[0].Content)
+	priority, _ := strconv.Atoi(r.Header.Get("Engine-Priority"))
+	g := newGeneration(Answer(question, c.MaxTokens), c.Messages[0].Content, priority)
 	name := r.Header.Get("Engine-Stream")
 	e.fabric.record.Run(keyOf(r))
 	b.add(name, g)
--- a/testbed/scenarios/session_test.go
+++ b/testbed/scenarios/session_test.go
@@ -48,6 +48,7 @@
 		sent:    map[string]ask.Request{},
 	}
 	env.Values[sessionKey] = s
+	env.Setenv("PATH", filepath.Dir(built.daemon)+string(filepath.ListSeparator)+env.Getenv("PATH"))
 	env.Defer(func() { s.client.CloseIdleConnections() })
 	return nil
 }
--- a/tree/field.go
+++ b/tree/field.go
@@ -22,6 +22,9 @@
 type Policy string
 
 const (
+	// PolicyValue queues by what a request is worth for the time it takes, and
+	// balances load.
+	PolicyValue Policy = "value"
 	// PolicyDeadline queues by earliest deadline and balances load.
 	PolicyDeadline Policy = "deadline"
 	// PolicySlack queues by least slack and balances load.
@@ -54,7 +57,7 @@
 	// StrandedWeight is what a VM's second without a group costs.
 	StrandedWeight float64 `json:"stranded_weight"`
 	// Policy is how requests are let in and given to groups; empty means
-	// PolicyDeadline.
+	// PolicyValue.
 	Policy Policy `json:"policy,omitempty"`
 	// Fenced tells whether the endpoints refuse orders with an old epoch.
 	Fenced bool `json:"fenced"`
@@ -153,8 +156,8 @@
 		return "groups: want 0 or more"
 	case pool.Streams < 1:
 		return "streams: want 1 or more"
-	case !slices.Contains([]Policy{"", PolicyDeadline, PolicySlack, PolicyFIFO, PolicyBaseline}, pool.Policy):
-		return `policy: want "deadline", "slack", "fifo" or "baseline"`
+	case !slices.Contains([]Policy{"", PolicyValue, PolicyDeadline, PolicySlack, PolicyFIFO, PolicyBaseline}, pool.Policy):
+		return `policy: want "value", "deadline", "slack", "fifo" or "baseline"`
 	case pool.DowntimeWeight < 0 || pool.StrandedWeight < 0:
 		return "downtime_weight, stranded_weight: want 0 or more"
 	}
--- a/tree/tree_test.go
+++ b/tree/tree_test.go
@@ -5,15 +5,19 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/pointpass/pointpass/common/histories"
 	"github.com/pointpass/pointpass/platform"
 )
 
+func TestMain(m *testing.M) { os.Exit(histories.Run(m)) }
+
 func change(path, field, value string) Change {
 	c, err := NewChange(path, field, json.RawMessage(value))
 	if err != nil {
