admission: Give up what is worth least, and nobody in the middle of its run

Cause: fair turns between customers spent the slack of small customers on nothing and made large ones late: with half of the surge in its first quarter everybody waits 5 s of 6, and turns made some wait 8 s. Requests ran past their deadlines, since the time they need was taken at its mean.

Change: one order by deadline for all; where a newcomer would make itself or another late, the one worth least for its time is given up, among equals one of the customer furthest above its share.

--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -5,9 +5,11 @@
 // smoothing is the weight of the newest value in an estimate.
 const smoothing = 0.1
 
-// Estimate is an exponentially weighted mean of durations.
+// Estimate is an exponentially weighted mean of durations and of how far they
+// lie from it (Jacobson, "Congestion Avoidance and Control", SIGCOMM 1988).
 type Estimate struct {
-	mean time.Duration
+	mean      time.Duration
+	deviation time.Duration
 }
 
 // Add takes in a measured duration.
@@ -16,9 +18,14 @@
 		e.mean = d
 		return
 	}
+	apart := (d - e.mean).Abs()
+	e.deviation += time.Duration(smoothing * float64(apart-e.deviation))
 	e.mean += time.Duration(smoothing * float64(d-e.mean))
 }
 
+// Likely returns a duration that most stay under.
+func (e *Estimate) Likely() time.Duration { return e.mean + e.deviation }
+
 // Mean returns the estimate, 0 before the first measurement.
 func (e *Estimate) Mean() time.Duration { return e.mean }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -4,11 +4,11 @@
 
 import (
 	"cmp"
-	"container/heap"
+	"slices"
 	"time"
 )
 
-// Order is how the requests of one customer follow each other.
+// Order is how requests follow each other.
 type Order int
 
 const (
@@ -17,10 +17,6 @@
 	// EarliestDeadline serves the nearest deadline first (Liu and Layland,
 	// JACM 1973).
 	EarliestDeadline
-	// MostValue serves first what is worth most for the time it takes, and the
-	// nearest deadline among equals (value density, after Jensen, Locke and
-	// Tokuda, "A Time-Driven Scheduling Model", RTSS 1985).
-	MostValue
 	// LeastSlack serves first what can wait least: deadline less the time that
 	// loading and computing will take (CALVO, section 4).
 	LeastSlack
@@ -35,22 +31,21 @@
 	deadline time.Time
 	need     time.Duration
 	weight   float64
-
-	sequence uint64
-	index    int // in its customer's heap, -1 when in none
+	sequence uint64 // order of arrival, 0 before
 }
 
 // NewTicket returns a ticket of a customer with a share of the capacity and a
 // limit of waiting requests. Need is how long the request will probably take
 // once it is let in, weight what its answer in time is worth.
 func NewTicket(customer string, share float64, limit int, arrived, deadline time.Time, need time.Duration, weight float64) *Ticket {
-	return &Ticket{customer: customer, share: share, limit: limit, arrived: arrived, deadline: deadline, need: need, weight: weight, index: -1}
+	return &Ticket{customer: customer, share: share, limit: limit, arrived: arrived, deadline: deadline, need: need, weight: weight}
 }
 
 // leastNeed stands in for the need of requests of which nothing is known yet.
 const leastNeed = 10 * time.Millisecond
 
-// Density returns what a second of work on the request is worth.
+// Density returns what a second of work on the request is worth (value density,
+// after Jensen, Locke and Tokuda, "A Time-Driven Scheduling Model", RTSS 1985).
 func (t *Ticket) Density() float64 { return t.weight / max(t.need, leastNeed).Seconds() }
 
 // Deadline returns when the answer must be whole.
@@ -59,145 +54,141 @@
 // latest returns the last moment at which the request can be let in.
 func (t *Ticket) latest() time.Time { return t.deadline.Add(-t.need) }
 
-// Queue holds waiting tickets, fair between customers by start-time fair
-// queueing (Goyal, Vin and Cheng, SIGCOMM 1996): each customer's turn comes
-// after what it got so far, divided by its share.
+// Queue holds waiting tickets in one order for all customers. Where not all of
+// them can make their deadlines, the one is given up whose answer is worth least
+// for the time it takes; among equals, one of the customer that is furthest
+// above its share, so that a flood costs the customer that sends it.
 type Queue struct {
-	order     Order
-	customers map[string]*line
-	virtual   float64 // start tag of the ticket let in last
-	waiting   int
-	sequence  uint64
-}
-
-// line is one customer's waiting tickets.
-type line struct {
-	tickets ticketHeap
-	finish  float64 // virtual time at which the customer's last turn ends
+	order    Order
+	tickets  []*Ticket // in order
+	waiting  map[string]int
+	sequence uint64
 }
 
 // NewQueue returns an empty queue.
-func NewQueue(order Order) *Queue {
-	return &Queue{order: order, customers: map[string]*line{}}
-}
+func NewQueue(order Order) *Queue { return &Queue{order: order, waiting: map[string]int{}} }
 
 // Len returns how many tickets wait.
-func (q *Queue) Len() int { return q.waiting }
+func (q *Queue) Len() int { return len(q.tickets) }
+
+// Fit returns which waiting tickets have to be given up so that a new one and
+// all others can make their deadlines, if each is let in some time after the one
+// before. It returns false if the new one is the one to give up, or more than
+// most others would be.
+func (q *Queue) Fit(now time.Time, t *Ticket, each time.Duration, most int) (victims []*Ticket, ok bool) {
+	list := slices.Insert(slices.Clone(q.tickets), q.place(t), t)
+	for {
+		late := madeLate(list, t, now, each)
+		if late < 0 {
+			return victims, true
+		}
+		worst := q.worst(list[:late+1], t, victims)
+		if list[worst] == t || len(victims) == most {
+			return nil, false
+		}
+		victims = append(victims, list[worst])
+		list = slices.Delete(list, worst, worst+1)
+	}
+}
 
-// Waiting returns how many tickets of one customer wait.
-func (q *Queue) Waiting(customer string) int {
-	if l, ok := q.customers[customer]; ok {
-		return len(l.tickets.tickets)
+// madeLate returns the first place in the list that is let in too late to make
+// its deadline because of the newest ticket, -1 if there is none. Those that are
+// late without it are no reason to refuse it.
+func madeLate(list []*Ticket, newest *Ticket, now time.Time, each time.Duration) int {
+	from := slices.Index(list, newest)
+	for i := from; i < len(list); i++ {
+		spare := list[i].latest().Sub(now) - time.Duration(i+1)*each
+		if spare < 0 && (i == from || spare >= -each) {
+			return i
+		}
 	}
-	return 0
+	return -1
 }
 
-// Ahead returns how many tickets would be let in before a new one of the
-// customer, if nothing else arrived: all its own that come first, and of every
-// other customer as many as its share allows meanwhile.
-func (q *Queue) Ahead(t *Ticket) int {
-	own := 0
-	if l, ok := q.customers[t.customer]; ok {
-		for _, other := range l.tickets.tickets {
-			if !q.before(t, other) {
-				own++
+// worst returns the place of the ticket to give up first.
+func (q *Queue) worst(list []*Ticket, newest *Ticket, victims []*Ticket) int {
+	above := func(t *Ticket) float64 {
+		waiting := q.waiting[t.customer]
+		if newest.customer == t.customer {
+			waiting++
+		}
+		for _, v := range victims {
+			if v.customer == t.customer {
+				waiting--
 			}
 		}
+		return float64(waiting) / t.share
 	}
-	ahead := own
-	for name, l := range q.customers {
-		if name == t.customer || len(l.tickets.tickets) == 0 {
-			continue
+	worst := 0
+	for i, t := range list {
+		order := cmp.Or(cmp.Compare(t.Density(), list[worst].Density()), cmp.Compare(above(list[worst]), above(t)))
+		if order <= 0 {
+			worst = i
 		}
-		turns := float64(own+1) * l.tickets.tickets[0].share / t.share
-		ahead += min(len(l.tickets.tickets), int(turns))
 	}
-	return ahead
+	return worst
 }
 
 // Push adds a ticket. It returns false if the customer's limit is reached.
 func (q *Queue) Push(t *Ticket) bool {
-	l, ok := q.customers[t.customer]
-	if !ok {
-		l = &line{tickets: ticketHeap{queue: q}}
-		q.customers[t.customer] = l
-	}
-	if len(l.tickets.tickets) >= t.limit {
+	if q.waiting[t.customer] >= t.limit {
 		return false
 	}
-	if len(l.tickets.tickets) == 0 {
-		l.finish = max(l.finish, q.virtual)
-	}
 	q.sequence++
 	t.sequence = q.sequence
-	heap.Push(&l.tickets, t)
-	q.waiting++
+	q.tickets = slices.Insert(q.tickets, q.place(t), t)
+	q.waiting[t.customer]++
 	return true
 }
 
+// place returns where a ticket stands or would stand.
+func (q *Queue) place(t *Ticket) int {
+	i, _ := slices.BinarySearchFunc(q.tickets, t, func(other, t *Ticket) int {
+		if other == t {
+			return 0
+		}
+		if q.before(t, other) {
+			return 1
+		}
+		return -1
+	})
+	return i
+}
+
 // Pop takes out the next ticket that can still make its deadline, and all that
 // it found on the way which can't.
 func (q *Queue) Pop(now time.Time) (next *Ticket, late []*Ticket) {
-	for q.waiting > 0 {
-		l := q.nextLine()
-		t := heap.Pop(&l.tickets).(*Ticket)
-		q.waiting--
-		if now.After(t.latest()) {
-			late = append(late, t)
-			q.forgetEmpty(t.customer, l)
-			continue
+	for len(q.tickets) > 0 {
+		t := q.tickets[0]
+		q.Remove(t)
+		if !now.After(t.latest()) {
+			return t, late
 		}
-		q.virtual = l.finish
-		l.finish += 1 / t.share
-		q.forgetEmpty(t.customer, l)
-		return t, late
+		late = append(late, t)
 	}
 	return nil, late
 }
 
-// forgetEmpty drops a customer without tickets whose turn is already due, so
-// that the queue doesn't grow with every customer it ever saw.
-func (q *Queue) forgetEmpty(customer string, l *line) {
-	if len(l.tickets.tickets) == 0 && l.finish <= q.virtual {
-		delete(q.customers, customer)
-	}
-}
-
-func (q *Queue) nextLine() *line {
-	var next *line
-	var nextName string
-	for name, l := range q.customers {
-		if len(l.tickets.tickets) == 0 {
-			continue
-		}
-		if next == nil || l.finish < next.finish || (l.finish == next.finish && name < nextName) {
-			next = l
-			nextName = name
-		}
-	}
-	return next
-}
-
-// Remove takes out a ticket whose caller has gone. It returns false if the
-// ticket no longer waits.
+// Remove takes out a ticket. It returns false if the ticket doesn't wait.
 func (q *Queue) Remove(t *Ticket) bool {
-	l, ok := q.customers[t.customer]
-	if !ok || t.index < 0 {
+	i := q.place(t)
+	if i >= len(q.tickets) || q.tickets[i] != t {
 		return false
 	}
-	heap.Remove(&l.tickets, t.index)
-	q.waiting--
+	q.tickets = slices.Delete(q.tickets, i, i+1)
+	q.waiting[t.customer]--
+	if q.waiting[t.customer] == 0 {
+		delete(q.waiting, t.customer)
+	}
 	return true
 }
 
-// before tells whether a comes before b, both of one customer.
+// before tells whether a comes before b.
 func (q *Queue) before(a, b *Ticket) bool {
 	order := 0
 	switch q.order {
 	case EarliestDeadline:
 		order = a.deadline.Compare(b.deadline)
-	case MostValue:
-		order = cmp.Or(cmp.Compare(b.Density(), a.Density()), a.deadline.Compare(b.deadline))
 	case LeastSlack:
 		order = a.latest().Compare(b.latest())
 	}
@@ -206,33 +197,3 @@
 	}
 	return cmp.Or(order, cmp.Compare(a.sequence, b.sequence)) < 0
 }
-
-// ticketHeap is the heap.Interface over one customer's tickets.
-type ticketHeap struct {
-	queue   *Queue
-	tickets []*Ticket
-}
-
-func (h ticketHeap) Len() int           { return len(h.tickets) }
-func (h ticketHeap) Less(i, j int) bool { return h.queue.before(h.tickets[i], h.tickets[j]) }
-
-func (h ticketHeap) Swap(i, j int) {
-	h.tickets[i], h.tickets[j] = h.tickets[j], h.tickets[i]
-	h.tickets[i].index = i
-	h.tickets[j].index = j
-}
-
-func (h *ticketHeap) Push(x any) {
-	t := x.(*Ticket)
-	t.index = len(h.tickets)
-	h.tickets = append(h.tickets, t)
-}
-
-func (h *ticketHeap) Pop() any {
-	last := len(h.tickets) - 1
-	t := h.tickets[last]
-	h.tickets[last] = nil
-	h.tickets = h.tickets[:last]
-	t.index = -1
-	return t
-}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -199,20 +199,15 @@
 	return &Permit{dispatcher: d, request: r, target: target, priority: d.priority(r), begun: d.opts.Now()}
 }
 
-// priorityScale keeps two digits of a request's density in its priority.
-const priorityScale = 100
-
-// priority has endpoints continue the order of the daemons' queues.
+// priority has endpoints continue the order of the daemons' queues: the nearer
+// the deadline, the larger. The clocks of daemons differ by little against
+// deadlines.
 func (d *Dispatcher) priority(r Request) int {
 	pool, ok := d.opts.Pool(r.pool)
-	if !ok || orderOf(pool.Policy) != admission.MostValue {
+	if !ok || pool.Policy == tree.PolicyBaseline {
 		return 0
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.opts.Now()
-	ticket := admission.NewTicket(r.customer, r.share, r.limit, now, r.deadline, d.pools[r.pool].need(r.kind), r.weight)
-	return int(priorityScale * ticket.Density())
+	return -int(r.deadline.UnixMilli())
 }
 
 // enqueue lets a request in at once, makes it wait or refuses it.
@@ -239,7 +234,7 @@
 		d.start(p, w, d.choose(p, targets, pool, r.prefix))
 		return w, nil, nil
 	}
-	return d.wait(p, w)
+	return d.wait(p, w, pool.Policy)
 }
 
 // enqueueRetry sends a retry past the queue, where it has waited before.
@@ -257,20 +252,32 @@
 	return w, nil, nil
 }
 
-// wait queues a request if it can make its deadline from there.
-func (d *Dispatcher) wait(p *poolState, w *waiter) (*waiter, *admission.Ticket, error) {
+// mostVictims bounds how many have to give way for one request.
+const mostVictims = 3
+
+// wait queues a request if all can make their deadlines then, or if others are
+// to give way to it.
+func (d *Dispatcher) wait(p *poolState, w *waiter, policy tree.Policy) (*waiter, *admission.Ticket, error) {
 	now := d.opts.Now()
 	r := w.request
-	need := p.need(r.kind)
-	ticket := admission.NewTicket(r.customer, r.share, r.limit, now, r.deadline, need, r.weight)
-	wait := admission.Wait(p.queue.Ahead(ticket)+1, p.window.width, p.overall.Mean())
-	if now.Add(wait + need).After(r.deadline) {
+	ticket := admission.NewTicket(r.customer, r.share, r.limit, now, r.deadline, p.need(r.kind), r.weight)
+	most := mostVictims
+	if policy == tree.PolicyDeadline || policy == tree.PolicyFIFO {
+		most = 0
+	}
+	each := admission.Wait(1, p.window.width, p.overall.Mean())
+	victims, ok := p.queue.Fit(now, ticket, each, most)
+	if !ok {
 		return nil, nil, d.refuse(p, admission.TooLate)
 	}
 	if !p.queue.Push(ticket) {
 		return nil, nil, d.refuse(p, admission.QueueFull)
 	}
 	p.waiters[ticket] = w
+	for _, victim := range victims {
+		p.queue.Remove(victim)
+	}
+	d.refuseLate(p, victims)
 	return w, ticket, nil
 }
 
@@ -283,7 +290,7 @@
 
 func (p *poolState) need(kind string) time.Duration {
 	if e, ok := p.occupancy[kind]; ok {
-		return e.Mean()
+		return e.Likely()
 	}
 	return 0
 }
@@ -314,10 +321,8 @@
 		return admission.FIFO
 	case tree.PolicySlack:
 		return admission.LeastSlack
-	case tree.PolicyDeadline:
-		return admission.EarliestDeadline
 	}
-	return admission.MostValue
+	return admission.EarliestDeadline
 }
 
 func (p *poolState) load(target string) *load {
--- a/tree/field.go
+++ b/tree/field.go
@@ -22,14 +22,16 @@
 type Policy string
 
 const (
-	// PolicyValue queues by what a request is worth for the time it takes, and
-	// balances load.
+	// PolicyValue queues by earliest deadline, gives up what is worth least for
+	// the time it takes where not all can be in time, and balances load.
 	PolicyValue Policy = "value"
-	// PolicyDeadline queues by earliest deadline and balances load.
+	// PolicyDeadline queues by earliest deadline, refuses who comes last, and
+	// balances load.
 	PolicyDeadline Policy = "deadline"
-	// PolicySlack queues by least slack and balances load.
+	// PolicySlack is PolicyValue with the order of least slack.
 	PolicySlack Policy = "slack"
-	// PolicyFIFO queues in order of arrival and balances load.
+	// PolicyFIFO queues in order of arrival, refuses who comes last, and
+	// balances load.
 	PolicyFIFO Policy = "fifo"
 	// PolicyBaseline neither queues nor balances: any group at random. It is
 	// there to be measured against.
