--- a/admission/queue.go
+++ b/admission/queue.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// Shed takes out and returns tickets until all others can make their deadlines
+// at the present pace, or most are out. It goes through them in order and, where
+// one would be late, gives up the one worth least so far (Moore, "An n Job, One
+// Machine Sequencing Algorithm", 1968, with worth in place of length).
+func (q *Queue) Shed(now time.Time, each time.Duration, most int) []*Ticket {
+	var shed []*Ticket
+	for i := 0; i < len(q.tickets) && len(shed) < most; i++ {
+		if !now.Add(time.Duration(i+1) * each).After(q.tickets[i].latest()) {
+			continue
+		}
+		worst := q.tickets[q.worst(q.tickets[:i+1], nil, nil)]
+		q.Remove(worst)
+		shed = append(shed, worst)
+		i--
+	}
+	return shed
+}
+
 // madeLate returns the first place in the list that is let in too late to make
 // its deadline because of the newest ticket, -1 if there is none. Those that are
 // late without it are no reason to refuse it.
@@ -109,7 +127,7 @@
 func (q *Queue) worst(list []*Ticket, newest *Ticket, victims []*Ticket) int {
 	above := func(t *Ticket) float64 {
 		waiting := q.waiting[t.customer]
-		if newest.customer == t.customer {
+		if newest != nil && newest.customer == t.customer {
 			waiting++
 		}
 		for _, v := range victims {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -93,6 +93,21 @@
 	must.False(t, ok)
 }
 
+func TestQueue_ShedsWhatIsWorthLeastWhenThePaceFalls(t *testing.T) {
+	q := NewQueue(EarliestDeadline)
+	for range 10 {
+		fit(q, "a", 3*time.Second, 1)
+		fit(q, "a", 3*time.Second, 5)
+	}
+	must.SliceEmpty(t, q.Shed(start, 100*time.Millisecond, 100))
+	shed := q.Shed(start, 200*time.Millisecond, 100)
+	must.SliceLen(t, 10, shed)
+	for _, tk := range shed {
+		must.EqOp(t, 1, tk.weight)
+	}
+	must.EqOp(t, 10, q.Len())
+}
+
 func TestQueue_ANewcomerMakesNobodyLate(t *testing.T) {
 	q := NewQueue(EarliestDeadline)
 	for range 20 {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -265,8 +265,7 @@
 	if policy == tree.PolicyDeadline || policy == tree.PolicyFIFO {
 		most = 0
 	}
-	each := admission.Wait(1, p.window.width, p.overall.Mean())
-	victims, ok := p.queue.Fit(now, ticket, each, most)
+	victims, ok := p.queue.Fit(now, ticket, p.pace(), most)
 	if !ok {
 		return nil, nil, d.refuse(p, admission.TooLate)
 	}
@@ -283,7 +282,7 @@
 
 // refuse books a place for the caller's return.
 func (d *Dispatcher) refuse(p *poolState, reason admission.Reason) *admission.Refusal {
-	each := admission.Wait(1, p.window.width, p.overall.Mean())
+	each := p.pace()
 	backlog := time.Duration(p.queue.Len()) * each
 	return admission.NewRefusal(reason, p.returns.Book(d.opts.Now(), backlog, each, d.random.Float64()))
 }
@@ -370,7 +369,25 @@
 	}
 	if len(targets) == 0 {
 		d.refuseExpired(p, now)
+		return
 	}
+	d.shed(p, pool.Policy, now)
+}
+
+// mostShed bounds how many are given up at a time.
+const mostShed = 20
+
+// shed gives up, early, those that the present pace leaves no time for.
+func (d *Dispatcher) shed(p *poolState, policy tree.Policy, now time.Time) {
+	if policy == tree.PolicyDeadline || policy == tree.PolicyFIFO {
+		return
+	}
+	d.refuseLate(p, p.queue.Shed(now, p.pace(), mostShed))
+}
+
+// pace returns how long the queue takes to let one request in.
+func (p *poolState) pace() time.Duration {
+	return admission.Wait(1, p.window.width, p.overall.Mean())
 }
 
 // refuseExpired refuses those whose deadline passes while nothing serves.
