--- a/common/control/token.go
+++ b/common/control/token.go
@@ -3,24 +3,21 @@
 package control
 
 import (
-	"context"
 	"crypto/subtle"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/twitchtv/twirp"
+
+	"github.com/pointpass/pointpass/common/meter"
 )
 
 const bearer = "Bearer "
 
-// Dial opens connections; nil stands for the usual way.
-type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // NewClient returns an HTTP client that sends the token with every call, and a
 // function that frees its connections.
-func NewClient(token string, dial Dial) (*http.Client, func()) {
+func NewClient(token string, dial meter.Dial) (*http.Client, func()) {
 	base := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	return &http.Client{Transport: &transport{token: token, base: base}}, base.CloseIdleConnections
 }
--- a/common/meter/meter.go
+++ b/common/meter/meter.go
@@ -17,6 +17,10 @@
 // Bytes returns how many bytes were carried.
 func (m *Meter) Bytes() int64 { return m.bytes.Load() }
 
+// Dial opens connections as http.Transport wants it done; nil stands for the
+// usual way.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // DialContext is for http.Transport; its connections are counted.
 func (m *Meter) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -42,29 +42,6 @@
 	closed bool
 }
 
-type poolState struct {
-	name      string
-	order     admission.Order
-	queue     *admission.Queue
-	window    window
-	underWay  int
-	loads     map[string]*load // by target
-	occupancy map[string]*admission.Estimate
-	overall   admission.Estimate
-	returns   admission.Appointments
-	waiters   map[*admission.Ticket]*waiter
-}
-
-// load is what is known of a target's load: its last report and what this
-// daemon has had under way there since.
-type load struct {
-	underWay int
-	reported int
-	atReport int // underWay when the report came
-}
-
-func (l *load) requests() int { return max(l.underWay, l.reported+l.underWay-l.atReport) }
-
 type waiter struct {
 	request Request
 	ready   chan outcome
@@ -146,28 +123,6 @@
 	}
 }
 
-// Permit is the right to send one request to a target. Done must be called
-// once, when the request has ended.
-type Permit struct {
-	dispatcher *Dispatcher
-	request    Request
-	target     presence.Target
-	priority   int
-	begun      time.Time
-}
-
-// Target returns where the request goes.
-func (p *Permit) Target() presence.Target { return p.target }
-
-// Priority returns what the endpoint is told: the larger, the sooner.
-func (p *Permit) Priority() int { return p.priority }
-
-// Observe takes in the load that the target told with its answer.
-func (p *Permit) Observe(running, waiting int) { p.dispatcher.observe(p, running, waiting) }
-
-// Done gives the place back. Whole tells whether the answer came to its end.
-func (p *Permit) Done(whole bool) { p.dispatcher.release(p, whole) }
-
 // Acquire waits for the request's turn. It returns a permit, a
 // *admission.Refusal, or the context's error if the caller has gone. Targets
 // in avoid were tried already.
@@ -195,21 +150,6 @@
 	}
 }
 
-func (d *Dispatcher) permitFor(r Request, target presence.Target) *Permit {
-	return &Permit{dispatcher: d, request: r, target: target, priority: d.priority(r), begun: d.opts.Now()}
-}
-
-// priority has endpoints continue the order of the daemons' queues: the nearer
-// the deadline, the larger. The clocks of daemons differ by little against
-// deadlines.
-func (d *Dispatcher) priority(r Request) int {
-	pool, ok := d.opts.Pool(r.pool)
-	if !ok || pool.Policy == tree.PolicyBaseline {
-		return 0
-	}
-	return -int(r.deadline.UnixMilli())
-}
-
 // enqueue lets a request in at once, makes it wait or refuses it.
 func (d *Dispatcher) enqueue(r Request, pool tree.Pool, avoid map[string]bool) (*waiter, *admission.Ticket, error) {
 	d.mu.Lock()
@@ -280,133 +220,6 @@
 	return w, ticket, nil
 }
 
-// refuse books a place for the caller's return.
-func (d *Dispatcher) refuse(p *poolState, reason admission.Reason) *admission.Refusal {
-	each := p.pace()
-	backlog := time.Duration(p.queue.Len()) * each
-	return admission.NewRefusal(reason, p.returns.Book(d.opts.Now(), backlog, each, d.random.Float64()))
-}
-
-func (p *poolState) need(kind string) time.Duration {
-	if e, ok := p.occupancy[kind]; ok {
-		return e.Likely()
-	}
-	return 0
-}
-
-func (d *Dispatcher) pool(name string, pool tree.Pool) *poolState {
-	p, ok := d.pools[name]
-	if !ok {
-		capacity := pool.Streams * len(d.opts.Targets.Targets(name))
-		p = &poolState{
-			name:      name,
-			window:    newWindow(capacity, d.opts.Daemons()),
-			loads:     map[string]*load{},
-			occupancy: map[string]*admission.Estimate{},
-			waiters:   map[*admission.Ticket]*waiter{},
-		}
-		d.pools[name] = p
-	}
-	if order := orderOf(pool.Policy); p.queue == nil || (order != p.order && p.queue.Len() == 0) {
-		p.order = order
-		p.queue = admission.NewQueue(order)
-	}
-	return p
-}
-
-func orderOf(policy tree.Policy) admission.Order {
-	switch policy {
-	case tree.PolicyFIFO:
-		return admission.FIFO
-	case tree.PolicySlack:
-		return admission.LeastSlack
-	}
-	return admission.EarliestDeadline
-}
-
-func (p *poolState) load(target string) *load {
-	l, ok := p.loads[target]
-	if !ok {
-		l = &load{}
-		p.loads[target] = l
-	}
-	return l
-}
-
-func (d *Dispatcher) choose(p *poolState, targets []presence.Target, pool tree.Pool, prefix uint64) presence.Target {
-	candidates := make([]routing.Candidate, 0, len(targets))
-	for _, t := range targets {
-		share := float64(p.load(t.ID()).requests()) / float64(pool.Streams)
-		candidates = append(candidates, routing.NewCandidate(t.ID(), share, t.Hall() == d.opts.Hall))
-	}
-	return targets[routing.Choose(candidates, prefix, d.random)]
-}
-
-func (d *Dispatcher) start(p *poolState, w *waiter, target presence.Target) {
-	p.underWay++
-	p.load(target.ID()).underWay++
-	w.ready <- outcome{target: target}
-}
-
-// advance lets in as many as there are places for, and refuses who would be
-// too late.
-func (d *Dispatcher) advance(p *poolState) {
-	pool, ok := d.opts.Pool(p.name)
-	if !ok || p.queue.Len() == 0 {
-		return
-	}
-	targets := d.opts.Targets.Targets(p.name)
-	now := d.opts.Now()
-	for len(targets) > 0 && float64(p.underWay) < p.window.width {
-		next, late := p.queue.Pop(now)
-		d.refuseLate(p, late)
-		if next == nil {
-			return
-		}
-		w := p.waiters[next]
-		delete(p.waiters, next)
-		d.start(p, w, d.choose(p, targets, pool, w.request.prefix))
-	}
-	if len(targets) == 0 {
-		d.refuseExpired(p, now)
-		return
-	}
-	d.shed(p, pool.Policy, now)
-}
-
-// mostShed bounds how many are given up at a time.
-const mostShed = 20
-
-// shed gives up, early, those that the present pace leaves no time for.
-func (d *Dispatcher) shed(p *poolState, policy tree.Policy, now time.Time) {
-	if policy == tree.PolicyDeadline || policy == tree.PolicyFIFO {
-		return
-	}
-	d.refuseLate(p, p.queue.Shed(now, p.pace(), mostShed))
-}
-
-// pace returns how long the queue takes to let one request in.
-func (p *poolState) pace() time.Duration {
-	return admission.Wait(1, p.window.width, p.overall.Mean())
-}
-
-// refuseExpired refuses those whose deadline passes while nothing serves.
-func (d *Dispatcher) refuseExpired(p *poolState, now time.Time) {
-	for t := range p.waiters {
-		if now.After(t.Deadline()) && p.queue.Remove(t) {
-			d.refuseLate(p, []*admission.Ticket{t})
-		}
-	}
-}
-
-func (d *Dispatcher) refuseLate(p *poolState, late []*admission.Ticket) {
-	for _, t := range late {
-		w := p.waiters[t]
-		delete(p.waiters, t)
-		w.ready <- outcome{refusal: d.refuse(p, admission.TooLate)}
-	}
-}
-
 // abandon takes out a request whose caller has gone, or gives back the place
 // that it was given in the same moment.
 func (d *Dispatcher) abandon(pool string, t *admission.Ticket, w *waiter) {
@@ -426,47 +239,6 @@
 	}
 }
 
-func (d *Dispatcher) release(permit *Permit, whole bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := d.pools[permit.request.pool]
-	if whole {
-		p.learn(permit.request.kind, d.opts.Now().Sub(permit.begun))
-	}
-	id := permit.target.ID()
-	p.underWay--
-	p.load(id).underWay--
-	if p.load(id).underWay == 0 && !whole {
-		delete(p.loads, id)
-	}
-	d.advance(p)
-}
-
-func (p *poolState) learn(kind string, took time.Duration) {
-	e, ok := p.occupancy[kind]
-	if !ok {
-		e = &admission.Estimate{}
-		p.occupancy[kind] = e
-	}
-	e.Add(took)
-	p.overall.Add(took)
-}
-
-func (d *Dispatcher) observe(permit *Permit, running, waiting int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	name := permit.request.pool
-	p := d.pools[name]
-	l := p.load(permit.target.ID())
-	l.reported = running + waiting
-	l.atReport = l.underWay
-	if pool, ok := d.opts.Pool(name); ok {
-		capacity := pool.Streams * len(d.opts.Targets.Targets(name))
-		p.window.answered(d.opts.Now(), waiting, p.underWay, pool.Streams, capacity)
-	}
-	d.advance(p)
-}
-
 // UnderWay returns how many requests this daemon has at a target.
 func (d *Dispatcher) UnderWay(pool, target string) int {
 	d.mu.Lock()
--- a/engine/client.go
+++ b/engine/client.go
@@ -8,9 +8,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
+
+	"github.com/pointpass/pointpass/common/meter"
 )
 
 // Role is what an engine is doing.
@@ -56,11 +57,8 @@
 	http *http.Client
 }
 
-// Dial opens connections.
-type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
-
 // NewClient returns a client and a function that frees its connections.
-func NewClient(dial Dial) (*Client, func()) {
+func NewClient(dial meter.Dial) (*Client, func()) {
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}
 	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
--- a/tree/field.go
+++ b/tree/field.go
@@ -93,11 +93,11 @@
 	{name: "pools", keyed: true, levels: []Level{RootLevel}, check: checkPool},
 	{name: "kinds", keyed: true, levels: anyLevel, check: checkKind},
 	{name: "api_keys", levels: []Level{CustomerLevel}, check: checkAPIKeys},
-	{name: "pool", levels: []Level{CustomerLevel, ServiceLevel, EventLevel}, check: checkName},
-	{name: "share", levels: anyLevel, check: checkShare},
-	{name: "queue", levels: anyLevel, check: checkQueue},
-	{name: "retry_percent", levels: anyLevel, check: checkPercent},
-	{name: "opens_at", levels: []Level{EventLevel}, check: checkClock},
+	{name: "pool", levels: []Level{CustomerLevel, ServiceLevel, EventLevel}, check: checked(validName.MatchString, "want a name")},
+	{name: "share", levels: anyLevel, check: checked(func(share float64) bool { return share > 0 }, "want more than 0")},
+	{name: "queue", levels: anyLevel, check: checked(func(queue int) bool { return queue >= 0 }, "want 0 or more")},
+	{name: "retry_percent", levels: anyLevel, check: checked(func(percent int) bool { return percent >= 0 && percent <= 100 }, "want 0 to 100")},
+	{name: "opens_at", levels: []Level{EventLevel}, check: checked(isClock, `want a time of day such as "20:00"`)},
 }
 
 func findField(name string) (field, bool) {
@@ -193,57 +193,22 @@
 	return ""
 }
 
-func checkName(value json.RawMessage) string {
-	var name string
-	if text := strict(value, &name); text != "" {
-		return text
-	}
-	if !validName.MatchString(name) {
-		return "want a name"
-	}
-	return ""
-}
-
-func checkShare(value json.RawMessage) string {
-	var share float64
-	if text := strict(value, &share); text != "" {
-		return text
-	}
-	if share <= 0 {
-		return "want more than 0"
-	}
-	return ""
-}
-
-func checkQueue(value json.RawMessage) string {
-	var queue int
-	if text := strict(value, &queue); text != "" {
-		return text
-	}
-	if queue < 0 {
-		return "want 0 or more"
-	}
-	return ""
-}
-
-func checkPercent(value json.RawMessage) string {
-	var percent int
-	if text := strict(value, &percent); text != "" {
-		return text
-	}
-	if percent < 0 || percent > 100 {
-		return "want 0 to 100"
+// checked returns the check of a field that holds one value: what ok lets
+// through, or else what is wanted.
+func checked[T any](ok func(T) bool, want string) func(json.RawMessage) string {
+	return func(value json.RawMessage) string {
+		var decoded T
+		if text := strict(value, &decoded); text != "" {
+			return text
+		}
+		if !ok(decoded) {
+			return want
+		}
+		return ""
 	}
-	return ""
 }
 
-func checkClock(value json.RawMessage) string {
-	var clock string
-	if text := strict(value, &clock); text != "" {
-		return text
-	}
-	if _, err := time.Parse("15:04", clock); err != nil {
-		return `want a time of day such as "20:00"`
-	}
-	return ""
+func isClock(text string) bool {
+	_, err := time.Parse("15:04", text)
+	return err == nil
 }
--- a/tree/tree_test.go
+++ b/tree/tree_test.go
@@ -139,17 +139,12 @@
 		store := platform.NewMemory()
 		editor := NewEditor(store, time.Now)
 		history := []*Tree{Empty()}
-		type read struct{ changes platform.Changes }
-		var reads []read
 		for i := range rapid.IntRange(1, 12).Draw(t, "edits") {
 			path := rapid.SampledFrom([]string{"/", "/a", "/b", "/a/s"}).Draw(t, "path")
 			value := rapid.SampledFrom([]string{"1", "2", "3", ""}).Draw(t, "value")
-			after := rapid.Uint64Range(0, uint64(i)).Draw(t, "after")
 			_, tree, err := editor.Edit(context.Background(), NewRequest(fmt.Sprint(i), "me", "", uint64(i), []Change{change(path, "queue", value)}))
 			must.NoError(t, err)
 			history = append(history, tree)
-			changes, _ := store.Scan(context.Background(), after, Prefix)
-			reads = append(reads, read{changes})
 		}
 		holder := NewHolder(func(*Tree) {})
 		newest := uint64(0)
