--- a/peer/server.go
+++ b/peer/server.go
@@ -54,9 +54,6 @@
 // place of a time, since clocks differ.
 func (s *Server) Presence(context.Context, *rpc.PresenceRequest) (*rpc.PresenceReply, error) {
 	reply := &rpc.PresenceReply{}
-	if t := s.tree(); t != nil {
-		reply.SettingsRevision = t.Revision()
-	}
 	for _, r := range s.reports() {
 		present := r.Present()
 		reply.Domains = append(reply.Domains, &rpc.DomainPresence{
