testbed: Wait for conditions where scenarios waited for time

Cause: read again for verdicts that a slow machine could turn: queue_full gave a flood 200 ms to fill the queue, stop_daemon gave a second request 200 ms to arrive, truncated gave a head 300 ms to be relayed.

Ruled out: the other waits. Pauses that are left let a lease lapse or watch that nothing happens; loops that sleep wait for a condition or pace a load.

The board of stops kept versions that nobody read.

--- a/stops/stop.go
+++ b/stops/stop.go
@@ -62,13 +62,12 @@
 
 // Board holds the announced stops that this daemon knows.
 type Board struct {
-	mu       sync.RWMutex
-	stops    map[string]Stop
-	versions map[string]uint64
+	mu    sync.RWMutex
+	stops map[string]Stop
 }
 
 // NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{stops: map[string]Stop{}, versions: map[string]uint64{}} }
+func NewBoard() *Board { return &Board{stops: map[string]Stop{}} }
 
 // ApplyRows takes in rows of the platform's table.
 func (b *Board) ApplyRows(rows []platform.Row, _ time.Time) {
@@ -79,11 +78,9 @@
 		var r stopRow
 		if row.Deleted() || row.Decode(&r) != nil {
 			delete(b.stops, id)
-			delete(b.versions, id)
 			continue
 		}
 		b.stops[id] = NewStop(id, r.Who, r.Why, r.VM, r.Group, time.UnixMilli(r.TimeMS))
-		b.versions[id] = row.Version()
 	}
 }
 
--- a/testbed/scenarios/expect_test.go
+++ b/testbed/scenarios/expect_test.go
@@ -23,7 +23,8 @@
 }
 
 // until groups DAEMON N | table DAEMON true|false | revision DAEMON N |
-// ready DAEMON | duties | joined VM | grouped VM | group ID | arrived MARK waits for a condition, with
+// ready DAEMON | duties | joined VM | grouped VM | group ID | arrived MARK [N] |
+// refused (a request of a flood) waits for a condition, with
 // "!" until it no longer holds.
 func cmdUntil(ts *testscript.TestScript, neg bool, args []string) {
 	s := of(ts)
@@ -69,7 +70,13 @@
 			return s.world.Platform.Value("control/group/"+args[1], &row)
 		}
 	case "arrived":
-		return func() bool { return len(s.world.Record.Arrivals(s.marks[args[1]])) > 0 }
+		want := 1
+		if len(args) > 2 {
+			want = number(ts, args[2], 1)
+		}
+		return func() bool { return len(s.world.Record.Arrivals(s.marks[args[1]])) >= want }
+	case "refused":
+		return s.floodRefused.Load
 	case "duties":
 		return s.dutiesHeld
 	}
--- a/testbed/scenarios/session_test.go
+++ b/testbed/scenarios/session_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,7 +27,8 @@
 	keys   map[string]string // name in the script to idempotency key
 	marks  map[string]time.Time
 
-	flooding sync.WaitGroup
+	flooding     sync.WaitGroup
+	floodRefused atomic.Bool
 
 	mu      sync.Mutex
 	pending map[string]chan ask.Result
--- a/testbed/scenarios/storm_test.go
+++ b/testbed/scenarios/storm_test.go
@@ -145,7 +145,11 @@
 	s := of(ts)
 	req, _ := s.request(ts, args[1:])
 	for range number(ts, args[0], 0) {
-		s.flooding.Go(func() { ask.Do(context.Background(), s.client, req) })
+		s.flooding.Go(func() {
+			if result := ask.Do(context.Background(), s.client, req); result.RetryAfter > 0 {
+				s.floodRefused.Store(true)
+			}
+		})
 	}
 }
 
