table: Rename the client of the product's own table protocol

Cause: the users' request reserves platform/ for translation to their platform; the package of that name spoke the product's own table protocol. Ruled out: two packages of one name in different folders.

--- a/audit/entry.go
+++ b/audit/entry.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // Prefix is where the entries' rows are, in order of time.
@@ -71,7 +71,7 @@
 }
 
 // Append adds an entry to the transaction that makes the change.
-func Append(txn *platform.Txn, e Entry) {
+func Append(txn *table.Txn, e Entry) {
 	key := fmt.Sprintf("%s%013d-%s", Prefix, e.time.UnixMilli(), uuid.NewString())
 	txn.Put(key, entryRow{
 		TimeMS:  e.time.UnixMilli(),
@@ -86,7 +86,7 @@
 
 // Reader is what reading the trail needs of the platform's table.
 type Reader interface {
-	Last(ctx context.Context, prefix string, limit int) (platform.Changes, error)
+	Last(ctx context.Context, prefix string, limit int) (table.Changes, error)
 }
 
 // Last returns the last entries, oldest first.
--- a/claims/table.go
+++ b/claims/table.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // TablePrefix is where the claims of keys without a time are kept.
@@ -16,8 +16,8 @@
 
 // Store is what durable claims need of the platform's table.
 type Store interface {
-	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
-	Scan(ctx context.Context, after uint64, prefixes ...string) (platform.Changes, error)
+	Commit(ctx context.Context, txn table.Txn) (uint64, error)
+	Scan(ctx context.Context, after uint64, prefixes ...string) (table.Changes, error)
 }
 
 // Table keeps one row for each key that carries no time. The platform's writes
@@ -62,12 +62,12 @@
 	}
 	var last error
 	for range claimTries {
-		txn := (&platform.Txn{}).Check(key, 0).Put(key, row)
+		txn := (&table.Txn{}).Check(key, 0).Put(key, row)
 		_, err := t.store.Commit(ctx, *txn)
 		if err == nil {
 			return Result{state: Granted}, nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *table.ConflictError
 		if errors.As(err, &conflict) {
 			return t.known(conflict, key, req)
 		}
@@ -76,7 +76,7 @@
 	return Result{}, &OwnerError{text: key, err: last}
 }
 
-func (t *Table) known(conflict *platform.ConflictError, key string, req Request) (Result, error) {
+func (t *Table) known(conflict *table.ConflictError, key string, req Request) (Result, error) {
 	for _, found := range conflict.Rows() {
 		var row claimRow
 		if found.Key() != key || found.Decode(&row) != nil {
@@ -113,7 +113,7 @@
 		if found.Key() != key || found.Deleted() || found.Decode(&row) != nil || row.Attempt != req.attempt {
 			continue
 		}
-		txn := (&platform.Txn{}).Check(key, found.Version())
+		txn := (&table.Txn{}).Check(key, found.Version())
 		if s == SettledNotRun {
 			txn.Delete(key)
 		} else {
--- a/deps/deps.go
+++ b/deps/deps.go
@@ -25,7 +25,7 @@
 	"github.com/pointpass/pointpass/mirror"
 	"github.com/pointpass/pointpass/operator"
 	"github.com/pointpass/pointpass/peer"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 	"github.com/pointpass/pointpass/presence"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/stops"
@@ -38,7 +38,7 @@
 	Log        *log.Logger
 	Metrics    *metrics.Set
 	Control    *meter.Meter // all traffic but that of requests
-	Platform   *platform.Client
+	Platform   *table.Client
 	Fleet      *fleet.Registry
 	Groups     *groups.Registry
 	Stops      *stops.Board
@@ -68,7 +68,7 @@
 		Groups:  groups.NewRegistry(),
 		Stops:   stops.NewBoard(),
 	}
-	client, closeClient := platform.NewClient(cfg.PlatformAddr(), cfg.Timing().Platform, d.Control.DialContext)
+	client, closeClient := table.NewClient(cfg.PlatformAddr(), cfg.Timing().Platform, d.Control.DialContext)
 	controlHTTP, closeControl := control.NewClient(cfg.ControlToken(), d.Control.DialContext)
 	endpoints, closeEndpoints := engine.NewClient(d.Control.DialContext)
 	sender, closeSender := engine.NewSender()
@@ -290,7 +290,7 @@
 	d.Mirror.Follow(tree.Prefix, d.applyTree)
 }
 
-func (d *Deps) applyTree(rows []platform.Row, _ time.Time) {
+func (d *Deps) applyTree(rows []table.Row, _ time.Time) {
 	if err := d.Tree.ApplyRows(rows); err != nil {
 		d.Log.Error().Err(err).Msg("settings from the platform's table can't be read; the last ones stay in force")
 	}
@@ -304,4 +304,4 @@
 	return nil
 }
 
-var _ audit.Reader = (*platform.Client)(nil)
+var _ audit.Reader = (*table.Client)(nil)
--- a/duty/handover.go
+++ b/duty/handover.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"github.com/pointpass/pointpass/audit"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // Handover is one duty on its way to another holder.
@@ -72,7 +72,7 @@
 	k.mu.Lock()
 	holder := k.self.holder()
 	version := k.version
-	txn := (&platform.Txn{}).Check(NodePrefix+holder, version).Delete(NodePrefix + holder)
+	txn := (&table.Txn{}).Check(NodePrefix+holder, version).Delete(NodePrefix + holder)
 	var names []string
 	for name, d := range k.duties {
 		if d.row.Holder != holder {
--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -15,7 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // The rows that hold leases and duties.
@@ -32,7 +32,7 @@
 
 // Store is what the keeper writes to.
 type Store interface {
-	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
+	Commit(ctx context.Context, txn table.Txn) (uint64, error)
 }
 
 type nodeRow struct {
@@ -198,7 +198,7 @@
 	k.mu.Unlock()
 
 	key := NodePrefix + row.holder()
-	txn := (&platform.Txn{}).Check(key, version).Put(key, row)
+	txn := (&table.Txn{}).Check(key, version).Put(key, row)
 	newVersion, err := k.store.Commit(ctx, *txn)
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -209,7 +209,7 @@
 		k.renewed(row.Seq, newVersion)
 		return
 	}
-	var conflict *platform.ConflictError
+	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		k.conflicted(key, conflict)
 		return
@@ -232,7 +232,7 @@
 
 // conflicted tells a renewal of our own whose answer was lost from a removal
 // by a successor.
-func (k *Keeper) conflicted(key string, conflict *platform.ConflictError) {
+func (k *Keeper) conflicted(key string, conflict *table.ConflictError) {
 	for _, row := range conflict.Rows() {
 		var written nodeRow
 		if row.Key() != key || row.Deleted() || row.Decode(&written) != nil {
@@ -249,7 +249,7 @@
 
 // ApplyNodes takes in rows of leases. The time that counts for a lease is when
 // its row was received, which is after it was written.
-func (k *Keeper) ApplyNodes(rows []platform.Row, _ time.Time) {
+func (k *Keeper) ApplyNodes(rows []table.Row, _ time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	received := k.opts.Now()
@@ -281,7 +281,7 @@
 }
 
 // ApplyDuties takes in rows of duties.
-func (k *Keeper) ApplyDuties(rows []platform.Row, _ time.Time) {
+func (k *Keeper) ApplyDuties(rows []table.Row, _ time.Time) {
 	k.mu.Lock()
 	var news []Taken
 	for _, row := range rows {
@@ -347,7 +347,7 @@
 
 // Guard adds to a transaction the condition that this daemon holds a duty, so
 // that nothing is written by a holder that has been succeeded unawares.
-func (k *Keeper) Guard(txn *platform.Txn, name string) {
+func (k *Keeper) Guard(txn *table.Txn, name string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	txn.Check(DutyPrefix+name, k.duties[name].version)
--- a/duty/keeper_test.go
+++ b/duty/keeper_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pointpass/pointpass/common/histories"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 func TestMain(m *testing.M) { os.Exit(histories.Run(m)) }
@@ -25,18 +25,18 @@
 
 // flaky is a table that is out at times and loses answers.
 type flaky struct {
-	*platform.Memory
+	*table.Memory
 	out, lose bool
 }
 
-func (f *flaky) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (f *flaky) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
 	if f.out {
-		return 0, platform.NewUnavailableError("commit", errors.New("outage"), false)
+		return 0, table.NewUnavailableError("commit", errors.New("outage"), false)
 	}
 	version, err := f.Memory.Commit(ctx, txn)
 	if f.lose {
 		f.lose = false
-		return 0, platform.NewUnavailableError("commit", errors.New("answer lost"), true)
+		return 0, table.NewUnavailableError("commit", errors.New("answer lost"), true)
 	}
 	return version, err
 }
@@ -57,7 +57,7 @@
 }
 
 func newCluster(n int) *cluster {
-	c := &cluster{now: time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC), table: &flaky{Memory: platform.NewMemory()}}
+	c := &cluster{now: time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC), table: &flaky{Memory: table.NewMemory()}}
 	var names []string
 	for i := range n {
 		names = append(names, fmt.Sprint("e", i))
@@ -88,7 +88,7 @@
 	}
 	m.lastPoll = c.now
 	changes, _ := c.table.Scan(context.Background(), m.version, NodePrefix, DutyPrefix)
-	var nodes, duties []platform.Row
+	var nodes, duties []table.Row
 	for _, r := range changes.Rows() {
 		if r.Under(NodePrefix) {
 			nodes = append(nodes, r)
--- a/duty/take.go
+++ b/duty/take.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pointpass/pointpass/audit"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // settleTime is how long a daemon that has just started waits before it takes
@@ -77,7 +77,7 @@
 }
 
 func (k *Keeper) takeFailed(err error) {
-	var conflict *platform.ConflictError
+	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		k.opts.Log.Debug().Err(err).Msg("duties not taken, another daemon came first")
 		return
@@ -102,8 +102,8 @@
 	k.tell(news)
 }
 
-func takeTransaction(chosen []free, self nodeRow) *platform.Txn {
-	txn := &platform.Txn{}
+func takeTransaction(chosen []free, self nodeRow) *table.Txn {
+	txn := &table.Txn{}
 	ended := map[string]bool{}
 	for _, f := range chosen {
 		key := DutyPrefix + f.name
--- a/groups/controller.go
+++ b/groups/controller.go
@@ -12,7 +12,7 @@
 	"github.com/pointpass/pointpass/duty"
 	"github.com/pointpass/pointpass/engine"
 	"github.com/pointpass/pointpass/fleet"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 	"github.com/pointpass/pointpass/tree"
 )
 
@@ -21,7 +21,7 @@
 	HeldFor(name string) (epoch uint64, left time.Duration)
 	HolderOf(name string) (duty.Holder, bool)
 	Name() string
-	Guard(txn *platform.Txn, name string)
+	Guard(txn *table.Txn, name string)
 }
 
 // Endpoints gives orders to VMs and asks for their state.
@@ -32,7 +32,7 @@
 
 // Store is what the controller writes to.
 type Store interface {
-	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
+	Commit(ctx context.Context, txn table.Txn) (uint64, error)
 }
 
 // Announcements marks VMs and groups whose stop is announced.
@@ -180,7 +180,7 @@
 		err = c.dissolve(ctx, domain, a)
 	}
 	c.opts.Changed()
-	var conflict *platform.ConflictError
+	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		c.opts.Log.Debug().Err(err).Str("domain", domain).Msg("table moved on, planning again")
 		return
--- a/groups/group.go
+++ b/groups/group.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // The rows that hold groups, memberships and the domains' epochs.
@@ -136,7 +136,7 @@
 }
 
 // ApplyGroups takes in rows of groups.
-func (r *Registry) ApplyGroups(rows []platform.Row, _ time.Time) {
+func (r *Registry) ApplyGroups(rows []table.Row, _ time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
@@ -154,7 +154,7 @@
 }
 
 // ApplyMembers takes in rows of memberships.
-func (r *Registry) ApplyMembers(rows []platform.Row, _ time.Time) {
+func (r *Registry) ApplyMembers(rows []table.Row, _ time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
@@ -169,7 +169,7 @@
 }
 
 // ApplyDomains takes in rows of domains.
-func (r *Registry) ApplyDomains(rows []platform.Row, _ time.Time) {
+func (r *Registry) ApplyDomains(rows []table.Row, _ time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, row := range rows {
--- a/groups/write.go
+++ b/groups/write.go
@@ -7,11 +7,11 @@
 
 	"github.com/pointpass/pointpass/audit"
 	"github.com/pointpass/pointpass/duty"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
-func (c *Controller) begun(domain string) *platform.Txn {
-	txn := &platform.Txn{}
+func (c *Controller) begun(domain string) *table.Txn {
+	txn := &table.Txn{}
 	c.opts.Duties.Guard(txn, duty.DomainDuty(domain))
 	return txn
 }
@@ -58,12 +58,12 @@
 	return c.commit(ctx, "dissolve "+d.Group.id, txn)
 }
 
-func (c *Controller) record(txn *platform.Txn, what string, g Group, why, before, after string) {
+func (c *Controller) record(txn *table.Txn, what string, g Group, why, before, after string) {
 	entry := audit.NewEntry(c.opts.Now(), c.opts.Node, what, g.id, why)
 	audit.Append(txn, entry.WithChange(before, after))
 }
 
-func (c *Controller) commit(ctx context.Context, what string, txn *platform.Txn) error {
+func (c *Controller) commit(ctx context.Context, what string, txn *table.Txn) error {
 	if _, err := c.opts.Store.Commit(ctx, *txn); err != nil {
 		return &WriteError{what: what, err: err}
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/fleet"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // gapPolls is how many polls in a row must have failed for a gap.
@@ -20,13 +20,13 @@
 
 // Store is what the mirror reads.
 type Store interface {
-	Scan(ctx context.Context, after uint64, prefixes ...string) (platform.Changes, error)
+	Scan(ctx context.Context, after uint64, prefixes ...string) (table.Changes, error)
 	VMs(ctx context.Context, after uint64) ([]fleet.VM, uint64, error)
 }
 
 // Follower takes in the changes under one prefix. Observed is when the read
 // that brought them was begun.
-type Follower func(rows []platform.Row, observed time.Time)
+type Follower func(rows []table.Row, observed time.Time)
 
 // Mirror polls the table and the VM list.
 type Mirror struct {
@@ -123,9 +123,9 @@
 	}
 }
 
-func (m *Mirror) hand(changes platform.Changes, begun time.Time) {
+func (m *Mirror) hand(changes table.Changes, begun time.Time) {
 	for i, prefix := range m.prefixes {
-		var rows []platform.Row
+		var rows []table.Row
 		for _, row := range changes.Rows() {
 			if row.Under(prefix) {
 				rows = append(rows, row)
--- a/stops/stop.go
+++ b/stops/stop.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/audit"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // Prefix is where the announced stops are kept.
@@ -70,7 +70,7 @@
 func NewBoard() *Board { return &Board{stops: map[string]Stop{}} }
 
 // ApplyRows takes in rows of the platform's table.
-func (b *Board) ApplyRows(rows []platform.Row, _ time.Time) {
+func (b *Board) ApplyRows(rows []table.Row, _ time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, row := range rows {
@@ -118,8 +118,8 @@
 
 // Store is what announcing needs of the platform's table.
 type Store interface {
-	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
-	Scan(ctx context.Context, after uint64, prefixes ...string) (platform.Changes, error)
+	Commit(ctx context.Context, txn table.Txn) (uint64, error)
+	Scan(ctx context.Context, after uint64, prefixes ...string) (table.Changes, error)
 }
 
 // Announcer writes stops.
@@ -137,10 +137,10 @@
 // lost answer can be asked for again.
 func (a *Announcer) Announce(ctx context.Context, s Stop) error {
 	row := stopRow{Who: s.who, Why: s.why, VM: s.vm, Group: s.group, TimeMS: s.time.UnixMilli()}
-	txn := (&platform.Txn{}).Check(Prefix+s.id, 0).Put(Prefix+s.id, row)
+	txn := (&table.Txn{}).Check(Prefix+s.id, 0).Put(Prefix+s.id, row)
 	audit.Append(txn, audit.NewEntry(a.now(), s.who, "stop.announce", s.vm+s.group, s.why).WithChange("", s.id))
 	_, err := a.store.Commit(ctx, *txn)
-	var conflict *platform.ConflictError
+	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
 	}
@@ -160,7 +160,7 @@
 		if row.Key() != Prefix+id || row.Deleted() {
 			continue
 		}
-		txn := (&platform.Txn{}).Check(row.Key(), row.Version()).Delete(row.Key())
+		txn := (&table.Txn{}).Check(row.Key(), row.Version()).Delete(row.Key())
 		audit.Append(txn, audit.NewEntry(a.now(), who, "stop.cancel", id, ""))
 		if _, err := a.store.Commit(ctx, *txn); err != nil {
 			return &WriteError{id: id, err: err}
--- a/platform/client.go
+++ b/table/client.go
@@ -1,6 +1,6 @@
-// Package platform is the adapter to the platform's table service, object store
+// Package table is the adapter to the platform's table service, object store
 // and VM list. All that it knows of their protocol stays in this package.
-package platform
+package table
 
 import (
 	"bytes"
--- a/testbed/platform/server.go
+++ b/testbed/platform/server.go
@@ -15,7 +15,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // The limits of the platform's table, as the users state them.
@@ -42,7 +42,7 @@
 
 // Platform is the stand-in. It listens on loopback until closed.
 type Platform struct {
-	table  *platform.Memory
+	table  *table.Memory
 	writes *rate.Limiter
 	reads  *rate.Limiter
 	server *http.Server
@@ -66,7 +66,7 @@
 // stops it.
 func Start() (*Platform, func(), error) {
 	p := &Platform{
-		table:  platform.NewMemory(),
+		table:  table.NewMemory(),
 		writes: rate.NewLimiter(WritesPerSecond, WritesPerSecond),
 		reads:  rate.NewLimiter(ReadsPerSecond, ReadsPerSecond),
 		vms:    map[string]listed{},
@@ -125,7 +125,7 @@
 }
 
 // rows returns the present rows under a prefix.
-func (p *Platform) rows(prefix string) []platform.Row {
+func (p *Platform) rows(prefix string) []table.Row {
 	changes, _ := p.table.Scan(context.Background(), 0, prefix)
 	return changes.Rows()
 }
@@ -175,7 +175,7 @@
 }
 
 func (p *Platform) commit(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn table.Txn
 	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -195,7 +195,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	var conflict *platform.ConflictError
+	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		p.reply(w, http.StatusConflict, map[string]any{"rows": conflict.Rows()})
 		return
@@ -209,7 +209,7 @@
 	}
 	p.read.Add(1)
 	query := r.URL.Query()
-	var changes platform.Changes
+	var changes table.Changes
 	if limit, err := strconv.Atoi(query.Get("last")); err == nil {
 		changes, _ = p.table.Last(r.Context(), query.Get("prefix"), limit)
 	} else {
--- a/tree/editor.go
+++ b/tree/editor.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/audit"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // editTries is how often an edit is tried when others come between or the
@@ -15,8 +15,8 @@
 
 // Store is what the editor needs of the platform's table.
 type Store interface {
-	Commit(ctx context.Context, txn platform.Txn) (uint64, error)
-	Scan(ctx context.Context, after uint64, prefixes ...string) (platform.Changes, error)
+	Commit(ctx context.Context, txn table.Txn) (uint64, error)
+	Scan(ctx context.Context, after uint64, prefixes ...string) (table.Changes, error)
 }
 
 // Editor writes accepted edits to the platform's table: one transaction each,
@@ -61,8 +61,8 @@
 			return revision, t, nil
 		}
 		last = err
-		var conflict *platform.ConflictError
-		var unavailable *platform.UnavailableError
+		var conflict *table.ConflictError
+		var unavailable *table.UnavailableError
 		switch {
 		case errors.As(err, &conflict):
 		case errors.As(err, &unavailable):
@@ -101,8 +101,8 @@
 	return next.revision, next, nil
 }
 
-func (e *Editor) transaction(req Request, current, next *Tree, headVersion uint64) *platform.Txn {
-	txn := &platform.Txn{}
+func (e *Editor) transaction(req Request, current, next *Tree, headVersion uint64) *table.Txn {
+	txn := &table.Txn{}
 	txn.Check(headKey, headVersion)
 	txn.Check(editPrefix+req.id, 0)
 	txn.Put(headKey, headRow{Revision: next.revision})
@@ -117,7 +117,7 @@
 	return txn
 }
 
-func fromScan(changes platform.Changes) (*Tree, uint64, error) {
+func fromScan(changes table.Changes) (*Tree, uint64, error) {
 	headVersion := uint64(0)
 	for _, row := range changes.Rows() {
 		if row.Key() == headKey {
@@ -134,7 +134,7 @@
 	return t, headVersion, nil
 }
 
-func acceptedBefore(changes platform.Changes, editKey string) (uint64, bool) {
+func acceptedBefore(changes table.Changes, editKey string) (uint64, bool) {
 	for _, row := range changes.Rows() {
 		var accepted editRow
 		if row.Key() == editKey && row.Decode(&accepted) == nil {
--- a/tree/holder.go
+++ b/tree/holder.go
@@ -7,7 +7,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 // The rows that hold the tree. A node's row is nodePrefix and its path.
@@ -48,7 +48,7 @@
 }
 
 // ApplyRows takes in rows of the platform's table, all read at one moment.
-func (h *Holder) ApplyRows(rows []platform.Row) error {
+func (h *Holder) ApplyRows(rows []table.Row) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	next, err := mergeRows(h.current.Load(), rows)
@@ -77,7 +77,7 @@
 
 // mergeRows returns the tree that rows lead to, or nil if they hold none. A
 // row that is older than what the tree holds changes nothing.
-func mergeRows(t *Tree, rows []platform.Row) (*Tree, error) {
+func mergeRows(t *Tree, rows []table.Row) (*Tree, error) {
 	if t == nil {
 		t = Empty()
 	}
--- a/tree/tree_test.go
+++ b/tree/tree_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pointpass/pointpass/common/histories"
-	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/table"
 )
 
 func TestMain(m *testing.M) { os.Exit(histories.Run(m)) }
@@ -104,21 +104,21 @@
 
 // lossy is a table that loses the answers of commits.
 type lossy struct {
-	*platform.Memory
+	*table.Memory
 	lose int
 }
 
-func (l *lossy) Commit(ctx context.Context, txn platform.Txn) (uint64, error) {
+func (l *lossy) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
 	version, err := l.Memory.Commit(ctx, txn)
 	if l.lose > 0 {
 		l.lose--
-		return 0, platform.NewUnavailableError("commit", errors.New("answer lost"), true)
+		return 0, table.NewUnavailableError("commit", errors.New("answer lost"), true)
 	}
 	return version, err
 }
 
 func TestEditor_LostAnswerIsAskedForAgain(t *testing.T) {
-	store := &lossy{Memory: platform.NewMemory(), lose: 1}
+	store := &lossy{Memory: table.NewMemory(), lose: 1}
 	editor := NewEditor(store, time.Now)
 	req := NewRequest("id-1", "me", "why", 0, []Change{change("/c", "queue", "1")})
 	for range 2 {
@@ -136,7 +136,7 @@
 // always that of the revision it claims.
 func TestHolder_NeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := platform.NewMemory()
+		store := table.NewMemory()
 		editor := NewEditor(store, time.Now)
 		history := []*Tree{Empty()}
 		for i := range rapid.IntRange(1, 12).Draw(t, "edits") {
