--- a/deps/edge.go
+++ b/deps/edge.go
@@ -29,6 +29,9 @@
 	// old while the store answers.
 	configWait  = 1500 * time.Millisecond
 	workersWait = 4 * time.Second
+	// workersPause is how long changes of workers gather: far below the bounds on
+	// leaving workers, and long enough that a group's orders show in one answer.
+	workersPause = 120 * time.Millisecond
 	// revokeMargin is taken off the bound on withdrawn keys: a feed may be deaf
 	// for a second before the store says so.
 	revokeMargin = 1200 * time.Millisecond
@@ -106,6 +109,7 @@
 		Workers:  e.Workers.View,
 		Catalogs: e.Catalogs,
 		Ceiling:  replica.LoadCeiling{Window: bounds.LoadWindow, Overrun: bounds.LoadOverrun},
+		Idle:     func() bool { return e.settings.FirstStart() && !e.Server.Used() },
 		Metrics:  e.Metrics,
 		Now:      time.Now,
 		Log:      e.Log,
@@ -163,7 +167,7 @@
 }
 
 func (e *Edge) workersFollower() *store.Follower {
-	return &store.Follower{Reader: e.store, Table: platform.WorkersTable, Wait: workersWait, Apply: e.applyWorkers, Health: e.storeHealth, Now: time.Now}
+	return &store.Follower{Reader: e.store, Table: platform.WorkersTable, Wait: workersWait, Pause: workersPause, Apply: e.applyWorkers, Health: e.storeHealth, Now: time.Now}
 }
 
 func (e *Edge) applyConfig(u store.Update) {
--- a/node/settings.go
+++ b/node/settings.go
@@ -20,6 +20,7 @@
 	metricsAddr   string
 	storeAddr     string
 	logLevel      string
+	firstStart    bool
 	bounds        Bounds
 }
 
@@ -47,6 +48,7 @@
 	MetricsAddr   string     `json:"metrics_addr"`
 	StoreAddr     string     `json:"store_addr"`
 	LogLevel      string     `json:"log_level"`
+	FirstStart    bool       `json:"first_start"`
 	Bounds        fileBounds `json:"bounds"`
 }
 
@@ -100,6 +102,7 @@
 		metricsAddr:   c.address("metrics_addr", f.MetricsAddr),
 		storeAddr:     c.address("store_addr", f.StoreAddr),
 		logLevel:      f.LogLevel,
+		firstStart:    f.FirstStart,
 		bounds:        c.bounds(f.Bounds),
 	}
 	return s, errors.Join(c.mistakes...)
@@ -179,5 +182,9 @@
 // LogLevel returns the least level that is logged, "" for the usual one.
 func (s *Settings) LogLevel() string { return s.logLevel }
 
+// FirstStart tells whether the whole system starts for the first time, so that
+// nobody can have been served yet.
+func (s *Settings) FirstStart() bool { return s.firstStart }
+
 // Bounds returns what was promised to others.
 func (s *Settings) Bounds() Bounds { return s.bounds }
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -18,9 +18,11 @@
 	Workers  func() *workers.View
 	Catalogs *catalog.Holder
 	Ceiling  LoadCeiling
-	Metrics  *metrics.Set
-	Now      func() time.Time
-	Log      *log.Logger
+	// Idle tells that nobody has been served yet, so that loads disturb nobody.
+	Idle    func() bool
+	Metrics *metrics.Set
+	Now     func() time.Time
+	Log     *log.Logger
 }
 
 // Controller gives the orders that a planner decides on while the lease is held.
@@ -116,7 +118,8 @@
 	if c.planner == nil || c.planner.Term() != term {
 		c.planner = NewPlanner(term, c.opts.Ceiling)
 	}
-	for _, o := range c.planner.Plan(c.opts.Now(), c.opts.Workers(), current.Services()) {
+	situation := Situation{Now: c.opts.Now(), View: c.opts.Workers(), Services: current.Services(), Idle: c.opts.Idle()}
+	for _, o := range c.planner.Plan(situation) {
 		go c.give(ctx, term, o)
 	}
 	return holderTick
--- a/replica/form.go
+++ b/replica/form.go
@@ -2,9 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"strconv"
-	"time"
 
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/workers"
@@ -17,19 +16,14 @@
 // form begins groups of free workers, those first whose model is furthest below
 // its share.
 func (r *round) form() {
-	free := r.freeByDomain()
-	counts := r.workersByModel()
+	pool := r.newPool()
 	for r.formed < epochsPerTerm {
-		model, members, ok := r.nextGroup(free, counts)
+		model, members, ok := r.nextGroup(pool)
 		if !ok {
 			return
 		}
 		r.begin(model, members)
-		counts[model.Name] += model.Size
-		domain := members[0].Domain
-		free[domain] = slices.DeleteFunc(free[domain], func(w workers.Worker) bool {
-			return slices.ContainsFunc(members, func(m workers.Worker) bool { return m.ID == w.ID })
-		})
+		pool.take(model, members)
 	}
 }
 
@@ -40,7 +34,7 @@
 	for _, w := range members {
 		f.members = append(f.members, w.ID)
 		if !staged(w, model.Name) {
-			r.loads = append(r.loads, r.now)
+			r.loads = append(r.loads, load{worker: w.ID, model: model.Name, begun: r.now, length: model.Load})
 		}
 	}
 	r.forming[id] = f
@@ -49,6 +43,56 @@
 	}
 }
 
+// pool is the workers of a service while groups are formed.
+type pool struct {
+	// free are the workers that may join a group, by domain.
+	free map[string][]workers.Worker
+	// counts are the workers in whole groups and in those being formed, by model.
+	counts map[string]int
+	total  int
+	// whole are the groups that serve or could, by domain.
+	whole map[string][]*workers.Group
+}
+
+func (p *pool) take(model catalog.Model, members []workers.Worker) {
+	p.counts[model.Name] += model.Size
+	domain := members[0].Domain
+	p.free[domain] = slices.DeleteFunc(p.free[domain], func(w workers.Worker) bool {
+		return slices.ContainsFunc(members, func(m workers.Worker) bool { return m.ID == w.ID })
+	})
+}
+
+// fill tells how well a model is supplied: its workers for its share.
+func (p *pool) fill(m catalog.Model, more int) float64 {
+	return float64(p.counts[m.Name]+more) / max(m.Share, 0.001)
+}
+
+func (r *round) newPool() *pool {
+	p := &pool{free: r.freeByDomain(), counts: map[string]int{}, whole: map[string][]*workers.Group{}}
+	for _, list := range p.free {
+		p.total += len(list)
+	}
+	for _, f := range r.forming {
+		if f.service == r.service.Name {
+			p.counts[f.model.Name] += f.model.Size
+			p.total += f.model.Size
+		}
+	}
+	for _, g := range r.view.Groups() {
+		_, forming := r.forming[g.ID]
+		if g.Service != r.service.Name || forming || !g.Whole {
+			continue
+		}
+		p.total += len(g.Members)
+		if r.retired(g.ID) {
+			continue
+		}
+		p.counts[g.ID.Model()] += len(g.Members)
+		p.whole[g.Members[0].Domain] = append(p.whole[g.Members[0].Domain], g)
+	}
+	return p
+}
+
 // freeByDomain returns the workers that may join a group.
 func (r *round) freeByDomain() map[string][]workers.Worker {
 	taken := map[string]bool{}
@@ -80,49 +124,74 @@
 	return !joinUnderWay
 }
 
-// workersByModel counts the workers in whole groups and in those being formed.
-func (r *round) workersByModel() map[string]int {
-	counts := map[string]int{}
-	for _, f := range r.forming {
-		if f.service == r.service.Name {
-			counts[f.model.Name] += f.model.Size
-		}
-	}
-	for _, g := range r.view.Groups() {
-		_, forming := r.forming[g.ID]
-		if g.Service == r.service.Name && !forming && g.Whole {
-			counts[g.ID.Model()] += len(g.Members)
-		}
-	}
-	return counts
-}
-
-// nextGroup returns the model and members of the group to form next.
-func (r *round) nextGroup(free map[string][]workers.Worker, counts map[string]int) (catalog.Model, []workers.Worker, bool) {
+// nextGroup returns the model and members of the group to form next. Where the
+// model that lacks most can't be formed, groups of others may be retired for it.
+func (r *round) nextGroup(p *pool) (catalog.Model, []workers.Worker, bool) {
 	models := slices.Clone(r.service.Runtime.Models)
-	total := 0
-	for _, n := range counts {
-		total += n
-	}
-	for _, list := range free {
-		total += len(list)
-	}
-	fill := func(m catalog.Model) float64 { return float64(counts[m.Name]) / max(m.Share, 0.001) }
 	slices.SortStableFunc(models, func(a, b catalog.Model) int {
-		return cmp.Or(cmp.Compare(fill(a), fill(b)), cmp.Compare(b.Share, a.Share))
+		return cmp.Or(cmp.Compare(p.fill(a, 0), p.fill(b, 0)), cmp.Compare(b.Share, a.Share))
 	})
 	for i, m := range models {
-		wouldHave := float64(counts[m.Name] + m.Size)
-		if i > 0 && wouldHave > mostAboveShare*m.Share*float64(total) {
+		wouldHave := float64(p.counts[m.Name] + m.Size)
+		if i > 0 && wouldHave > mostAboveShare*m.Share*float64(p.total) {
 			continue
 		}
-		if members, ok := r.membersFor(m, free); ok {
+		if members, ok := r.membersFor(m, p.free); ok {
 			return m, members, true
 		}
+		if i == 0 {
+			r.retireFor(m, models, p)
+		}
 	}
 	return catalog.Model{}, nil, false
 }
 
+// retireFor has groups of better supplied models in one domain give up their
+// workers to a model, if afterwards the model that is worst off has more than
+// now. Their workers and the domain's free ones are kept for it.
+func (r *round) retireFor(m catalog.Model, models []catalog.Model, p *pool) {
+	for _, domain := range slices.Sorted(maps.Keys(p.free)) {
+		free := len(p.free[domain])
+		if free == 0 || free >= m.Size {
+			continue
+		}
+		groups := r.retirable(m, models, p, domain, m.Size-free)
+		if groups == nil {
+			continue
+		}
+		for _, g := range groups {
+			r.retiring[g.ID] = r.now
+		}
+		delete(p.free, domain)
+		return
+	}
+}
+
+// retirable returns groups of a domain whose workers make up for missing ones,
+// nil if no such choice is better than things are.
+func (r *round) retirable(m catalog.Model, models []catalog.Model, p *pool, domain string, missing int) []*workers.Group {
+	after := map[string]int{m.Name: m.Size}
+	var chosen []*workers.Group
+	for _, g := range p.whole[domain] {
+		if missing <= 0 || g.ID.Model() == m.Name {
+			continue
+		}
+		chosen = append(chosen, g)
+		after[g.ID.Model()] -= len(g.Members)
+		missing -= len(g.Members)
+	}
+	if missing > 0 {
+		return nil
+	}
+	before := p.fill(m, 0)
+	for _, other := range models {
+		if p.fill(other, after[other.Name]) <= before {
+			return nil
+		}
+	}
+	return chosen
+}
+
 // choice is one way to form a group.
 type choice struct {
 	members []workers.Worker
@@ -203,17 +272,18 @@
 
 // loadsLeft returns how many loads may begin now.
 func (r *round) loadsLeft() int {
-	window := r.ceiling.Window
-	r.loads = slices.DeleteFunc(r.loads, func(t time.Time) bool { return r.now.Sub(t) > window })
 	rate := r.service.Runtime.LoadsPerSecond
-	if rate <= 0 {
+	if r.idle || rate <= 0 {
 		return len(r.view.Of(r.service.Name))
 	}
-	most := int(rate*window.Seconds()*r.ceiling.Overrun) + r.ceiling.Extra
-	return most - len(r.loads)
-}
-
-// Describe returns the group's members and epoch for the log.
-func (o Order) Describe() string {
-	return o.Op.String() + " " + o.Group.Name + "/" + strconv.FormatUint(o.Group.Epoch, 10)
+	r.loads = slices.DeleteFunc(r.loads, func(l load) bool {
+		return r.now.Sub(l.begun) > max(r.ceiling.Window, 2*l.length)
+	})
+	begun := 0
+	for _, l := range r.loads {
+		if r.now.Sub(l.begun) <= r.ceiling.Window {
+			begun++
+		}
+	}
+	return int(rate*r.ceiling.Window.Seconds()*r.ceiling.Overrun) + r.ceiling.Extra - begun
 }
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -18,10 +18,12 @@
 const LeaseTable = "control"
 
 const (
-	leaseKey    = "lease"
-	nodePrefix  = "node/"
-	renewEvery  = 1500 * time.Millisecond
-	leaseLength = 4500 * time.Millisecond
+	leaseKey   = "lease"
+	nodePrefix = "node/"
+	// announcement is the value of a process's row, which says all by being there.
+	announcement = "{}"
+	renewEvery   = 1500 * time.Millisecond
+	leaseLength  = 4500 * time.Millisecond
 	// leaseMargin is how long before its end the holder stops giving orders.
 	leaseMargin = 1000 * time.Millisecond
 )
@@ -31,8 +33,8 @@
 	Holder string `json:"holder"`
 	// UntilMs is when the lease ends, by the store's clock.
 	UntilMs int64 `json:"until_ms"`
-	// Term is the version of the transaction before which the holder took the
-	// lease, so that it rises with each holder.
+	// Term is above the store's version when the holder asked for the lease, and
+	// not above that of its transaction, so that it rises with each holder.
 	Term uint64 `json:"term"`
 }
 
@@ -95,7 +97,7 @@
 }
 
 func (l *Lease) announce(ctx context.Context) error {
-	_, err := l.table.Commit(ctx, store.Txn{Writes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.node}}})
+	_, err := l.table.Commit(ctx, store.Txn{Writes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.node, Value: []byte(announcement)}}})
 	return err
 }
 
@@ -117,7 +119,7 @@
 	} else if row.UntilMs > snapshot.Clock.Milliseconds() {
 		return
 	}
-	l.commit(ctx, leaseRow{Holder: l.node, Term: snapshot.Version}, version, snapshot.Clock)
+	l.commit(ctx, leaseRow{Holder: l.node, Term: snapshot.Version + 1}, version, snapshot.Clock)
 }
 
 func (l *Lease) renew(ctx context.Context) {
--- a/replica/order.go
+++ b/replica/order.go
@@ -18,17 +18,19 @@
 	Close
 	// Leave ends the worker's membership at once.
 	Leave
+	// Stage loads a model to the worker's host, beside all else.
+	Stage
 )
 
 // String returns the operation's name in logs.
-func (o Op) String() string { return [...]string{"join", "open", "close", "leave"}[o] }
+func (o Op) String() string { return [...]string{"join", "open", "close", "leave", "stage"}[o] }
 
 // Order is one order to a worker.
 type Order struct {
 	Worker workers.Worker
 	Op     Op
 	Group  workers.GroupID
-	// Model and Members, the head first, are set for Join.
+	// Model is set for Join and Stage, Members, the head first, for Join.
 	Model   string
 	Members []string
 }
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -45,7 +45,27 @@
 	records map[string]*record
 	seen    map[workers.GroupID]time.Time // when a group was first seen unfinished
 	closing map[workers.GroupID]time.Time // when a group was first seen with a leaving member
-	loads   []time.Time
+	loads   []load
+	// retiring are whole groups that give their workers to another model, with
+	// the time since when.
+	retiring map[workers.GroupID]time.Time
+}
+
+// load is a load of weights that this planner began.
+type load struct {
+	worker string
+	model  string
+	begun  time.Time
+	length time.Duration
+}
+
+// Situation is what a plan looks at.
+type Situation struct {
+	Now      time.Time
+	View     *workers.View
+	Services []*catalog.Service
+	// Idle tells that nobody has been served yet, so that loads disturb nobody.
+	Idle bool
 }
 
 // formation is a group that the planner is forming.
@@ -68,6 +88,9 @@
 	left         workers.GroupID // a leave that was confirmed
 	joined       workers.GroupID // a join that was accepted
 	blockedUntil time.Time
+	// staged is the model that the host was last asked to load, and when.
+	staged   string
+	stagedAt time.Time
 }
 
 // NewPlanner returns a planner for a term. Loads that an earlier term began may
@@ -80,6 +103,8 @@
 		records: map[string]*record{},
 		seen:    map[workers.GroupID]time.Time{},
 		closing: map[workers.GroupID]time.Time{},
+
+		retiring: map[workers.GroupID]time.Time{},
 	}
 }
 
@@ -88,14 +113,15 @@
 
 // Plan returns the orders to give now. All of them count as under way until
 // Result tells what came of them.
-func (p *Planner) Plan(now time.Time, view *workers.View, services []*catalog.Service) []Order {
-	r := &round{Planner: p, now: now, view: view}
-	p.forget(view, now)
-	for _, s := range services {
-		r.service = s
+func (p *Planner) Plan(s Situation) []Order {
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle}
+	p.forget(s.View, s.Now)
+	for _, service := range s.Services {
+		r.service = service
 		r.advanceFormations()
 		r.tendGroups()
 		r.form()
+		r.stage()
 	}
 	return r.orders
 }
@@ -104,6 +130,9 @@
 func (p *Planner) Result(now time.Time, o Order, outcome Outcome) {
 	rec := p.record(o.Worker.ID)
 	rec.inFlight = false
+	if o.Op == Stage {
+		return
+	}
 	rec.answered = outcome != Unanswered
 	rec.outcome = outcome
 	rec.lastAt = now
@@ -152,6 +181,7 @@
 	now     time.Time
 	view    *workers.View
 	service *catalog.Service
+	idle    bool
 	orders  []Order
 }
 
@@ -163,8 +193,10 @@
 	}
 	rec.inFlight = true
 	rec.answered = false
-	rec.last = o
-	rec.lastAt = r.now
+	if o.Op != Stage {
+		rec.last = o
+		rec.lastAt = r.now
+	}
 	r.orders = append(r.orders, o)
 }
 
@@ -271,14 +303,14 @@
 	model, known := r.service.Runtime.Model(g.ID.Model())
 	complete := known && r.complete(g, model.Size)
 	switch {
+	case complete && r.leaving(g), complete && g.Whole && r.retired(g.ID):
+		r.closeThenDissolve(g)
 	case complete && g.Whole:
 		delete(r.seen, g.ID)
 		delete(r.closing, g.ID)
 		if head, _ := g.Head(); head.Membership.State == workers.Ready {
 			r.open(head, g.ID)
 		}
-	case complete && r.leaving(g):
-		r.closeThenDissolve(g)
 	case complete && !broken(g) && !r.late(g.ID, 2*model.Load+formSlack):
 		// still joining, ordered by an earlier holder of the lease
 	default:
@@ -286,6 +318,11 @@
 	}
 }
 
+func (r *round) retired(id workers.GroupID) bool {
+	_, retired := r.retiring[id]
+	return retired
+}
+
 // late tells whether a group has been unfinished for longer than d.
 func (r *round) late(id workers.GroupID, d time.Duration) bool {
 	since, ok := r.seen[id]
--- a/serving/server.go
+++ b/serving/server.go
@@ -37,6 +37,7 @@
 	opts     Options
 	underWay atomic.Int64
 	stopping atomic.Bool
+	used     atomic.Bool
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -50,6 +51,9 @@
 // Stop makes the server ask callers to leave after their present request.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Used tells whether any request has come yet.
+func (s *Server) Used() bool { return s.used.Load() }
+
 // UnderWay returns how many requests are being served.
 func (s *Server) UnderWay() int64 { return s.underWay.Load() }
 
@@ -63,6 +67,7 @@
 // Serve answers a request. It panics with http.ErrAbortHandler where an answer
 // that has begun can't be brought to its end.
 func (s *Server) Serve(w http.ResponseWriter, r *http.Request, req *Request) {
+	s.used.Store(true)
 	count := s.underWay.Add(1)
 	defer s.underWay.Add(-1)
 	if s.stopping.Load() {
--- a/store/follow.go
+++ b/store/follow.go
@@ -25,6 +25,9 @@
 	Table  string
 	// Wait is how long the store may hold a call that has nothing to tell.
 	Wait time.Duration
+	// Pause is how long changes are left to gather before they are asked for
+	// again, so that many changes in a row don't cost a call each.
+	Pause time.Duration
 	// Apply takes in an update.
 	Apply func(Update)
 	// Health is told each change of whether the store answers, and why not.
@@ -51,6 +54,7 @@
 			f.report(nil)
 			since = next
 			pause = firstPause
+			sleep(ctx, f.Pause)
 			continue
 		}
 		var lost *HistoryLostError
@@ -97,6 +101,9 @@
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
