--- a/store/follow.go
+++ b/store/follow.go
@@ -85,10 +85,26 @@
 	if err != nil {
 		return since, err
 	}
-	f.Apply(Update{Rows: snapshot.Rows, Evidence: sent, Version: snapshot.Version})
+	f.Apply(Update{Rows: newest(snapshot.Rows), Evidence: sent, Version: snapshot.Version})
 	return max(since, snapshot.Version), nil
 }
 
+// newest returns the last of each row's changes. A feed tells all changes of a row
+// in order; what it was in between no longer counts.
+func newest(rows []Row) []Row {
+	last := make(map[string]int, len(rows))
+	for i, r := range rows {
+		last[r.Key] = i
+	}
+	kept := make([]Row, 0, len(last))
+	for i, r := range rows {
+		if last[r.Key] == i {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
+
 func (f *Follower) report(err error) {
 	if f.broken == (err != nil) {
 		return
