replica: Form groups without loads once somebody is served

Groups were formed of workers that had to load for 16 s, staged workers waited in them, retired groups were formed again for the same model, and joining the last model again drops the staged one. Ruled out: loads too slow before traffic (all 48 were served by 2.5 s).

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -193,7 +193,7 @@
 	}
 	for _, w := range changed {
 		e.Log.Info().Str("event", "worker").Str("worker", w.ID).Str("service", w.Service).Bool("draining", w.Draining).
-			Str("group", w.Membership.Group.Name).Int("rank", w.Membership.Rank).Str("state", string(w.Membership.State)).Uint64("store_version", u.Version).Msg("")
+			Str("group", w.Membership.Group.Name).Int("rank", w.Membership.Rank).Str("state", string(w.Membership.State)).Strs("models", w.Models).Strs("staged", w.Staged).Str("domain", w.Domain).Uint64("store_version", u.Version).Msg("")
 	}
 	for _, id := range gone {
 		e.Log.Info().Str("event", "worker_gone").Str("worker", id).Uint64("store_version", u.Version).Msg("")
--- a/replica/form.go
+++ b/replica/form.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/pointpass/pointpass/catalog"
@@ -27,13 +26,15 @@
 	}
 }
 
+// begin starts forming a group. Members that are still in a retiring group join
+// once they have left it.
 func (r *round) begin(model catalog.Model, members []workers.Worker) {
 	r.formed++
 	id := workers.NewGroupID(model.Name, r.term*epochsPerTerm+r.formed)
 	f := &formation{id: id, service: r.service.Name, model: model, begun: r.now, joins: map[string]int{}}
 	for _, w := range members {
 		f.members = append(f.members, w.ID)
-		if !staged(w, model.Name) {
+		if preparationOf(w, model.Name) == fromStore {
 			r.loads = append(r.loads, load{worker: w.ID, model: model.Name, begun: r.now, length: model.Load})
 		}
 	}
@@ -124,8 +125,9 @@
 	return !joinUnderWay
 }
 
-// nextGroup returns the model and members of the group to form next. Where the
-// model that lacks most can't be formed, groups of others may be retired for it.
+// nextGroup returns the model and members of the group to form next. Where none
+// can be formed, groups of well supplied models may be retired for the one that
+// lacks most.
 func (r *round) nextGroup(p *pool) (catalog.Model, []workers.Worker, bool) {
 	models := slices.Clone(r.service.Runtime.Models)
 	slices.SortStableFunc(models, func(a, b catalog.Model) int {
@@ -136,83 +138,122 @@
 		if i > 0 && wouldHave > mostAboveShare*m.Share*float64(p.total) {
 			continue
 		}
-		if members, ok := r.membersFor(m, p.free); ok {
+		if members, ok := r.membersFor(m, p); ok {
 			return m, members, true
 		}
-		if i == 0 {
-			r.retireFor(m, models, p)
-		}
+	}
+	if len(models) > 0 && len(r.forming) < mostForming {
+		return r.retireFor(models[0], models, p)
 	}
 	return catalog.Model{}, nil, false
 }
 
-// retireFor has groups of better supplied models in one domain give up their
-// workers to a model, if afterwards the model that is worst off has more than
-// now. Their workers and the domain's free ones are kept for it.
-func (r *round) retireFor(m catalog.Model, models []catalog.Model, p *pool) {
-	for _, domain := range slices.Sorted(maps.Keys(p.free)) {
-		free := len(p.free[domain])
-		if free == 0 || free >= m.Size {
+// mostForming bounds how many groups may be in formation while more are retired,
+// and retireGain is what the worst supplied model must gain by it.
+const (
+	mostForming = 3
+	retireGain  = 1.05
+)
+
+// retireFor has groups of better supplied models in one domain give up workers to
+// a model, if afterwards the worst supplied model is better off than now. Only
+// workers that need no load count.
+func (r *round) retireFor(m catalog.Model, models []catalog.Model, p *pool) (catalog.Model, []workers.Worker, bool) {
+	var members []workers.Worker
+	var retired []*workers.Group
+	for domain, groups := range p.whole {
+		candidates, chosen := retirable(m, p.free[domain], groups)
+		if len(candidates) < m.Size || !gains(m, models, p, chosen) {
 			continue
 		}
-		groups := r.retirable(m, models, p, domain, m.Size-free)
-		if groups == nil {
+		better := members == nil || len(chosen) < len(retired) || len(chosen) == len(retired) && domain < members[0].Domain
+		if better {
+			members = candidates[:m.Size]
+			retired = chosen
+		}
+	}
+	for _, g := range retired {
+		r.retiring[g.ID] = r.now
+		p.counts[g.ID.Model()] -= len(g.Members)
+		p.drop(g)
+	}
+	return m, members, members != nil
+}
+
+// drop takes a group off the list of those that may be retired.
+func (p *pool) drop(g *workers.Group) {
+	domain := g.Members[0].Domain
+	p.whole[domain] = slices.DeleteFunc(p.whole[domain], func(other *workers.Group) bool { return other == g })
+}
+
+// retirable returns workers for a group of a model, free ones first, and the
+// groups that some of them have to leave.
+func retirable(m catalog.Model, free []workers.Worker, groups []*workers.Group) (members []workers.Worker, retired []*workers.Group) {
+	members = prepared(free, m.Name)
+	for _, g := range groups {
+		if len(members) >= m.Size {
+			break
+		}
+		others := prepared(g.Members, m.Name)
+		if g.ID.Model() == m.Name || len(others) == 0 {
 			continue
 		}
-		for _, g := range groups {
-			r.retiring[g.ID] = r.now
+		members = append(members, others...)
+		retired = append(retired, g)
+	}
+	return members, retired
+}
+
+// prepared returns the workers that need no load to run a model.
+func prepared(list []workers.Worker, model string) []workers.Worker {
+	var kept []workers.Worker
+	for _, w := range list {
+		if preparationOf(w, model) != fromStore {
+			kept = append(kept, w)
 		}
-		delete(p.free, domain)
-		return
 	}
+	return kept
 }
 
-// retirable returns groups of a domain whose workers make up for missing ones,
-// nil if no such choice is better than things are.
-func (r *round) retirable(m catalog.Model, models []catalog.Model, p *pool, domain string, missing int) []*workers.Group {
+// gains tells whether a group of one model in place of others leaves the worst
+// supplied model better off.
+func gains(m catalog.Model, models []catalog.Model, p *pool, retired []*workers.Group) bool {
 	after := map[string]int{m.Name: m.Size}
-	var chosen []*workers.Group
-	for _, g := range p.whole[domain] {
-		if missing <= 0 || g.ID.Model() == m.Name {
-			continue
-		}
-		chosen = append(chosen, g)
+	for _, g := range retired {
 		after[g.ID.Model()] -= len(g.Members)
-		missing -= len(g.Members)
-	}
-	if missing > 0 {
-		return nil
 	}
-	before := p.fill(m, 0)
+	before := retireGain * p.fill(m, 0)
 	for _, other := range models {
 		if p.fill(other, after[other.Name]) <= before {
-			return nil
+			return false
 		}
 	}
-	return chosen
+	return true
 }
 
 // choice is one way to form a group.
 type choice struct {
 	members []workers.Worker
 	loads   int
-	near    int // groups of the model in the same zone
-	domain  string
+	// alike and near are the groups of the model in the same domain and zone.
+	alike, near int
+	domain      string
 }
 
-// membersFor returns the free workers of one domain that a group of the model
-// costs the fewest loads with, as far as the ceiling on loads allows.
-func (r *round) membersFor(m catalog.Model, free map[string][]workers.Worker) ([]workers.Worker, bool) {
+// membersFor returns the free workers of one domain that a group of the model is
+// best formed of. Those that would have to load weights from the store count
+// only while nobody is served: later they are staged first, so that workers that
+// need no load don't wait for them.
+func (r *round) membersFor(m catalog.Model, p *pool) ([]workers.Worker, bool) {
 	var best *choice
-	allowed := r.loadsLeft()
-	for domain, list := range free {
+	for domain, list := range p.free {
+		if !r.idle {
+			list = prepared(list, m.Name)
+		}
 		if len(list) < m.Size {
 			continue
 		}
 		c := r.choiceIn(domain, list, m)
-		if c.loads > allowed {
-			continue
-		}
 		if best == nil || less(c, best) {
 			best = c
 		}
@@ -224,46 +265,69 @@
 }
 
 func less(a, b *choice) bool {
-	return cmp.Or(cmp.Compare(a.loads, b.loads), cmp.Compare(a.near, b.near), cmp.Compare(a.domain, b.domain)) < 0
+	return cmp.Or(
+		cmp.Compare(a.loads, b.loads),
+		cmp.Compare(a.alike, b.alike),
+		cmp.Compare(a.near, b.near),
+		cmp.Compare(a.domain, b.domain),
+	) < 0
 }
 
 func (r *round) choiceIn(domain string, list []workers.Worker, m catalog.Model) *choice {
 	sorted := slices.Clone(list)
 	slices.SortStableFunc(sorted, func(a, b workers.Worker) int {
-		return cmp.Or(cmp.Compare(cost(a, m.Name), cost(b, m.Name)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(preparationOf(a, m.Name), preparationOf(b, m.Name)), cmp.Compare(a.ID, b.ID))
 	})
 	c := &choice{members: sorted[:m.Size], domain: domain}
 	for _, w := range c.members {
-		if !staged(w, m.Name) {
+		if preparationOf(w, m.Name) == fromStore {
 			c.loads++
 		}
 	}
-	zone := c.members[0].Zone
 	for _, f := range r.forming {
-		if head, ok := r.view.Worker(f.members[0]); ok && f.model.Name == m.Name && head.Zone == zone {
-			c.near++
+		if head, ok := r.view.Worker(f.members[0]); ok && f.model.Name == m.Name {
+			c.count(head)
 		}
 	}
 	for _, g := range r.view.Groups() {
 		_, forming := r.forming[g.ID]
-		if head, ok := g.Head(); ok && !forming && g.ID.Model() == m.Name && head.Zone == zone {
-			c.near++
+		if head, ok := g.Head(); ok && !forming && g.ID.Model() == m.Name {
+			c.count(head)
 		}
 	}
 	return c
 }
 
-// cost ranks how long a worker takes to be ready for a model.
-func cost(w workers.Worker, model string) int {
+// count notes a group of the same model, by its head.
+func (c *choice) count(head workers.Worker) {
+	if head.Domain == c.domain {
+		c.alike++
+	}
+	if head.Zone == c.members[0].Zone {
+		c.near++
+	}
+}
+
+// preparation is how far a worker is from running a model.
+type preparation int
+
+const (
+	// again is the model of the worker's last group.
+	again preparation = iota
+	// fromHost has to take the model from the worker's host.
+	fromHost
+	// fromStore has to load the model.
+	fromStore
+)
+
+func preparationOf(w workers.Worker, model string) preparation {
 	switch {
-	case slices.Contains(w.Models, model):
-		return 0
+	case w.Last == model:
+		return again
 	case staged(w, model):
-		return 1
-	case len(w.Staged) == 0:
-		return 2
+		return fromHost
 	}
-	return 3 // its host would drop another model for this one
+	return fromStore
 }
 
 func staged(w workers.Worker, model string) bool {
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -116,6 +116,7 @@
 func (p *Planner) Plan(s Situation) []Order {
 	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle}
 	p.forget(s.View, s.Now)
+	p.forgetRetired(s.View)
 	for _, service := range s.Services {
 		r.service = service
 		r.advanceFormations()
@@ -166,6 +167,15 @@
 	}
 }
 
+// forgetRetired drops retired groups that are gone.
+func (p *Planner) forgetRetired(view *workers.View) {
+	for id := range p.retiring {
+		if !slices.ContainsFunc(view.Groups(), func(g *workers.Group) bool { return g.ID == id }) {
+			delete(p.retiring, id)
+		}
+	}
+}
+
 func (p *Planner) record(id string) *record {
 	rec, ok := p.records[id]
 	if !ok {
@@ -273,6 +283,9 @@
 	if r.record(w.ID).inFlight || r.gaveLately(w.ID, Join, f.id, rowLag) {
 		return true
 	}
+	if r.membership(w).Group.Name != "" {
+		return true // it has to leave its group first
+	}
 	if f.joins[w.ID] >= mostJoins {
 		return false
 	}
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -74,10 +74,15 @@
 	if !full && len(changed) == 0 && len(gone) == 0 {
 		return
 	}
+	before := r.workers
 	if full {
-		clear(r.workers)
+		r.workers = make(map[string]Worker, len(changed))
 	}
 	for _, w := range changed {
+		w.Last = before[w.ID].Last
+		if w.Membership.Group.Name != "" && w.Membership.State != Joining {
+			w.Last = w.Membership.Group.Model()
+		}
 		r.workers[w.ID] = w
 	}
 	for _, id := range gone {
--- a/workers/worker.go
+++ b/workers/worker.go
@@ -45,6 +45,9 @@
 	// Models are loaded; Staged are on the worker's host.
 	Models, Staged []string
 	Membership     Membership
+	// Last is the model of the last group that the worker was seen ready in during
+	// this start, "" if none is known.
+	Last string
 }
 
 // modelSeparator parts a model's name from the epoch in the name of a group. The
