duty: Count a lease as lapsed only up to the last read of the table

The keeper's own round and the table's follower run apart; after an outage a keeper that renewed before the first read judged the rows it knew by the present time, found them lapsed and took over. Ruled out: the restart of waiting at the first answer (it works, but comes later than the keeper's round). Change: time in which nothing was read proves nothing: lapse counts up to the moment at which the last good read was begun.

--- a/deps/deps.go
+++ b/deps/deps.go
@@ -281,6 +281,7 @@
 // duties, since a duty's holder is judged by its lease.
 func (d *Deps) follow() {
 	d.Mirror.OnGap(d.Keeper.Resumed)
+	d.Mirror.OnRead(d.Keeper.Observed)
 	d.Mirror.Follow(duty.NodePrefix, d.Keeper.ApplyNodes)
 	d.Mirror.Follow(duty.DutyPrefix, d.Keeper.ApplyDuties)
 	d.Mirror.Follow(groups.DomainPrefix, d.Groups.ApplyDomains)
--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -128,6 +128,7 @@
 	duties    map[string]dutyState
 	taken     map[string]uint64 // duty to the epoch that OnTaken was called for
 	joined    time.Time
+	read      time.Time // when the last good read of the table was begun
 	releasing bool
 }
 
@@ -267,6 +268,14 @@
 	}
 }
 
+// Observed is to be called after each good read of the table, once its rows were
+// applied, with the moment at which the read was begun.
+func (k *Keeper) Observed(begun time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.read = begun
+}
+
 // Resumed starts all waiting for leases to lapse anew. It is to be called when
 // the platform answers again: holders could not renew either, and they come
 // first.
@@ -325,7 +334,7 @@
 // lapsedLocked tells whether a holder's lease has certainly run out by itself.
 func (k *Keeper) lapsedLocked(holder string) bool {
 	seen, ok := k.nodes[holder]
-	return ok && seen.lapsed(k.opts.Now(), k.opts.Lease, k.opts.Margin)
+	return ok && seen.lapsed(k.read, k.opts.Lease, k.opts.Margin)
 }
 
 // Held returns the epoch under which this daemon holds a duty right now.
@@ -383,7 +392,7 @@
 		return true
 	}
 	seen, ok := k.nodes[holder]
-	return ok && !seen.lapsed(k.opts.Now(), k.opts.Lease, k.opts.Margin)
+	return ok && !seen.lapsed(k.read, k.opts.Lease, k.opts.Margin)
 }
 
 // Name returns the name under which this daemon holds duties.
--- a/duty/keeper_test.go
+++ b/duty/keeper_test.go
@@ -98,6 +98,7 @@
 	}
 	m.keeper.ApplyNodes(nodes, c.now)
 	m.keeper.ApplyDuties(duties, c.now)
+	m.keeper.Observed(c.now)
 	m.version = changes.Version()
 }
 
@@ -201,6 +202,27 @@
 	must.SliceLen(t, 1, old[0].taken, must.Sprint("the same epoch goes on"))
 }
 
+// TestKeeper_NobodyTakesBeforeReadingAfterAnOutage plays the first moment after
+// an outage at a daemon that renews its own lease before it has read the table:
+// that the rows it knows stood still meanwhile proves nothing.
+func TestKeeper_NobodyTakesBeforeReadingAfterAnOutage(t *testing.T) {
+	c := newCluster(3)
+	c.run(10 * time.Second)
+	old := c.holders()[0]
+	c.table.out = true
+	c.run(time.Minute)
+	c.table.out = false
+	for _, m := range c.members {
+		if m != old {
+			m.keeper.Step(context.Background())
+			m.keeper.Step(context.Background())
+		}
+	}
+	c.run(10 * time.Second)
+	must.Eq(t, []*member{old}, c.holders())
+	must.SliceLen(t, 1, old.taken, must.Sprint("the same epoch goes on"))
+}
+
 func TestKeeper_LostAnswerOfARenewalKeepsTheLease(t *testing.T) {
 	c := newCluster(1)
 	c.run(10 * time.Second)
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -31,7 +31,8 @@
 
 // lapsed tells whether the holder can no longer believe in its lease. No clock
 // of another machine is read: the row's version stood still for the whole
-// lease and a margin, by our own monotonic clock.
-func (o observation) lapsed(now time.Time, lease, margin time.Duration) bool {
-	return now.Sub(o.since) > lease+margin
+// lease and a margin, by our own monotonic clock, up to our last read of the
+// table. Time in which nothing was read proves nothing.
+func (o observation) lapsed(read time.Time, lease, margin time.Duration) bool {
+	return read.Sub(o.since) > lease+margin
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -37,6 +37,7 @@
 	followers []Follower
 	onVMs     func([]fleet.VM)
 	onGap     func()
+	onRead    func(begun time.Time)
 
 	mu        sync.Mutex // serialises polls
 	version   uint64
@@ -67,6 +68,10 @@
 // before any change is handed on: what stood still meanwhile proves nothing.
 func (m *Mirror) OnGap(f func()) { m.onGap = f }
 
+// OnRead calls f after each good read of the table, once its changes were handed
+// on, with the moment at which the read was begun.
+func (m *Mirror) OnRead(f func(begun time.Time)) { m.onRead = f }
+
 // Run polls until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	ticker := time.NewTicker(m.interval)
@@ -113,6 +118,9 @@
 		m.version = changes.Version()
 	}
 	m.lastGood.Store(&begun)
+	if m.onRead != nil {
+		m.onRead(begun)
+	}
 }
 
 func (m *Mirror) pollVMs(ctx context.Context) {
