gateway: Settle a claim before the last byte of its answer

Ruled out: letting the second ask wait (it would hold callers behind requests that really run). Change: whole answers are settled before their head, streams before their end mark, for 500 ms at most; after that in the background as before. Test was red on the old code, without processes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -18,6 +18,9 @@
 // nothing.
 type settleFunc func(claims.Settlement, *claims.Answer)
 
+// noSettlement is the settleFunc of requests without a claim.
+func noSettlement(claims.Settlement, *claims.Answer) {}
+
 // attempt sends the request until it has an answer, or may not be sent again.
 func (g *Gateway) attempt(ctx context.Context, w http.ResponseWriter, c *call, settle settleFunc) *problem.Problem {
 	budget := g.opts.Budgets.Of(c.customer)
@@ -71,9 +74,9 @@
 	setTarget(w, target)
 	var answer *claims.Answer
 	if c.stream && reply.Status() == http.StatusOK {
-		answer, fault = g.relayStream(ctx, w, c, target, reply)
+		answer, fault = g.relayStream(ctx, w, c, target, reply, settle)
 	} else {
-		answer, fault, again = g.relayWhole(w, c, reply)
+		answer, fault, again = g.relayWhole(w, c, reply, settle)
 	}
 	permit.Done(fault == nil)
 	if again {
@@ -83,7 +86,6 @@
 		settle(claims.SettledUnknown, nil)
 		return fault, false
 	}
-	settle(claims.SettledDone, answer)
 	return nil, false
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,9 @@
 	work     *work
 }
 
+// settleWait is how long an answer waits for its claim to be settled.
+const settleWait = 500 * time.Millisecond
+
 // settleTimeout bounds telling an owner how an attempt ended.
 const settleTimeout = 5 * time.Second
 
@@ -142,7 +145,7 @@
 // run claims, if need be, sends and relays.
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, c *call) *problem.Problem {
 	if !c.once() || c.key == "" {
-		return g.attempt(ctx, w, c, func(claims.Settlement, *claims.Answer) {})
+		return g.attempt(ctx, w, c, noSettlement)
 	}
 	req := claims.NewRequest(c.customer, c.key, c.fingerprint(), c.id, time.Until(c.deadline)+settleTimeout)
 	result, err := g.opts.Claims.Claim(ctx, req)
@@ -157,13 +160,16 @@
 	return g.attempt(ctx, w, c, settle)
 }
 
-// settle tells the owner how the attempt ended, while the caller already has
-// its answer.
+// settle tells the owner how the attempt ended. It is called before the last byte
+// of an answer goes out, so that a caller that asks again at once finds the claim
+// settled. An owner that can't be reached soon is told in the background.
 func (g *Gateway) settle(req claims.Request, s claims.Settlement, answer *claims.Answer) {
 	if answer != nil && len(answer.Body()) > g.opts.Config.Limits().KeptAnswerBytes {
 		answer = nil
 	}
+	told := make(chan struct{})
 	g.work.follow(func() {
+		defer close(told)
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
 		if err := g.opts.Claims.Settle(ctx, req, s, answer); err != nil {
@@ -171,6 +177,12 @@
 			g.opts.Log.Warn().Err(err).Msg("settlement lost")
 		}
 	})
+	timer := time.NewTimer(settleWait)
+	defer timer.Stop()
+	select {
+	case <-told:
+	case <-timer.C:
+	}
 }
 
 // claimFailed answers when nobody can say whether the key was used before.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -27,9 +27,9 @@
 // resumePause is how long a lost stream waits before it is asked for again.
 const resumePause = 100 * time.Millisecond
 
-// relayWhole passes on an answer that isn't streamed, once all of it is here.
-// Again tells that a repeatable request may be sent elsewhere instead.
-func (g *Gateway) relayWhole(w http.ResponseWriter, c *call, reply *engine.Reply) (answer *claims.Answer, fault *problem.Problem, again bool) {
+// relayWhole passes on an answer that isn't streamed, once all of it is here and
+// the claim is settled. Again tells that a repeatable request may be sent elsewhere instead.
+func (g *Gateway) relayWhole(w http.ResponseWriter, c *call, reply *engine.Reply, settle settleFunc) (answer *claims.Answer, fault *problem.Problem, again bool) {
 	defer reply.Body().Close()
 	limit := g.opts.Config.Limits().AnswerBytes
 	body, err := io.ReadAll(io.LimitReader(reply.Body(), limit+1))
@@ -45,6 +45,8 @@
 		c.mayHaveRun = true
 		return nil, problem.New(http.StatusBadGateway, problem.Failed, "the answer is longer than %d bytes", limit), false
 	}
+	answer = claims.NewAnswer(reply.Status(), reply.ContentType(), body)
+	settle(claims.SettledDone, answer)
 	w.Header().Set("Content-Type", reply.ContentType())
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if reply.Status() >= http.StatusBadRequest {
@@ -52,7 +54,7 @@
 	}
 	w.WriteHeader(reply.Status())
 	g.write(w, body)
-	return claims.NewAnswer(reply.Status(), reply.ContentType(), body), nil, false
+	return answer, nil, false
 }
 
 // write sends bytes to a caller that must read them within a bounded time. A
@@ -76,13 +78,15 @@
 	limit   time.Time // until when the caller may leave a write unread
 	gone    bool      // the caller no longer reads
 	ended   bool      // the end mark was relayed
+	settle  settleFunc
 }
 
 // relayStream passes on events until the end mark. A connection that breaks
 // meanwhile is taken up again at the same engine; if that fails the caller gets
 // an error event and a broken stream, never a short answer.
-func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, c *call, target presence.Target, reply *engine.Reply) (*claims.Answer, *problem.Problem) {
+func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, c *call, target presence.Target, reply *engine.Reply, settle settleFunc) (*claims.Answer, *problem.Problem) {
 	s := g.newStream(w, c, eventID{group: target.ID(), request: c.id})
+	s.settle = settle
 	s.begin()
 	s.relay(reply)
 	for !s.ended && ctx.Err() == nil && (!s.gone || c.once()) {
@@ -94,7 +98,7 @@
 }
 
 func (g *Gateway) newStream(w http.ResponseWriter, c *call, id eventID) *stream {
-	return &stream{gateway: g, w: w, control: http.NewResponseController(w), call: c, id: id, name: streamName(c.customer, id.request)}
+	return &stream{gateway: g, w: w, control: http.NewResponseController(w), call: c, id: id, name: streamName(c.customer, id.request), settle: noSettlement}
 }
 
 func (s *stream) begin() {
@@ -131,11 +135,19 @@
 	if s.call.once() && len(s.kept) <= s.gateway.opts.Config.Limits().KeptAnswerBytes {
 		s.kept = append(s.kept, message...)
 	}
+	if s.ended {
+		s.settle(claims.SettledDone, s.answer())
+	}
 	if !s.gone {
 		s.gone = s.write(message) != nil
 	}
 }
 
+// answer returns what a repeat of the request will get.
+func (s *stream) answer() *claims.Answer {
+	return claims.NewAnswer(http.StatusOK, "text/event-stream", s.kept)
+}
+
 // encode returns an event as bytes, which are good until the next.
 func (s *stream) encode(message sse.Message, data string) []byte {
 	s.buffer.Reset()
@@ -187,7 +199,7 @@
 // caller can see.
 func (s *stream) finish(ctx context.Context) (*claims.Answer, *problem.Problem) {
 	if s.ended {
-		return claims.NewAnswer(http.StatusOK, "text/event-stream", s.kept), nil
+		return s.answer(), nil
 	}
 	s.call.mayHaveRun = true
 	if s.gone {
