replica: Check the order protocol on random histories; keep room for large groups

Cause: the protocol had no test; a test of a calm world showed 3 large groups where 4 belong: pairs of the small model were spread so that no domain had four free workers left. Ruled out: a fault of the order protocol (20,000 random histories without one). A first violation came of the test's own world, which let rows of one worker arrive out of order; the store can't do that. Change: pairs go where they spoil the fewest places for the largest model.

--- a/replica/form.go
+++ b/replica/form.go
@@ -235,6 +235,8 @@
 type choice struct {
 	members []workers.Worker
 	loads   int
+	// spoiled are the groups of the largest model that no longer fit the domain.
+	spoiled int
 	// alike and near are the groups of the model in the same domain and zone.
 	alike, near int
 	domain      string
@@ -254,6 +256,7 @@
 			continue
 		}
 		c := r.choiceIn(domain, list, m)
+		c.spoiled = r.spoiled(m, len(p.free[domain]))
 		if best == nil || less(c, best) {
 			best = c
 		}
@@ -267,12 +270,26 @@
 func less(a, b *choice) bool {
 	return cmp.Or(
 		cmp.Compare(a.loads, b.loads),
+		cmp.Compare(a.spoiled, b.spoiled),
 		cmp.Compare(a.alike, b.alike),
 		cmp.Compare(a.near, b.near),
 		cmp.Compare(a.domain, b.domain),
 	) < 0
 }
 
+// spoiled returns how many groups of the largest model fit a domain's free workers
+// less once a group of a smaller model has taken its own.
+func (r *round) spoiled(m catalog.Model, free int) int {
+	largest := m.Size
+	for _, other := range r.service.Runtime.Models {
+		largest = max(largest, other.Size)
+	}
+	if m.Size == largest {
+		return 0
+	}
+	return free/largest - (free-m.Size)/largest
+}
+
 func (r *round) choiceIn(domain string, list []workers.Worker, m catalog.Model) *choice {
 	sorted := slices.Clone(list)
 	slices.SortStableFunc(sorted, func(a, b workers.Worker) int {
--- /dev/null
+++ b/replica/histories_test.go
@@ -0,0 +1,255 @@
+package replica
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/common/histories"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// checksFlag asks for more histories than CI plays.
+var checksFlag = flag.String("histories", "", "number of random histories of the order protocol")
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if *checksFlag != "" {
+		flag.Set("rapid.checks", *checksFlag)
+		os.Exit(m.Run())
+	}
+	os.Exit(histories.Run(m))
+}
+
+// holder is one process that gives orders in the world.
+type holder struct {
+	planner *Planner
+	pending []reply
+	// pausedUntil is until when the process stands still; its orders that were
+	// decided before go out when it wakes.
+	pausedUntil time.Time
+	frozen      []Order
+}
+
+type reply struct {
+	at      time.Time
+	order   Order
+	outcome Outcome
+}
+
+// play is one random history.
+type play struct {
+	t       *rapid.T
+	w       *world
+	term    uint64
+	holders []*holder // the last one holds the lease
+	idle    bool
+}
+
+var testCeiling = LoadCeiling{Window: 5 * time.Second, Overrun: 1.1}
+
+// TestPlanner_Histories plays random crashes, drains, lost, late and doubled
+// orders, holders that change, and holders that pause and go on giving orders.
+func TestPlanner_Histories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &play{t: t, w: newWorld(rapid.IntRange(1, 2).Draw(t, "domains"), 8), idle: true}
+		p.newHolder()
+		steps := rapid.IntRange(50, 400).Draw(t, "steps")
+		trouble := rapid.IntRange(0, 30).Draw(t, "trouble")
+		for range steps {
+			p.w.step()
+			p.trouble(trouble)
+			for _, h := range p.holders {
+				p.act(h)
+			}
+			p.requests()
+			must.SliceEmpty(t, p.w.broken, must.Sprint(p.w.broken))
+		}
+	})
+}
+
+func (p *play) newHolder() {
+	p.term++
+	p.holders = append(p.holders, &holder{planner: NewPlanner(p.term, testCeiling)})
+}
+
+// trouble makes something go wrong in about percent of the ticks.
+func (p *play) trouble(percent int) {
+	if rapid.IntRange(0, 99).Draw(p.t, "luck") >= percent {
+		return
+	}
+	ids := p.w.ids()
+	id := ids[rapid.IntRange(0, len(ids)-1).Draw(p.t, "who")]
+	e := p.w.engines[id]
+	switch rapid.IntRange(0, 6).Draw(p.t, "what") {
+	case 0:
+		if len(ids) > 6 && e.dead.IsZero() {
+			e.dead = p.w.now
+		}
+	case 1:
+		if e.dead.IsZero() {
+			e.worker.Draining = true
+			p.w.tell(e, p.lag())
+		}
+	case 2:
+		p.w.add(e.worker.Domain, p.lag())
+	case 3: // the lease moves; the last holder ends
+		p.holders = nil
+		p.newHolder()
+	case 4: // the lease moves while the holder is paused; it wakes later
+		h := p.holders[len(p.holders)-1]
+		h.pausedUntil = p.w.now.Add(time.Duration(rapid.IntRange(1, 8).Draw(p.t, "pause")) * time.Second)
+		h.frozen = p.plan(h)
+		p.holders = []*holder{h}
+		p.newHolder()
+	case 5:
+		p.idle = false
+	case 6: // a row comes late
+		p.w.tell(e, p.lag())
+	}
+}
+
+func (p *play) lag() time.Duration {
+	return time.Duration(rapid.IntRange(0, 12).Draw(p.t, "lag")) * worldTick
+}
+
+// act lets a process take in replies and give its orders.
+func (p *play) act(h *holder) {
+	if p.w.now.Before(h.pausedUntil) {
+		return
+	}
+	if h != p.holders[len(p.holders)-1] { // woken without the lease: what was decided goes out, then it ends
+		p.give(h, h.frozen)
+		p.holders = p.holders[1:]
+		return
+	}
+	var rest []reply
+	for _, r := range h.pending {
+		if r.at.After(p.w.now) {
+			rest = append(rest, r)
+			continue
+		}
+		h.planner.Result(p.w.now, r.order, r.outcome)
+	}
+	h.pending = rest
+	p.give(h, p.plan(h))
+}
+
+func (p *play) plan(h *holder) []Order {
+	return h.planner.Plan(Situation{Now: p.w.now, View: p.w.view, Services: []*catalog.Service{p.w.service}, Idle: p.idle})
+}
+
+func (p *play) give(h *holder, orders []Order) {
+	for _, o := range orders {
+		f := fateTaken
+		if rapid.IntRange(0, 9).Draw(p.t, "ordered") == 0 {
+			f = fate(rapid.IntRange(0, 4).Draw(p.t, "fate"))
+		}
+		delay := time.Duration(rapid.IntRange(2000, 12000).Draw(p.t, "late")) * time.Millisecond
+		outcome := p.w.send(o, f, delay)
+		wait := worldTick
+		if outcome == Unanswered {
+			wait = 800 * time.Millisecond
+		}
+		h.pending = append(h.pending, reply{at: p.w.now.Add(wait), order: o, outcome: outcome})
+	}
+}
+
+// requests has requests run wherever a reader of the rows would send them.
+func (p *play) requests() {
+	for _, g := range p.w.view.Groups() {
+		model, known := p.w.service.Runtime.Model(g.ID.Model())
+		head, found := g.Head()
+		if known && found && g.Whole && len(g.Members) == model.Size && head.Membership.State == workers.Open {
+			p.w.request(head.ID)
+		}
+	}
+}
+
+// TestPlanner_ReachesItsShares forms all groups in a calm world.
+func TestPlanner_ReachesItsShares(t *testing.T) {
+	w := newWorld(3, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	open := map[string]int{}
+	for _, g := range w.view.Groups() {
+		if head, ok := g.Head(); ok && g.Whole && head.Membership.State == workers.Open {
+			open[g.ID.Model()]++
+		}
+	}
+	must.Eq(t, map[string]int{"m.large": 4, "small": 4}, open)
+}
+
+// TestPlanner_ReplacesLostMembers loses members of two groups of the large model,
+// in domains that also have groups of the small one. Soon after their rows went
+// at most one group is missing, which the small model's share allows, and nobody
+// waited for a load.
+func TestPlanner_ReplacesLostMembers(t *testing.T) {
+	w := newWorld(6, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	loads := w.joinLoads
+	before := whole(w, "m.large")
+	must.EqOp(t, 8, before)
+	small := map[string]bool{}
+	for _, g := range w.view.Groups() {
+		small[g.Members[0].Domain] = small[g.Members[0].Domain] || g.ID.Model() == "small"
+	}
+	killed := 0
+	for _, g := range w.view.Groups() {
+		if g.ID.Model() == "m.large" && small[g.Members[0].Domain] && killed < 2 {
+			killed++
+			w.engines[g.Members[2].ID].dead = w.now
+		}
+	}
+	calm(w, h, worldSilence+5*time.Second, false)
+	must.GreaterEq(t, before-1, whole(w, "m.large"))
+	must.EqOp(t, loads, w.joinLoads)
+}
+
+// TestPlanner_KeepsTheLoadCeiling adds many empty workers at once.
+func TestPlanner_KeepsTheLoadCeiling(t *testing.T) {
+	w := newWorld(6, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, time.Minute, false)
+	for i, from := range w.loads {
+		within := 0
+		for _, at := range w.loads[i:] {
+			if at.Sub(from) <= testCeiling.Window {
+				within++
+			}
+		}
+		must.True(t, within <= 22, must.Sprint(fmt.Sprint(within, " loads within 5 s")))
+	}
+}
+
+func whole(w *world, model string) int {
+	n := 0
+	for _, g := range w.view.Groups() {
+		head, ok := g.Head()
+		if ok && g.Whole && head.Membership.State == workers.Open && g.ID.Model() == model && len(g.Members) == w.model(model).Size {
+			n++
+		}
+	}
+	return n
+}
+
+// calm lets a planner work for a while with all orders answered.
+func calm(w *world, h *holder, d time.Duration, idle bool) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.step()
+		for _, r := range h.pending {
+			h.planner.Result(w.now, r.order, r.outcome)
+		}
+		h.pending = nil
+		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle}) {
+			h.pending = append(h.pending, reply{order: o, outcome: w.send(o, fateTaken, 0)})
+		}
+	}
+}
