workers, serving: Keep the last model of workers whose entry was gone; adapt patience

Ruled out: late orders (all joins of the stuck domain were answered). Change: the registry keeps the last model by id. How long a silent target is waited for is a multiple of what is usual there, within 300 to 450 ms between events.

--- a/serving/balance.go
+++ b/serving/balance.go
@@ -59,8 +59,18 @@
 	// suspectUntil is until when the target gets no new requests.
 	suspectUntil time.Time
 	failures     int
+	// gap is the usual time between events of one stream, first that to a first
+	// event; both are moving averages.
+	gap, first time.Duration
 }
 
+// Averages before anything was measured, and how much one measure counts.
+const (
+	usualGap   = 60 * time.Millisecond
+	usualFirst = 200 * time.Millisecond
+	newWeight  = 8 // one eighth
+)
+
 // How long a target that failed gets no new requests: doubled with each failure
 // in a row.
 const (
@@ -132,7 +142,7 @@
 func (b *Balancer) of(key string) *load {
 	l, ok := b.loads[key]
 	if !ok {
-		l = &load{}
+		l = &load{gap: usualGap, first: usualFirst}
 		b.loads[key] = l
 	}
 	return l
@@ -145,13 +155,42 @@
 	b.of(key).inFlight--
 }
 
-// Sign notes that a target has sent something.
-func (b *Balancer) Sign(key string, now time.Time) {
+// Sign notes that a target has sent something to a request, some time after the
+// last sign, or after the request was sent if it is the first.
+func (b *Balancer) Sign(key string, now time.Time, after time.Duration, first bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.of(key)
 	l.lastSign = now
 	l.failures = 0
+	if first {
+		l.first += (after - l.first) / newWeight
+		return
+	}
+	l.gap += (after - l.gap) / newWeight
+}
+
+// Bounds of how long a target may be silent before it counts as stalled. Within
+// them that is a multiple of what is usual there, so that a slow target that
+// works on isn't given up.
+const (
+	leastSilence = 300 * time.Millisecond
+	mostSilence  = 450 * time.Millisecond
+	gapMultiple  = 4
+	leastStart   = 900 * time.Millisecond
+	mostStart    = 1200 * time.Millisecond
+	startFactor  = 5 // halves: two and a half times
+)
+
+// Patience returns how long a target may send nothing to anybody: before a
+// request's first event, and between its events.
+func (b *Balancer) Patience(key string) (start, between time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.of(key)
+	start = min(max(startFactor*l.first/2, leastStart), mostStart)
+	between = min(max(gapMultiple*l.gap, leastSilence), mostSilence)
+	return start, between
 }
 
 // Silence returns for how long a target has sent nothing since a moment.
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -128,7 +128,6 @@
 	}
 	defer reply.Body.Close()
 	e.sent++
-	watch.sign()
 	if reply.NotRun {
 		return e.rejected(target, reply)
 	}
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -151,16 +151,11 @@
 	last  time.Time // of the last sign, zero before the first
 }
 
-// Silences that end an attempt. A target is silent if none of our requests there
-// hears anything; a lone request may wait longer while others are served.
-const (
-	silentStart  = 900 * time.Millisecond
-	silentStream = 450 * time.Millisecond
-	mostAlone    = 1600 * time.Millisecond
-)
+// mostAlone is how long one stream may hear nothing while others are served.
+const mostAlone = 1600 * time.Millisecond
 
-// watch starts watching an attempt. Answers that aren't streamed are waited for
-// until the deadline.
+// watch starts watching an attempt. Answers that can't be taken up elsewhere are
+// waited for until the deadline.
 func (e *exchange) watch(key string, cancel context.CancelCauseFunc) *watch {
 	now := e.server.opts.Now()
 	w := &watch{exchange: e, key: key, cancel: cancel, begun: now}
@@ -169,7 +164,8 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(silentStart, w.check)
+	start, _ := e.server.opts.Balancer.Patience(key)
+	w.timer = time.AfterFunc(start, w.check)
 	return w
 }
 
@@ -181,15 +177,22 @@
 	}
 }
 
-// sign notes that the target has sent something.
+// sign notes that the target has sent an event.
 func (w *watch) sign() {
 	now := w.exchange.server.opts.Now()
-	w.exchange.server.opts.Balancer.Sign(w.key, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	first := w.last.IsZero()
+	since := w.last
+	if first {
+		since = w.begun
+	}
 	w.last = now
+	balancer := w.exchange.server.opts.Balancer
+	balancer.Sign(w.key, now, now.Sub(since), first)
 	if w.timer != nil {
-		w.timer.Reset(silentStream)
+		_, between := balancer.Patience(w.key)
+		w.timer.Reset(between)
 	}
 }
 
@@ -198,14 +201,15 @@
 func (w *watch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	balancer := w.exchange.server.opts.Balancer
 	now := w.exchange.server.opts.Now()
-	limit := silentStart
+	limit, between := balancer.Patience(w.key)
 	alone := time.Duration(0)
 	if !w.last.IsZero() {
-		limit = silentStream
+		limit = between
 		alone = now.Sub(w.last)
 	}
-	silence := w.exchange.server.opts.Balancer.Silence(w.key, w.begun, now)
+	silence := balancer.Silence(w.key, w.begun, now)
 	if silence >= limit || alone >= mostAlone {
 		w.cancel(errStalled)
 		return
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -48,17 +48,23 @@
 // Len returns how many workers are known.
 func (v *View) Len() int { return len(v.byID) }
 
+// mostLost bounds how many workers whose entry is gone are remembered.
+const mostLost = 4096
+
 // Registry holds the newest view.
 type Registry struct {
 	mu      sync.Mutex
 	workers map[string]Worker
+	// last keeps the last model of workers whose entry is gone: an entry also goes
+	// while the store is down or the worker is cut off from it, and comes back.
+	last map[string]string
 	view    atomic.Pointer[View]
 	changed func(*View)
 }
 
 // NewRegistry returns an empty registry that tells each new view to changed.
 func NewRegistry(changed func(*View)) *Registry {
-	r := &Registry{workers: map[string]Worker{}, changed: changed}
+	r := &Registry{workers: map[string]Worker{}, last: map[string]string{}, changed: changed}
 	r.view.Store(newView(r.workers))
 	return r
 }
@@ -74,25 +80,41 @@
 	if !full && len(changed) == 0 && len(gone) == 0 {
 		return
 	}
-	before := r.workers
 	if full {
-		r.workers = make(map[string]Worker, len(changed))
+		for id := range r.workers {
+			r.remove(id)
+		}
 	}
 	for _, w := range changed {
-		w.Last = before[w.ID].Last
-		if w.Membership.Group.Name != "" && w.Membership.State != Joining {
-			w.Last = w.Membership.Group.Model()
-		}
-		r.workers[w.ID] = w
+		r.put(w)
 	}
 	for _, id := range gone {
-		delete(r.workers, id)
+		r.remove(id)
 	}
 	view := newView(r.workers)
 	r.view.Store(view)
 	r.changed(view)
 }
 
+func (r *Registry) put(w Worker) {
+	w.Last = r.last[w.ID]
+	if known, listed := r.workers[w.ID]; listed {
+		w.Last = known.Last
+	}
+	if w.Membership.Group.Name != "" && w.Membership.State != Joining {
+		w.Last = w.Membership.Group.Model()
+	}
+	delete(r.last, w.ID)
+	r.workers[w.ID] = w
+}
+
+func (r *Registry) remove(id string) {
+	if w, listed := r.workers[id]; listed && w.Last != "" && len(r.last) < mostLost {
+		r.last[id] = w.Last
+	}
+	delete(r.workers, id)
+}
+
 func newView(all map[string]Worker) *View {
 	v := &View{byID: make(map[string]Worker, len(all)), services: map[string][]Worker{}}
 	groups := map[GroupID]*Group{}
--- /dev/null
+++ b/workers/registry_test.go
@@ -0,0 +1,79 @@
+package workers
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func member(id string, group GroupID, rank int, state GroupState) Worker {
+	return Worker{ID: id, Service: "llm", Membership: Membership{Group: group, Rank: rank, State: state}}
+}
+
+func newTestRegistry() *Registry { return NewRegistry(func(*View) {}) }
+
+func TestGroupIDTellsItsModel(t *testing.T) {
+	for _, model := range []string{"m", "m.large", "a.b.c"} {
+		must.EqOp(t, model, NewGroupID(model, 17).Model())
+	}
+	must.EqOp(t, "", GroupID{Name: "unnamed"}.Model())
+}
+
+func TestGroupIsWholeOnlyWithAllRanksReady(t *testing.T) {
+	id := NewGroupID("m", 1)
+	cases := []struct {
+		name  string
+		state GroupState
+		rank  int
+		drain bool
+		whole bool
+	}{
+		{"ready", Ready, 1, false, true},
+		{"joining", Joining, 1, false, false},
+		{"broken", Broken, 1, false, false},
+		{"rank missing", Ready, 2, false, false},
+		{"draining", Ready, 1, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newTestRegistry()
+			second := member("b", id, c.rank, c.state)
+			second.Draining = c.drain
+			r.Apply([]Worker{member("a", id, 0, Open), second}, nil, true)
+			must.EqOp(t, c.whole, r.View().Groups()[0].Whole)
+		})
+	}
+}
+
+func TestMembersOfTwoEpochsAreTwoGroups(t *testing.T) {
+	r := newTestRegistry()
+	r.Apply([]Worker{member("a", NewGroupID("m", 1), 0, Open), member("b", NewGroupID("m", 2), 1, Ready)}, nil, true)
+	must.Len(t, 2, r.View().Groups())
+	_, found := r.View().Groups()[1].Head()
+	must.False(t, found)
+}
+
+func TestLastModelOutlivesAGroupAndAnEntry(t *testing.T) {
+	r := newTestRegistry()
+	r.Apply([]Worker{member("a", NewGroupID("m", 1), 0, Joining)}, nil, true)
+	w, _ := r.View().Worker("a")
+	must.EqOp(t, "", w.Last, must.Sprint("it has not been ready yet"))
+	r.Apply([]Worker{member("a", NewGroupID("m", 1), 0, Ready)}, nil, false)
+	r.Apply([]Worker{{ID: "a", Service: "llm"}}, nil, false)
+	w, _ = r.View().Worker("a")
+	must.EqOp(t, "m", w.Last)
+	r.Apply(nil, []string{"a"}, false)
+	_, listed := r.View().Worker("a")
+	must.False(t, listed)
+	r.Apply([]Worker{{ID: "a", Service: "llm"}}, nil, true)
+	w, _ = r.View().Worker("a")
+	must.EqOp(t, "m", w.Last, must.Sprint("the entry was gone for a while; the worker was not"))
+}
+
+func TestFullApplyDropsWhatIsNotListed(t *testing.T) {
+	r := newTestRegistry()
+	r.Apply([]Worker{{ID: "a", Service: "x"}, {ID: "b", Service: "x"}}, nil, true)
+	r.Apply([]Worker{{ID: "b", Service: "x"}}, nil, true)
+	must.EqOp(t, 1, r.View().Len())
+	must.Len(t, 1, r.View().Of("x"))
+}
