--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Formats, vets, lints and tests everything. Exits 0 only if all of it passes.
+# Formats, vets, lints and tests everything. Exits 0 only if all of it passes, but
+# for the tests that KNOWN-RED.txt names, which are passed over and printed.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -12,6 +13,20 @@
   exit 1
 fi
 
+echo "== names of the users' platform"
+# Only platform/, what is deployed, the stand-ins and the docs know them.
+wire='X-Pointpass-|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|schemaVersion|expectedRev|fencingToken|pathPrefix|apiKeys|targetGapMs|modelId'
+leaked=$(git grep -nE "$wire" -- '*.go' ':!platform' ':!testbed' || true)
+if [ -n "$leaked" ]; then
+  echo "$leaked"
+  exit 1
+fi
+lines=$(git ls-files 'platform/*.go' | grep -v '_test\.go$' | xargs cat | wc -l)
+if [ "$lines" -gt 1500 ]; then
+  echo "platform/ has $lines lines without tests; it only translates, and 1500 have to do"
+  exit 1
+fi
+
 echo "== go vet"
 go vet $packages
 
@@ -19,4 +34,10 @@
 go tool staticcheck $packages
 
 echo "== go test -race"
-go test -race -timeout 20m "$@" $packages
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  echo "passed over, see KNOWN-RED.txt:"
+  cat KNOWN-RED.txt
+  skip=(-skip "$(cut -d: -f1 KNOWN-RED.txt | paste -sd'|')")
+fi
+go test -race -timeout 20m "${skip[@]}" "$@" $packages
--- /dev/null
+++ b/node/settings_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const sample = `{
+  "name": "e1",
+  "zone": "z1",
+  "callers_addr": "10.1.0.4:80",
+  "readiness_addr": "10.1.0.4:81",
+  "metrics_addr": "10.1.0.4:82",
+  "store_addr": "10.200.1.7:83",
+  "bounds": {"grace_s": 8, "revoke_ms": 4000,},
+}`
+
+func TestParse_ReadsAndFillsIn(t *testing.T) {
+	s, err := Parse("f", []byte(sample))
+	must.NoError(t, err)
+	must.EqOp(t, "e1", s.Name())
+	must.EqOp(t, 8*time.Second, s.Bounds().Grace)
+	must.EqOp(t, 4*time.Second, s.Bounds().Revoke)
+	must.EqOp(t, defaultRetryExtra, s.Bounds().RetryExtra)
+	must.False(t, s.FirstStart())
+}
+
+func TestParse_NamesLineAndFieldOfEveryMistake(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`"e1"`, `""`, "f:2: name: must be given"},
+		{`"10.1.0.4:80"`, `"localhost:80"`, "f:4: callers_addr: want an IP number and a port"},
+		{`"grace_s": 8`, `"grace_s": 0`, "f:8: bounds.grace_s: want more than 0, found 0"},
+		{`"grace_s": 8`, `"grace": 8`, "f:8: bounds.grace: unknown field"},
+		{`"grace_s": 8`, `"retry_ratio": -1`, "f:8: bounds.retry_ratio: want 0 or more"},
+	} {
+		_, err := Parse("f", []byte(strings.Replace(sample, c.from, c.to, 1)))
+		must.ErrorContains(t, err, c.want)
+	}
+}
+
+// TestTemplate_FillsToValidSettings fills the template that the platform fills,
+// with all values given and with those left out that a platform may lack.
+func TestTemplate_FillsToValidSettings(t *testing.T) {
+	template, err := os.ReadFile("../deploy/settings.jsonc")
+	must.NoError(t, err)
+	section := regexp.MustCompile(`\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
+	whole := section.ReplaceAllStringFunc(string(template), func(s string) string {
+		return strings.ReplaceAll(section.FindStringSubmatch(s)[2], "{{.}}", "2")
+	})
+	bare := section.ReplaceAllString(string(template), "")
+	for _, text := range []string{whole, bare} {
+		for gap, value := range map[string]string{"nodeName": "e1", "zone": "z1", "ip": "10.1.0.4", "listen.http": "10.1.0.4:80", "listen.readiness": "10.1.0.4:81", "platform.address": "10.200.1.7:83"} {
+			text = strings.ReplaceAll(text, "{{"+gap+"}}", value)
+		}
+		s, err := Parse("settings.jsonc", []byte(text))
+		must.NoError(t, err)
+		must.EqOp(t, "10.1.0.4:9102", s.MetricsAddr())
+		must.EqOp(t, text != bare && strings.Contains(text, "first_start"), s.FirstStart())
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sample))
+	f.Fuzz(func(t *testing.T, data []byte) { Parse("f", data) })
+}
--- /dev/null
+++ b/replica/lease_test.go
@@ -0,0 +1,172 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/store"
+)
+
+// memoryTable is a store on a clock of its own, with faults.
+type memoryTable struct {
+	now       time.Time
+	offset    time.Duration // of the store's clock
+	version   uint64
+	rows      map[string]store.Row
+	out, lose bool
+	late      []store.Txn
+}
+
+var errOut = &store.CallError{Op: "test", Err: errors.New("out")}
+
+func (m *memoryTable) clock() time.Duration { return m.offset + time.Duration(m.now.UnixNano()) }
+
+func (m *memoryTable) Rows(context.Context, string) (store.Snapshot, error) {
+	if m.out {
+		return store.Snapshot{}, errOut
+	}
+	s := store.Snapshot{Version: m.version, Clock: m.clock()}
+	for _, r := range m.rows {
+		s.Rows = append(s.Rows, r)
+	}
+	return s, nil
+}
+
+func (m *memoryTable) Commit(_ context.Context, txn store.Txn) (store.Snapshot, error) {
+	if m.out {
+		return store.Snapshot{}, errOut
+	}
+	if m.lose {
+		m.lose = false
+		m.late = append(m.late, txn)
+		return store.Snapshot{}, errOut
+	}
+	if !m.apply(txn) {
+		return store.Snapshot{}, &store.ConflictError{}
+	}
+	return store.Snapshot{Version: m.version, Clock: m.clock()}, nil
+}
+
+func (m *memoryTable) apply(txn store.Txn) bool {
+	for _, c := range txn.Conditions {
+		if m.rows[c.Key].Version != c.Version {
+			return false
+		}
+	}
+	m.version++
+	for _, w := range txn.Writes {
+		m.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: m.version}
+	}
+	for _, w := range txn.Deletes {
+		delete(m.rows, w.Key)
+	}
+	return true
+}
+
+// deliverLate applies the writes whose answers were lost, if they still fit.
+func (m *memoryTable) deliverLate() {
+	for _, txn := range m.late {
+		m.apply(txn)
+	}
+	m.late = nil
+}
+
+func newLeases(n int) (*memoryTable, []*Lease) {
+	table := &memoryTable{now: time.Unix(1000, 0), rows: map[string]store.Row{}}
+	var leases []*Lease
+	for i := range n {
+		now := func() time.Time { return table.now }
+		leases = append(leases, NewLease(table, fmt.Sprint("n", i), now, &log.Logger{Level: log.PanicLevel}))
+	}
+	return table, leases
+}
+
+func holders(leases []*Lease) (held []*Lease) {
+	for _, l := range leases {
+		if _, ok := l.Held(); ok {
+			held = append(held, l)
+		}
+	}
+	return held
+}
+
+func TestLease_OneHoldsAndRenews(t *testing.T) {
+	table, leases := newLeases(3)
+	ctx := t.Context()
+	for range 40 {
+		for _, l := range leases {
+			l.round(ctx)
+		}
+		must.Len(t, 1, holders(leases))
+		term, _ := leases[0].Held()
+		must.EqOp(t, 1, term)
+		table.now = table.now.Add(renewEvery)
+	}
+}
+
+func TestLease_ReleaseNeedsNoWait(t *testing.T) {
+	_, leases := newLeases(2)
+	ctx := t.Context()
+	must.NoError(t, leases[0].announce(ctx))
+	leases[0].round(ctx)
+	must.NoError(t, leases[0].Release(ctx))
+	must.Len(t, 0, holders(leases))
+	leases[1].round(ctx)
+	must.Len(t, 1, holders(leases))
+	must.EqOp(t, 1, leases[1].Nodes(), must.Sprint("the first has taken back its row"))
+}
+
+func TestLease_EarlierLifeIsAnotherHolder(t *testing.T) {
+	table, leases := newLeases(1)
+	ctx := t.Context()
+	leases[0].round(ctx)
+	first, _ := leases[0].Held()
+	table.version += 5
+	again := NewLease(table, "n0", func() time.Time { return table.now }, &log.Logger{Level: log.PanicLevel})
+	again.round(ctx)
+	second, held := again.Held()
+	must.True(t, held)
+	must.Greater(t, first, second)
+}
+
+// TestLease_Histories plays outages, lost and late writes, and pauses: no two
+// hold the lease at one moment, and terms rise.
+func TestLease_Histories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, leases := newLeases(3)
+		table.offset = time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "offset")) * time.Hour
+		var newest uint64
+		var newestHolder *Lease
+		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+			table.now = table.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				table.out = !table.out
+			case 1:
+				table.lose = true
+			case 2:
+				table.deliverLate()
+			default:
+				l := leases[rapid.IntRange(0, 2).Draw(t, "who")]
+				l.round(t.Context())
+			}
+			held := holders(leases)
+			must.LessEq(t, 1, len(held))
+			for _, l := range held {
+				term, _ := l.Held()
+				must.GreaterEq(t, newest, term)
+				if term == newest && newestHolder != nil {
+					must.True(t, l == newestHolder, must.Sprint("one term, two holders"))
+				}
+				newest, newestHolder = term, l
+			}
+		}
+	})
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,60 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestWindow_RatioAndExtra(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWindow(Allowance{Ratio: 0.2, Extra: 3, Window: 10 * time.Second})
+	for range 3 {
+		must.True(t, w.Spend(now))
+	}
+	must.False(t, w.Spend(now))
+	for range 5 {
+		w.Request(now)
+	}
+	must.True(t, w.Spend(now))
+	must.False(t, w.Spend(now))
+	must.True(t, w.Spend(now.Add(11*time.Second)), must.Sprint("what was spent is over"))
+}
+
+// TestWindow_NeverOverAnySpan checks that within any span of the window's length
+// the retries stay within the extra and the ratio of the requests of twice that
+// span, however requests and retries come.
+func TestWindow_NeverOverAnySpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := Allowance{Ratio: 0.2, Extra: 5, Window: 10 * time.Second}
+		w := NewWindow(a)
+		now := time.Unix(1000, 0)
+		var requests, retries []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "retry") {
+				if w.Spend(now) {
+					retries = append(retries, now)
+				}
+				continue
+			}
+			w.Request(now)
+			requests = append(requests, now)
+			from := now.Add(-a.Window + a.Window/windowSlots)
+			spent := since(retries, from)
+			must.LessEq(t, a.Extra+a.Ratio*float64(since(requests, from.Add(-a.Window))), float64(spent))
+		}
+	})
+}
+
+func since(times []time.Time, from time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/serving/serving_test.go
@@ -0,0 +1,187 @@
+package serving
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+var noon = time.Unix(1_000_000, 0)
+
+func target(key, zone string) Target {
+	return Target{Key: key, Worker: workers.Worker{ID: key, Zone: zone}, Pace: 1}
+}
+
+func TestChoose_LeastWorkThenOwnZone(t *testing.T) {
+	b := NewBalancer("z1")
+	targets := []Target{target("far", "z2"), target("near", "z1")}
+	first, _ := b.Choose(targets, nil, noon)
+	must.EqOp(t, "near", first.Key)
+	second, _ := b.Choose(targets, nil, noon)
+	must.EqOp(t, "far", second.Key)
+	b.Done("near")
+	third, _ := b.Choose(targets, nil, noon)
+	must.EqOp(t, "near", third.Key)
+}
+
+func TestChoose_LeavesOutTriedAndSuspectTargets(t *testing.T) {
+	b := NewBalancer("z1")
+	targets := []Target{target("a", "z1"), target("b", "z1")}
+	b.Fail("a", noon)
+	for range 10 {
+		chosen, ok := b.Choose(targets, nil, noon)
+		must.True(t, ok)
+		must.EqOp(t, "b", chosen.Key)
+	}
+	chosen, ok := b.Choose(targets, []string{"b"}, noon)
+	must.True(t, ok)
+	must.EqOp(t, "a", chosen.Key, must.Sprint("a suspect is better than none"))
+	_, ok = b.Choose(targets, []string{"a", "b"}, noon)
+	must.False(t, ok)
+	chosen, _ = b.Choose(targets, nil, noon.Add(mostSuspicion))
+	must.EqOp(t, "a", chosen.Key, must.Sprint("suspicion ends"))
+}
+
+func TestFail_SuspicionGrowsAndEndsWithASign(t *testing.T) {
+	b := NewBalancer("z1")
+	now := noon
+	for _, want := range []time.Duration{1, 2, 4, 4} {
+		b.Fail("a", now)
+		must.Eq(t, []string{"a"}, b.Suspects(now.Add(want*time.Second-time.Millisecond)))
+		now = now.Add(want * time.Second)
+		must.SliceEmpty(t, b.Suspects(now))
+	}
+	b.Sign("a", now, time.Millisecond, false)
+	b.Fail("a", now)
+	must.SliceEmpty(t, b.Suspects(now.Add(firstSuspicion)))
+}
+
+func TestPatience_FollowsWhatIsUsual(t *testing.T) {
+	b := NewBalancer("z1")
+	_, between := b.Patience("a")
+	must.EqOp(t, leastSilence, between)
+	for range 100 {
+		b.Sign("a", noon, 100*time.Millisecond, false)
+		b.Sign("a", noon, 440*time.Millisecond, true)
+	}
+	start, between := b.Patience("a")
+	must.Between(t, 380*time.Millisecond, between, 400*time.Millisecond)
+	must.Between(t, 1050*time.Millisecond, start, 1100*time.Millisecond)
+}
+
+func group(model string, epoch uint64, headState workers.GroupState, size int) []workers.Worker {
+	var list []workers.Worker
+	for rank := range size {
+		state := workers.Ready
+		if rank == 0 {
+			state = headState
+		}
+		id := workers.NewGroupID(model, epoch)
+		list = append(list, workers.Worker{ID: id.Name + string(rune('a'+rank)), Service: "llm", Membership: workers.Membership{Group: id, Rank: rank, State: state}})
+	}
+	return list
+}
+
+func TestTargets_OnlyWholeOpenGroupsOfTheModel(t *testing.T) {
+	service := &catalog.Service{Name: "llm", Runtime: &catalog.Runtime{Models: []catalog.Model{{Name: "m", Size: 2}, {Name: "n", Size: 2}}}}
+	var all []workers.Worker
+	all = append(all, group("m", 1, workers.Open, 2)...)
+	all = append(all, group("m", 2, workers.Ready, 2)...)
+	all = append(all, group("m", 3, workers.Open, 1)...)
+	all = append(all, group("n", 4, workers.Open, 2)...)
+	draining := group("m", 5, workers.Open, 2)
+	draining[1].Draining = true
+	all = append(all, draining...)
+	registry := workers.NewRegistry(func(*workers.View) {})
+	registry.Apply(all, nil, true)
+	targets := Targets(registry.View(), service, "m")
+	must.Len(t, 1, targets)
+	must.EqOp(t, "m.1", targets[0].Key)
+	must.SliceEmpty(t, Targets(registry.View(), service, "unknown"))
+}
+
+func TestTargets_PlainWorkersThatStay(t *testing.T) {
+	registry := workers.NewRegistry(func(*workers.View) {})
+	registry.Apply([]workers.Worker{{ID: "a", Service: "app"}, {ID: "b", Service: "app", Draining: true}, {ID: "c", Service: "other"}}, nil, true)
+	targets := Targets(registry.View(), &catalog.Service{Name: "app"}, "")
+	must.Len(t, 1, targets)
+	must.EqOp(t, "a", targets[0].Key)
+}
+
+func TestFollows(t *testing.T) {
+	for _, c := range []struct {
+		last, next string
+		want       bool
+	}{{"", "1", true}, {"1", "2", true}, {"1", "3", false}, {"2", "2", false}, {"2", "1", false}, {"9", "x", false}, {"a", "b", true}, {"a", "a", false}} {
+		must.EqOp(t, c.want, follows(c.last, c.next), must.Sprint(c))
+	}
+}
+
+func TestAllowed_TheShorterCounts(t *testing.T) {
+	must.EqOp(t, 2*time.Second, allowed(5*time.Second, 2*time.Second))
+	must.EqOp(t, time.Second, allowed(time.Second, 2*time.Second))
+	must.EqOp(t, longest, allowed(0, 0))
+}
+
+// FuzzSplitEvent checks that events come out as they went in, however the bytes
+// are cut, and that a stream that ends within an event is an error.
+func FuzzSplitEvent(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), 3)
+	f.Add([]byte("data\r\n\r\n\n\nrest"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, chunk int) {
+		reader := &chunked{data: data, size: max(1, chunk%64)}
+		scanner := bufio.NewScanner(reader)
+		scanner.Buffer(nil, maxEvent)
+		scanner.Split(splitEvent)
+		var whole []byte
+		for scanner.Scan() {
+			event := scanner.Bytes()
+			must.True(t, bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\r\n\r\n")))
+			must.StrNotContains(t, eventID(event), "\n")
+			whole = append(whole, event...)
+		}
+		must.True(t, bytes.HasPrefix(data, whole))
+		must.EqOp(t, len(whole) == len(data), scanner.Err() == nil)
+	})
+}
+
+// chunked hands out bytes in pieces.
+type chunked struct {
+	data []byte
+	size int
+}
+
+func (c *chunked) Read(into []byte) (int, error) {
+	n := min(c.size, len(into), len(c.data))
+	if n == 0 {
+		return strings.NewReader("").Read(into)
+	}
+	copy(into, c.data[:n])
+	c.data = c.data[n:]
+	return n, nil
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{50, 500, 12000} {
+		balancer := NewBalancer("z1")
+		var targets []Target
+		for i := range n {
+			targets = append(targets, target(string(rune(i)), "z1"))
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				chosen, _ := balancer.Choose(targets, nil, noon)
+				balancer.Done(chosen.Key)
+			}
+		})
+	}
+}
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -57,7 +57,7 @@
 	workers map[string]Worker
 	// last keeps the last model of workers whose entry is gone: an entry also goes
 	// while the store is down or the worker is cut off from it, and comes back.
-	last map[string]string
+	last    map[string]string
 	view    atomic.Pointer[View]
 	changed func(*View)
 }
