replica: Hand on what a holder knew; stage where it completes a group

The holder was killed, started again, and took the lease back without its memory of what workers can rejoin; and all six loads that fit beside each other went to the small model for a near tie in supply. Ruled out: ceiling on loads (14 of some 130 allowed). Change: the lease's row carries the last models of workers in no group (500 at most) to the next holder; loads go first to free workers where the fewest complete a group; half the room stays for those to come.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -74,7 +74,7 @@
 	orders, closeOrders := platform.NewOrders()
 	e.store = client
 	e.Workers = workers.NewRegistry(e.workersChanged)
-	e.Lease = replica.NewLease(client, settings.Name(), time.Now, logger)
+	e.Lease = replica.NewLease(client, settings.Name(), e.Workers, time.Now, logger)
 	e.wireServing(upstream)
 	e.wireControl(orders)
 	e.gauges()
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -36,8 +36,22 @@
 	// Term is above the store's version when the holder asked for the lease, and
 	// not above that of its transaction, so that it rises with each holder.
 	Term uint64 `json:"term"`
+	// Last is what the holder knew of workers in no group: the model that each
+	// can rejoin at once. The next holder goes on with it.
+	Last map[string]string `json:"last,omitempty"`
 }
 
+// Memory is what one holder hands to the next.
+type Memory interface {
+	// Idle returns the last models of workers in no group, limit at most.
+	Idle(limit int) map[string]string
+	// Remember takes in what an earlier holder knew.
+	Remember(last map[string]string)
+}
+
+// mostRemembered bounds the size of the lease's row.
+const mostRemembered = 500
+
 // Table is what the lease needs of the store.
 type Table interface {
 	store.Writer
@@ -47,17 +61,18 @@
 // Lease is one process's view of the lease over giving orders. Run renews it;
 // the other methods may be called from anywhere.
 type Lease struct {
-	table Table
-	node  string
-	now   func() time.Time
-	log   *log.Logger
+	table  Table
+	node   string
+	memory Memory
+	now    func() time.Time
+	log    *log.Logger
 
 	state leaseState
 }
 
 // NewLease returns a lease that a node tries to hold.
-func NewLease(table Table, node string, now func() time.Time, logger *log.Logger) *Lease {
-	return &Lease{table: table, node: node, now: now, log: logger}
+func NewLease(table Table, node string, memory Memory, now func() time.Time, logger *log.Logger) *Lease {
+	return &Lease{table: table, node: node, memory: memory, now: now, log: logger}
 }
 
 // Held returns the term of the lease while this node holds it.
@@ -119,6 +134,7 @@
 	} else if row.UntilMs > snapshot.Clock.Milliseconds() {
 		return
 	}
+	l.memory.Remember(row.Last)
 	l.commit(ctx, leaseRow{Holder: l.node, Term: snapshot.Version + 1}, version, snapshot.Clock)
 }
 
@@ -135,6 +151,7 @@
 func (l *Lease) commit(ctx context.Context, row leaseRow, version uint64, clock time.Duration) {
 	_, before := l.Held()
 	row.UntilMs = (clock + leaseLength).Milliseconds()
+	row.Last = l.memory.Idle(mostRemembered)
 	sent := l.now()
 	snapshot, err := l.table.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Table: LeaseTable, Key: leaseKey, Version: version}},
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -78,12 +78,19 @@
 	m.late = nil
 }
 
+// noMemory is a Memory that keeps what it is told.
+type noMemory struct{ idle, told map[string]string }
+
+func (n *noMemory) Idle(int) map[string]string { return n.idle }
+
+func (n *noMemory) Remember(last map[string]string) { n.told = last }
+
 func newLeases(n int) (*memoryTable, []*Lease) {
 	table := &memoryTable{now: time.Unix(1000, 0), rows: map[string]store.Row{}}
 	var leases []*Lease
 	for i := range n {
 		now := func() time.Time { return table.now }
-		leases = append(leases, NewLease(table, fmt.Sprint("n", i), now, &log.Logger{Level: log.PanicLevel}))
+		leases = append(leases, NewLease(table, fmt.Sprint("n", i), &noMemory{}, now, &log.Logger{Level: log.PanicLevel}))
 	}
 	return table, leases
 }
@@ -129,13 +136,26 @@
 	leases[0].round(ctx)
 	first, _ := leases[0].Held()
 	table.version += 5
-	again := NewLease(table, "n0", func() time.Time { return table.now }, &log.Logger{Level: log.PanicLevel})
+	again := NewLease(table, "n0", &noMemory{}, func() time.Time { return table.now }, &log.Logger{Level: log.PanicLevel})
 	again.round(ctx)
 	second, held := again.Held()
 	must.True(t, held)
 	must.Greater(t, first, second)
 }
 
+func TestLease_HandsOnWhatItsHolderKnew(t *testing.T) {
+	table, leases := newLeases(2)
+	first := &noMemory{idle: map[string]string{"w": "m"}}
+	leases[0].memory = first
+	leases[0].round(t.Context())
+	table.now = table.now.Add(2 * leaseLength)
+	next := &noMemory{}
+	leases[1].memory = next
+	leases[1].round(t.Context())
+	must.Len(t, 1, holders(leases))
+	must.Eq(t, first.idle, next.told)
+}
+
 // TestLease_Histories plays outages, lost and late writes, and pauses: no two
 // hold the lease at one moment, and terms rise.
 func TestLease_Histories(t *testing.T) {
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -13,10 +13,12 @@
 // beyond the time of the load.
 const stageAgain = 10 * time.Second
 
-// stage has hosts load a model that their worker could not run soon. While nobody
+// stage has hosts load models that their workers could not run soon. While nobody
 // is served all hosts load what their worker doesn't run. Later, when a load
-// takes long and few fit beside each other, only the model that lacks most is
-// staged, first where fewest loads make a further group possible.
+// takes long and few fit beside each other, workers in no group come first, where
+// the fewest loads make a further group possible; some room is left for those
+// that are still to come. Only the rest prepares workers of other groups for the
+// model that lacks most.
 func (r *round) stage() {
 	left := min(r.loadsLeft(), r.stagesLeft())
 	if left <= 0 {
@@ -26,6 +28,8 @@
 	models := slices.Clone(r.service.Runtime.Models)
 	slices.SortStableFunc(models, func(a, b catalog.Model) int { return cmp.Compare(p.fill(a, 0), p.fill(b, 0)) })
 	if !r.idle {
+		left = r.stageIdle(p, models, left)
+		left -= r.service.Runtime.LoadsAtOnce / 2
 		models = models[:min(1, len(models))]
 	}
 	for _, m := range models {
@@ -40,6 +44,51 @@
 	}
 }
 
+// lacking is a domain whose workers in no group could form a group after some
+// loads.
+type lacking struct {
+	domain string
+	model  catalog.Model
+	loads  int
+}
+
+// stageIdle prepares workers in no group for further groups, and returns how many
+// loads are left.
+func (r *round) stageIdle(p *pool, models []catalog.Model, left int) int {
+	var all []lacking
+	for domain, free := range p.free {
+		for _, m := range models {
+			loads := m.Size - len(prepared(free, m.Name))
+			if loads > 0 && len(free) >= m.Size {
+				all = append(all, lacking{domain: domain, model: m, loads: loads})
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b lacking) int {
+		return cmp.Or(
+			cmp.Compare(a.loads, b.loads),
+			cmp.Compare(p.fill(a.model, 0), p.fill(b.model, 0)),
+			cmp.Compare(a.domain, b.domain),
+		)
+	})
+	for _, l := range all {
+		for _, w := range p.free[l.domain] {
+			if left <= 0 {
+				return 0
+			}
+			if r.staging(w, l.model) {
+				l.loads--
+				continue
+			}
+			if l.loads > 0 && r.stageAt(w, l.model) {
+				l.loads--
+				left--
+			}
+		}
+	}
+	return left
+}
+
 // stageAt has a worker's host load a model, if it has none that would be lost by
 // it.
 func (r *round) stageAt(w workers.Worker, m catalog.Model) bool {
@@ -51,8 +100,7 @@
 		return false // about to join a group
 	}
 	keeps := slices.ContainsFunc(w.Staged, func(name string) bool { return name != w.Last })
-	asked := rec.staged != "" && r.now.Sub(rec.stagedAt) < 2*m.Load+stageAgain
-	if keeps || asked || preparationOf(w, m.Name) != fromStore {
+	if keeps || r.staging(w, catalog.Model{Name: rec.staged, Load: m.Load}) || preparationOf(w, m.Name) != fromStore {
 		return false
 	}
 	rec.staged = m.Name
@@ -62,6 +110,12 @@
 	return true
 }
 
+// staging tells whether a worker's host was asked to load a model lately.
+func (r *round) staging(w workers.Worker, m catalog.Model) bool {
+	rec := r.record(w.ID)
+	return rec.staged != "" && rec.staged == m.Name && r.now.Sub(rec.stagedAt) < 2*m.Load+stageAgain
+}
+
 // taken tells whether a worker is a member of a group that is being formed.
 func (r *round) taken(w workers.Worker) bool {
 	for _, f := range r.forming {
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -96,6 +96,40 @@
 	r.changed(view)
 }
 
+// Idle returns the last models of workers that are in no group, whose entries
+// therefore don't tell them, at most limit of them.
+func (r *Registry) Idle(limit int) map[string]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	idle := map[string]string{}
+	for id, w := range r.workers {
+		if w.Membership.Group.Name == "" && w.Last != "" && len(idle) < limit {
+			idle[id] = w.Last
+		}
+	}
+	return idle
+}
+
+// Remember takes in last models that another process knew. What this process has
+// seen itself counts more.
+func (r *Registry) Remember(last map[string]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, model := range last {
+		w, listed := r.workers[id]
+		switch {
+		case listed && w.Last == "":
+			w.Last = model
+			r.workers[id] = w
+		case !listed && r.last[id] == "" && len(r.last) < mostLost:
+			r.last[id] = model
+		}
+	}
+	view := newView(r.workers)
+	r.view.Store(view)
+	r.changed(view)
+}
+
 func (r *Registry) put(w Worker) {
 	w.Last = r.last[w.ID]
 	if known, listed := r.workers[w.ID]; listed {
--- a/workers/registry_test.go
+++ b/workers/registry_test.go
@@ -77,3 +77,24 @@
 	must.EqOp(t, 1, r.View().Len())
 	must.Len(t, 1, r.View().Of("x"))
 }
+
+func TestRememberedModelsFillInWhatWasNotSeen(t *testing.T) {
+	before := newTestRegistry()
+	before.Apply([]Worker{member("a", NewGroupID("m", 1), 0, Ready), member("b", NewGroupID("m", 1), 1, Ready)}, nil, true)
+	before.Apply([]Worker{{ID: "a", Service: "llm"}}, nil, false)
+	must.Eq(t, map[string]string{"a": "m"}, before.Idle(10))
+	must.MapEmpty(t, before.Idle(0))
+
+	after := newTestRegistry()
+	after.Apply([]Worker{{ID: "a", Service: "llm"}}, nil, true)
+	after.Remember(map[string]string{"a": "m", "late": "n"})
+	w, _ := after.View().Worker("a")
+	must.EqOp(t, "m", w.Last)
+	after.Apply([]Worker{{ID: "late", Service: "llm"}}, nil, false)
+	w, _ = after.View().Worker("late")
+	must.EqOp(t, "n", w.Last)
+	after.Apply([]Worker{member("a", NewGroupID("n", 2), 0, Ready)}, nil, false)
+	after.Remember(map[string]string{"a": "m"})
+	w, _ = after.View().Worker("a")
+	must.EqOp(t, "n", w.Last, must.Sprint("what was seen counts more"))
+}
