workers, replica: Keep a group that serves though a member's entry is gone

Requests still reached the cut workers, and their groups served on. Ruled out: staging (its order did not matter here), late orders. Change: members whose entry is gone unannounced count as lost, not left: their group keeps what it has while it sends events, for 15 s at most; it is dissolved as soon as it fails requests of the holder, or the head's entry is gone for 2.5 s. A head without an entry gets nothing new, as before.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -109,6 +109,7 @@
 		Workers:  e.Workers.View,
 		Catalogs: e.Catalogs,
 		Ceiling:  replica.LoadCeiling{Window: bounds.LoadWindow, Overrun: bounds.LoadOverrun},
+		Failing:  e.Balancer.Failing,
 		Idle:     func() bool { return e.settings.FirstStart() && !e.Server.Used() },
 		Metrics:  e.Metrics,
 		Now:      time.Now,
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -19,7 +19,10 @@
 	Catalogs *catalog.Holder
 	Ceiling  LoadCeiling
 	// Idle tells that nobody has been served yet, so that loads disturb nobody.
-	Idle    func() bool
+	Idle func() bool
+	// Failing tells whether a group has failed requests since it last sent
+	// anything.
+	Failing func(group string) bool
 	Metrics *metrics.Set
 	Now     func() time.Time
 	Log     *log.Logger
@@ -118,7 +121,7 @@
 	if c.planner == nil || c.planner.Term() != term {
 		c.planner = NewPlanner(term, c.opts.Ceiling)
 	}
-	situation := Situation{Now: c.opts.Now(), View: c.opts.Workers(), Services: current.Services(), Idle: c.opts.Idle()}
+	situation := Situation{Now: c.opts.Now(), View: c.opts.Workers(), Services: current.Services(), Idle: c.opts.Idle(), Failing: c.opts.Failing}
 	for _, o := range c.planner.Plan(situation) {
 		go c.give(ctx, term, o)
 	}
--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -145,7 +145,12 @@
 }
 
 func (p *play) plan(h *holder) []Order {
-	return h.planner.Plan(Situation{Now: p.w.now, View: p.w.view, Services: []*catalog.Service{p.w.service}, Idle: p.idle})
+	return h.planner.Plan(Situation{Now: p.w.now, View: p.w.view, Services: []*catalog.Service{p.w.service}, Idle: p.idle, Failing: p.failing})
+}
+
+// failing draws whether the holder has requests at a group that fail.
+func (p *play) failing(group string) bool {
+	return p.w.failing(group) && rapid.Bool().Draw(p.t, "noticed")
 }
 
 func (p *play) give(h *holder, orders []Order) {
@@ -169,7 +174,7 @@
 	for _, g := range p.w.view.Groups() {
 		model, known := p.w.service.Runtime.Model(g.ID.Model())
 		head, found := g.Head()
-		if known && found && g.Whole && len(g.Members) == model.Size && head.Membership.State == workers.Open {
+		if known && found && g.Whole && g.Size() == model.Size && head.Membership.State == workers.Open {
 			p.w.request(head.ID)
 		}
 	}
@@ -251,7 +256,7 @@
 			h.planner.Result(w.now, r.order, r.outcome)
 		}
 		h.pending = nil
-		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle}) {
+		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle, Failing: w.failing}) {
 			h.pending = append(h.pending, reply{order: o, outcome: w.send(o, fateTaken, 0)})
 		}
 	}
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -16,6 +16,11 @@
 	openAgain = 2 * time.Second
 	// drainPatience is how long the requests of a closing group may take.
 	drainPatience = 9 * time.Second
+	// lostPatience is how long a group that goes on serving is kept though the
+	// entry of a member is gone, and headPatience how long one whose head's entry
+	// is gone, which gets nothing new, may end what it has.
+	lostPatience = 15 * time.Second
+	headPatience = 2500 * time.Millisecond
 	// refusalPause is how long a worker that refused an order is left alone.
 	refusalPause = 3 * time.Second
 	// formSlack is added to how long the members of a group may take to load.
@@ -66,6 +71,9 @@
 	Services []*catalog.Service
 	// Idle tells that nobody has been served yet, so that loads disturb nobody.
 	Idle bool
+	// Failing tells whether a group has failed requests of ours since it last sent
+	// anything.
+	Failing func(group string) bool
 }
 
 // formation is a group that the planner is forming.
@@ -114,7 +122,7 @@
 // Plan returns the orders to give now. All of them count as under way until
 // Result tells what came of them.
 func (p *Planner) Plan(s Situation) []Order {
-	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle}
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing}
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
 	for _, service := range s.Services {
@@ -192,6 +200,7 @@
 	view    *workers.View
 	service *catalog.Service
 	idle    bool
+	failing func(group string) bool
 	orders  []Order
 }
 
@@ -316,6 +325,8 @@
 	model, known := r.service.Runtime.Model(g.ID.Model())
 	complete := known && r.complete(g, model.Size)
 	switch {
+	case known && len(g.Lost) > 0:
+		r.tendLost(g, model.Size)
 	case complete && r.leaving(g), complete && g.Whole && r.retired(g.ID):
 		r.closeThenDissolve(g)
 	case complete && g.Whole:
@@ -331,6 +342,20 @@
 	}
 }
 
+// tendLost waits with a group whose member's entry is gone, as long as nothing
+// shows that the member died.
+func (r *round) tendLost(g *workers.Group, size int) {
+	patience := lostPatience
+	head, found := g.Head()
+	if !found {
+		patience = headPatience
+	}
+	serves := g.Whole && g.Size() == size && !r.retired(g.ID) && (!found || head.Membership.State == workers.Open)
+	if !serves || r.failing(g.ID.Name) || r.late(g.ID, patience) {
+		r.dissolve(g)
+	}
+}
+
 func (r *round) retired(id workers.GroupID) bool {
 	_, retired := r.retiring[id]
 	return retired
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -190,6 +190,17 @@
 	return false
 }
 
+// failing tells whether requests at a group would hear nothing.
+func (w *world) failing(group string) bool {
+	for _, e := range w.engines {
+		m := e.worker.Membership
+		if m.Group.Name == group && m.Rank == 0 && e.dead.IsZero() {
+			return w.lacksMember(e)
+		}
+	}
+	return true
+}
+
 // fate is what becomes of an order on its way.
 type fate int
 
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -20,6 +20,8 @@
 
 // Targets returns where a service's requests for a model may go now. Groups
 // count only if all members were seen ready in this epoch and none is leaving.
+// The head must be listed; a member whose entry is gone may only be cut off from
+// the store, and a group that it died in is found by its silence.
 func Targets(view *workers.View, service *catalog.Service, model string) []Target {
 	if service.Runtime == nil {
 		return plainTargets(view, service.Name)
@@ -31,7 +33,7 @@
 	var targets []Target
 	for _, g := range view.Groups() {
 		head, found := g.Head()
-		if !found || !g.Whole || g.Service != service.Name || g.ID.Model() != model || len(g.Members) != wanted.Size {
+		if !found || !g.Whole || g.Service != service.Name || g.ID.Model() != model || g.Size() != wanted.Size {
 			continue
 		}
 		if head.Membership.State == workers.Open {
@@ -229,6 +231,14 @@
 	return keys
 }
 
+// Failing tells whether a target has failed since it last sent anything.
+func (b *Balancer) Failing(key string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.loads[key]
+	return ok && l.failures > 0
+}
+
 // Keep forgets all idle targets but those that keep names.
 func (b *Balancer) Keep(keep func(key string) bool) {
 	b.mu.Lock()
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -13,11 +13,17 @@
 	Service string
 	// Members are in order of rank; a rank that nobody tells is missing.
 	Members []Worker
-	// Whole tells that all ranks below the highest are there, without drainers,
-	// and every member was seen ready in this epoch.
+	// Lost are members whose entry is gone though they had not said that they
+	// leave. They may have died, or only be cut off from the store.
+	Lost []Worker
+	// Whole tells that all ranks below the highest are there, lost ones too,
+	// without drainers, and every member was seen ready in this epoch.
 	Whole bool
 }
 
+// Size returns how many members the group has, lost ones too.
+func (g *Group) Size() int { return len(g.Members) + len(g.Lost) }
+
 // Head returns the member of rank 0.
 func (g *Group) Head() (Worker, bool) {
 	if len(g.Members) == 0 || g.Members[0].Membership.Rank != 0 {
@@ -57,15 +63,17 @@
 	workers map[string]Worker
 	// last keeps the last model of workers whose entry is gone: an entry also goes
 	// while the store is down or the worker is cut off from it, and comes back.
-	last    map[string]string
+	last map[string]string
+	// lost are members of groups whose entry is gone unannounced.
+	lost    map[string]Worker
 	view    atomic.Pointer[View]
 	changed func(*View)
 }
 
 // NewRegistry returns an empty registry that tells each new view to changed.
 func NewRegistry(changed func(*View)) *Registry {
-	r := &Registry{workers: map[string]Worker{}, last: map[string]string{}, changed: changed}
-	r.view.Store(newView(r.workers))
+	r := &Registry{workers: map[string]Worker{}, last: map[string]string{}, lost: map[string]Worker{}, changed: changed}
+	r.view.Store(newView(r.workers, r.lost))
 	return r
 }
 
@@ -91,7 +99,7 @@
 	for _, id := range gone {
 		r.remove(id)
 	}
-	view := newView(r.workers)
+	view := newView(r.workers, r.lost)
 	r.view.Store(view)
 	r.changed(view)
 }
@@ -125,7 +133,7 @@
 			r.last[id] = model
 		}
 	}
-	view := newView(r.workers)
+	view := newView(r.workers, r.lost)
 	r.view.Store(view)
 	r.changed(view)
 }
@@ -139,17 +147,24 @@
 		w.Last = w.Membership.Group.Model()
 	}
 	delete(r.last, w.ID)
+	delete(r.lost, w.ID)
 	r.workers[w.ID] = w
 }
 
 func (r *Registry) remove(id string) {
-	if w, listed := r.workers[id]; listed && w.Last != "" && len(r.last) < mostLost {
+	w, listed := r.workers[id]
+	if listed && w.Last != "" && len(r.last) < mostLost {
 		r.last[id] = w.Last
 	}
+	if listed && !w.Draining && w.Membership.Group.Name != "" && len(r.lost) < mostLost {
+		r.lost[id] = w
+	}
 	delete(r.workers, id)
 }
 
-func newView(all map[string]Worker) *View {
+// newView returns a view of workers and lost members. Members of groups that
+// nobody else is in any more are dropped from lost.
+func newView(all, lost map[string]Worker) *View {
 	v := &View{byID: make(map[string]Worker, len(all)), services: map[string][]Worker{}}
 	groups := map[GroupID]*Group{}
 	for id, w := range all {
@@ -164,12 +179,20 @@
 		}
 		groups[id].Members = append(groups[id].Members, w)
 	}
+	for id, w := range lost {
+		g, found := groups[w.Membership.Group]
+		if !found {
+			delete(lost, id)
+			continue
+		}
+		g.Lost = append(g.Lost, w)
+	}
 	for _, list := range v.services {
 		slices.SortFunc(list, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	for _, g := range groups {
-		slices.SortFunc(g.Members, func(a, b Worker) int { return cmp.Compare(a.Membership.Rank, b.Membership.Rank) })
-		g.Whole = whole(g.Members)
+		slices.SortFunc(g.Members, byRank)
+		g.Whole = whole(slices.SortedFunc(slices.Values(append(slices.Clone(g.Lost), g.Members...)), byRank))
 		v.groups = append(v.groups, g)
 	}
 	slices.SortFunc(v.groups, func(a, b *Group) int {
@@ -178,6 +201,8 @@
 	return v
 }
 
+func byRank(a, b Worker) int { return cmp.Compare(a.Membership.Rank, b.Membership.Rank) }
+
 func whole(members []Worker) bool {
 	for rank, w := range members {
 		if w.Membership.Rank != rank || w.Draining {
--- a/workers/registry_test.go
+++ b/workers/registry_test.go
@@ -98,3 +98,25 @@
 	w, _ = after.View().Worker("a")
 	must.EqOp(t, "n", w.Last, must.Sprint("what was seen counts more"))
 }
+
+func TestLostMembersCountUntilTheirGroupIsGone(t *testing.T) {
+	r := newTestRegistry()
+	id := NewGroupID("m", 1)
+	r.Apply([]Worker{member("a", id, 0, Open), member("b", id, 1, Ready), member("c", id, 2, Ready)}, nil, true)
+	r.Apply(nil, []string{"b"}, false)
+	g := r.View().Groups()[0]
+	must.True(t, g.Whole, must.Sprint("nobody knows yet that it died"))
+	must.EqOp(t, 3, g.Size())
+	must.Len(t, 1, g.Lost)
+	r.Apply([]Worker{member("b", id, 1, Broken)}, nil, false)
+	must.False(t, r.View().Groups()[0].Whole)
+	leaving := member("c", id, 2, Ready)
+	leaving.Draining = true
+	r.Apply([]Worker{member("b", id, 1, Ready), leaving}, []string{"c"}, false)
+	must.Len(t, 0, r.View().Groups()[0].Lost, must.Sprint("it had said that it leaves"))
+	r.Apply(nil, []string{"a"}, false)
+	r.Apply([]Worker{{ID: "b", Service: "llm"}}, nil, false)
+	must.Len(t, 0, r.View().Groups())
+	r.Apply([]Worker{member("b", id, 1, Ready)}, nil, false)
+	must.Len(t, 0, r.View().Groups()[0].Lost, must.Sprint("it was dropped with the group"))
+}
