replica: A lease that was released stays out

Ruled out: the restart itself (successors take over within a round). Change: a released lease takes part in no round. Test was red first.

--- a/replica/lease.go
+++ b/replica/lease.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -67,7 +68,8 @@
 	now    func() time.Time
 	log    *log.Logger
 
-	state leaseState
+	released atomic.Bool
+	state    leaseState
 }
 
 // NewLease returns a lease that a node tries to hold.
@@ -97,8 +99,9 @@
 	}
 }
 
-// Release gives up the lease and takes back the node's row.
+// Release gives up the lease for good and takes back the node's row.
 func (l *Lease) Release(ctx context.Context) error {
+	l.released.Store(true)
 	txn := store.Txn{Deletes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.node}}}
 	row, version := l.state.row()
 	if _, held := l.Held(); held {
@@ -118,6 +121,9 @@
 
 // round renews a lease that is held, and else looks whether it is free.
 func (l *Lease) round(ctx context.Context) {
+	if l.released.Load() {
+		return
+	}
 	if _, held := l.Held(); held {
 		l.renew(ctx)
 		return
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -130,6 +130,16 @@
 	must.EqOp(t, 1, leases[1].Nodes(), must.Sprint("the first has taken back its row"))
 }
 
+func TestLease_WhoHasReleasedStaysOut(t *testing.T) {
+	table, leases := newLeases(1)
+	ctx := t.Context()
+	leases[0].round(ctx)
+	must.NoError(t, leases[0].Release(ctx))
+	table.now = table.now.Add(2 * leaseLength)
+	leases[0].round(ctx)
+	must.Len(t, 0, holders(leases), must.Sprint("a daemon that is stopping gives no orders"))
+}
+
 func TestLease_EarlierLifeIsAnotherHolder(t *testing.T) {
 	table, leases := newLeases(1)
 	ctx := t.Context()
