replica: Ask the members of failing groups whether they are there

Cause: a dead member was found by its entry, 3.6 s after its end; until then its group stood still, and its other members with it. Change: the holder of the lease asks the members of groups that fail its own requests, twice within 0.3 s each; who doesn't answer counts as dead for 6 s, and its group is dissolved. Histories draw such reports also for sound workers.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -103,11 +103,12 @@
 	e.Ingress = platform.NewIngress(e.Server, e.bodyBytes)
 }
 
-func (e *Edge) wireControl(orders replica.Orders) {
+func (e *Edge) wireControl(orders *platform.Orders) {
 	bounds := e.settings.Bounds()
 	e.Controller = replica.NewController(replica.Options{
 		Lease:    e.Lease,
 		Orders:   orders,
+		Prober:   orders,
 		Workers:  e.Workers.View,
 		Catalogs: e.Catalogs,
 		Ceiling:  replica.LoadCeiling{Window: bounds.LoadWindow, Overrun: bounds.LoadOverrun},
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -15,6 +15,7 @@
 type Options struct {
 	Lease    *Lease
 	Orders   Orders
+	Prober   Prober
 	Workers  func() *workers.View
 	Catalogs *catalog.Holder
 	Ceiling  LoadCeiling
@@ -36,6 +37,10 @@
 	planner *Planner
 	orders  *metrics.Counter
 	lost    *metrics.Counter
+	probes  *metrics.Counter
+
+	unreachable chan unreachable
+	probed      map[workers.GroupID]time.Time
 }
 
 type result struct {
@@ -61,6 +66,10 @@
 		results: make(chan result, mostResults),
 		orders:  opts.Metrics.NewCounter("pointpass_orders_total"),
 		lost:    opts.Metrics.NewCounter("pointpass_orders_unanswered_total"),
+		probes:  opts.Metrics.NewCounter("pointpass_probes_total"),
+
+		unreachable: make(chan unreachable, mostResults),
+		probed:      map[workers.GroupID]time.Time{},
 	}
 }
 
@@ -84,6 +93,10 @@
 		case <-timer.C:
 		case r := <-c.results:
 			c.take(r)
+		case u := <-c.unreachable:
+			if c.planner != nil && c.planner.Term() == u.term {
+				c.planner.Unreachable(c.opts.Now(), u.worker)
+			}
 		}
 		c.takeAll()
 		timer.Reset(c.step(ctx))
@@ -121,6 +134,7 @@
 	if c.planner == nil || c.planner.Term() != term {
 		c.planner = NewPlanner(term, c.opts.Ceiling)
 	}
+	c.probeFailing(ctx, term, c.opts.Workers(), c.opts.Now())
 	situation := Situation{Now: c.opts.Now(), View: c.opts.Workers(), Services: current.Services(), Idle: c.opts.Idle(), Failing: c.opts.Failing}
 	for _, o := range c.planner.Plan(situation) {
 		go c.give(ctx, term, o)
--- a/replica/form.go
+++ b/replica/form.go
@@ -115,7 +115,7 @@
 // it was asked for may still take effect unseen.
 func (r *round) free(w workers.Worker) bool {
 	rec := r.record(w.ID)
-	if w.Draining || rec.inFlight || r.now.Before(rec.blockedUntil) {
+	if w.Draining || rec.inFlight || r.unreachable(w.ID) || r.now.Before(rec.blockedUntil) {
 		return false
 	}
 	if r.membership(w).Group.Name != "" {
--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -90,7 +90,9 @@
 	}
 	id := ids[rapid.IntRange(0, len(ids)-1).Draw(p.t, "who")]
 	e := p.w.engines[id]
-	switch rapid.IntRange(0, 6).Draw(p.t, "what") {
+	switch rapid.IntRange(0, 7).Draw(p.t, "what") {
+	case 7: // a worker did not answer, dead or not
+		p.holders[len(p.holders)-1].planner.Unreachable(p.w.now, id)
 	case 0:
 		if len(ids) > 6 && e.dead.IsZero() {
 			e.dead = p.w.now
@@ -221,6 +223,29 @@
 	must.EqOp(t, loads, w.joinLoads)
 }
 
+// TestPlanner_ReplacesADeadMemberBeforeItsEntryGoes finds the other members out of
+// their group before the entry of the dead one is gone.
+func TestPlanner_ReplacesADeadMemberBeforeItsEntryGoes(t *testing.T) {
+	w := newWorld(6, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	g := w.view.Groups()[0]
+	dead := g.Members[1]
+	w.engines[dead.ID].dead = w.now
+	calm(w, h, time.Second, false)
+	must.EqOp(t, g.ID, w.engines[g.Members[0].ID].worker.Membership.Group, must.Sprint("nothing shows it yet"))
+	h.planner.Unreachable(w.now, dead.ID)
+	calm(w, h, time.Second, false)
+	_, listed := w.view.Worker(dead.ID)
+	must.True(t, listed)
+	must.NotEq(t, g.ID, w.engines[g.Members[0].ID].worker.Membership.Group)
+	for _, other := range w.view.Groups() {
+		for _, member := range other.Members {
+			must.True(t, member.ID != dead.ID || other.ID == g.ID, must.Sprint("it joins nothing"))
+		}
+	}
+}
+
 // TestPlanner_KeepsTheLoadCeiling adds many empty workers at once.
 func TestPlanner_KeepsTheLoadCeiling(t *testing.T) {
 	w := newWorld(6, 8)
--- a/replica/order.go
+++ b/replica/order.go
@@ -62,3 +62,9 @@
 type Orders interface {
 	Give(ctx context.Context, o Order) (Outcome, error)
 }
+
+// Prober asks workers whether they are there.
+type Prober interface {
+	// Answers tells whether a worker answers within the context's time.
+	Answers(ctx context.Context, w workers.Worker) bool
+}
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -23,6 +23,8 @@
 	headPatience = 2500 * time.Millisecond
 	// refusalPause is how long a worker that refused an order is left alone.
 	refusalPause = 3 * time.Second
+	// unreachablePause is how long a worker that did not answer is left out.
+	unreachablePause = 6 * time.Second
 	// formSlack is added to how long the members of a group may take to load.
 	formSlack = 8 * time.Second
 	// mostJoins is how often one member is asked to join one group.
@@ -96,6 +98,9 @@
 	left         workers.GroupID // a leave that was confirmed
 	joined       workers.GroupID // a join that was accepted
 	blockedUntil time.Time
+	// unreachableUntil is until when the worker counts as dead, since it did not
+	// answer while its group failed requests.
+	unreachableUntil time.Time
 	// staged is the model that the host was last asked to load, and when.
 	staged   string
 	stagedAt time.Time
@@ -156,6 +161,13 @@
 	}
 }
 
+// Unreachable notes that a worker did not answer though it was asked more than
+// once. Its group is dissolved if it fails requests, and the worker joins none for
+// a while, before its entry goes.
+func (p *Planner) Unreachable(now time.Time, id string) {
+	p.record(id).unreachableUntil = now.Add(unreachablePause)
+}
+
 // abandon gives up a group that is being formed. Members that have joined are
 // then dealt with as those of any unfinished group.
 func (p *Planner) abandon(id workers.GroupID) {
@@ -261,7 +273,7 @@
 	ready := 0
 	for _, id := range f.members {
 		w, listed := r.view.Worker(id)
-		if !listed || w.Draining || w.Membership.State == workers.Broken && w.Membership.Group == f.id {
+		if !listed || w.Draining || r.unreachable(id) || w.Membership.State == workers.Broken && w.Membership.Group == f.id {
 			return false
 		}
 		if w.Membership.Group != f.id {
@@ -325,6 +337,8 @@
 	model, known := r.service.Runtime.Model(g.ID.Model())
 	complete := known && r.complete(g, model.Size)
 	switch {
+	case complete && r.dead(g) && r.failing(g.ID.Name):
+		r.dissolve(g)
 	case known && len(g.Lost) > 0:
 		r.tendLost(g, model.Size)
 	case complete && r.leaving(g), complete && g.Whole && r.retired(g.ID):
@@ -384,6 +398,15 @@
 	return true
 }
 
+// dead tells whether a member of a group did not answer lately.
+func (r *round) dead(g *workers.Group) bool {
+	return slices.ContainsFunc(g.Members, func(w workers.Worker) bool { return r.unreachable(w.ID) })
+}
+
+func (r *round) unreachable(id string) bool {
+	return r.now.Before(r.record(id).unreachableUntil)
+}
+
 func (r *round) leaving(g *workers.Group) bool {
 	return slices.ContainsFunc(g.Members, func(w workers.Worker) bool { return w.Draining })
 }
