--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -69,7 +69,8 @@
 		fmt.Fprintln(stdout, "pointpassd", deps.Version)
 		return exitOK
 	case *checkFile != "":
-		return checkConfig(*checkFile, stdout, stderr)
+		_, err := config.Load(*checkFile)
+		return reportCheck(*checkFile, err, stdout, stderr)
 	case *configFile == "" || flags.NArg() > 0:
 		flags.Usage()
 		return exitUsage
@@ -93,8 +94,9 @@
 	return exitUsage
 }
 
-func checkConfig(file string, stdout, stderr io.Writer) int {
-	if _, err := config.Load(file); err != nil {
+// reportCheck prints what checking a settings file has found.
+func reportCheck(file string, err error, stdout, stderr io.Writer) int {
+	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
--- a/commands/edge.go
+++ b/commands/edge.go
@@ -38,7 +38,7 @@
 const configVariable = "POINTPASS_CONFIG"
 
 // logChannel is how many lines wait for a slow reader of the log; more are
-// dropped and counted.
+// dropped.
 const logChannel = 4096
 
 // executeEdge runs pointpassd edge and returns its exit code.
@@ -52,7 +52,8 @@
 		return usageCode(err)
 	}
 	if *checkFile != "" {
-		return checkSettings(*checkFile, stdout, stderr)
+		_, err := node.Load(*checkFile)
+		return reportCheck(*checkFile, err, stdout, stderr)
 	}
 	if *configFile == "" || flags.NArg() > 0 {
 		flags.Usage()
@@ -70,15 +71,6 @@
 	return exitOK
 }
 
-func checkSettings(file string, stdout, stderr io.Writer) int {
-	if _, err := node.Load(file); err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitFailed
-	}
-	fmt.Fprintf(stdout, "%s: ok\n", file)
-	return exitOK
-}
-
 // newEdgeLogger returns a logger that never blocks: lines that a slow reader
 // leaves no room for are dropped.
 func newEdgeLogger(settings *node.Settings, stdout io.Writer) (*log.Logger, func()) {
--- a/node/settings.go
+++ b/node/settings.go
@@ -127,7 +127,7 @@
 func (c *checker) address(field, value string) string {
 	host, _, err := net.SplitHostPort(value)
 	if err != nil || net.ParseIP(host) == nil {
-		c.mistake(field, "want an IP number and a port such as \"10.1.0.4:8080\", found %q", value)
+		c.mistake(field, "want an IP number and a port, found %q", value)
 	}
 	return value
 }
@@ -157,6 +157,7 @@
 func (c *checker) seconds(field string, written *float64, otherwise float64) time.Duration {
 	if written != nil && *written <= 0 {
 		c.mistake(field, "want more than 0, found %v", *written)
+		return 0
 	}
 	return time.Duration(c.number(field, written, otherwise) * float64(time.Second))
 }
