deps: Ask for newer configurations as often as the bound on keys needs

Cause: read while checking for unseen deployments: with a bound on withdrawn keys under 4.4 s the evidence of a sound store would have been too old at times, and keyed requests refused. Change: the time that a question is held follows from the bound, 1.5 s at most. Conclusion: nothing changes at 5 s.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -23,12 +23,12 @@
 // Timing of an edge daemon.
 const (
 	storeTimeout = 1200 * time.Millisecond
-	// configWait is how long the store holds a question for a newer
-	// configuration. Each answer is evidence that there is none, as of the
-	// moment the question was sent, so that evidence is at most about twice as
-	// old while the store answers.
-	configWait  = 1500 * time.Millisecond
-	workersWait = 4 * time.Second
+	// leastConfigWait and mostConfigWait bound how long the store holds a question
+	// for a newer configuration, and configSlack is what an answer may take.
+	leastConfigWait = 150 * time.Millisecond
+	mostConfigWait  = 1500 * time.Millisecond
+	configSlack     = 400 * time.Millisecond
+	workersWait     = 4 * time.Second
 	// workersPause is how long changes of workers gather: far below the bounds on
 	// leaving workers, and long enough that a group's orders show in one answer.
 	workersPause = 120 * time.Millisecond
@@ -94,7 +94,7 @@
 		Upstream:     upstream,
 		Balancer:     e.Balancer,
 		Counters:     serving.NewCounters(e.Metrics),
-		MostAge:      e.settings.Bounds().Revoke - revokeMargin,
+		MostAge:      mostAge(e.settings.Bounds().Revoke),
 		Allowance:    e.allowance,
 		MostRequests: mostRequests,
 		Now:          time.Now,
@@ -120,6 +120,20 @@
 	})
 }
 
+// mostAge returns how old the evidence for a credential may be. A bound that
+// leaves no room for the margin is halved in place of it.
+func mostAge(revoke time.Duration) time.Duration {
+	return max(revoke-revokeMargin, revoke/2)
+}
+
+// configWait returns how long the store holds a question for a newer
+// configuration. Each answer is evidence that there is none as of the moment the
+// question was sent: while the store answers, evidence is at most twice as old,
+// and that has to stay below the age that counts.
+func configWait(age time.Duration) time.Duration {
+	return min(max((age-configSlack)/2, leastConfigWait), mostConfigWait)
+}
+
 // allowance returns this daemon's part of the retries for a service.
 func (e *Edge) allowance() retry.Allowance {
 	bounds := e.settings.Bounds()
@@ -167,7 +181,7 @@
 }
 
 func (e *Edge) configFollower() *store.Follower {
-	return &store.Follower{Reader: e.store, Table: platform.ConfigTable, Wait: configWait, Apply: e.applyConfig, Health: e.storeHealth, Now: time.Now}
+	return &store.Follower{Reader: e.store, Table: platform.ConfigTable, Wait: configWait(mostAge(e.settings.Bounds().Revoke)), Apply: e.applyConfig, Health: e.storeHealth, Now: time.Now}
 }
 
 func (e *Edge) workersFollower() *store.Follower {
