retry: Follow the number of daemons that share the retries

A service's budget took the daemon's part of the extra retries at its first request; right after a start no daemon knew of others, and each took all of it. Change: the part is read at each retry; before the first read 50 daemons are assumed.

--- a/replica/lease.go
+++ b/replica/lease.go
@@ -83,7 +83,9 @@
 	return term, l.now().Before(until)
 }
 
-// Nodes returns how many processes are known to serve, at least one.
+// Nodes returns how many processes have announced themselves. Before the first
+// read it returns more than there will be, so that what they share isn't spent
+// more than once.
 func (l *Lease) Nodes() int { return l.state.nodes() }
 
 // Run announces the node, and takes and renews the lease until ctx ends. Then it
--- a/replica/leasestate.go
+++ b/replica/leasestate.go
@@ -9,6 +9,9 @@
 	"github.com/pointpass/pointpass/store"
 )
 
+// assumedNodes stands in for the number of processes before it is known.
+const assumedNodes = 50
+
 // leaseState is what a process knows of the lease. It is safe for use by many
 // goroutines.
 type leaseState struct {
@@ -32,7 +35,10 @@
 func (s *leaseState) nodes() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(s.known, 1)
+	if s.known == 0 {
+		return assumedNodes
+	}
+	return s.known
 }
 
 func (s *leaseState) row() (leaseRow, uint64) {
--- a/retry/window.go
+++ b/retry/window.go
@@ -11,17 +11,18 @@
 // Allowance bounds retries within a sliding window: a ratio of the requests in
 // it and a number besides.
 type Allowance struct {
-	Ratio  float64
-	Extra  float64
+	Ratio float64
+	Extra float64
+	// Window is the length of the window.
 	Window time.Duration
 }
 
 // Window counts the requests and retries of one service in a sliding window of
 // time. It is safe for use by many goroutines.
 type Window struct {
-	mu        sync.Mutex
-	allowance Allowance
-	slots     [windowSlots]windowSlot
+	mu     sync.Mutex
+	length time.Duration
+	slots  [windowSlots]windowSlot
 }
 
 type windowSlot struct {
@@ -30,8 +31,8 @@
 	retries  int
 }
 
-// NewWindow returns an empty window.
-func NewWindow(a Allowance) *Window { return &Window{allowance: a} }
+// NewWindow returns an empty window of a length.
+func NewWindow(length time.Duration) *Window { return &Window{length: length} }
 
 // Request counts a request.
 func (w *Window) Request(now time.Time) {
@@ -40,8 +41,9 @@
 	w.slot(now).requests++
 }
 
-// Spend counts a retry if the window has room for it, and tells whether it had.
-func (w *Window) Spend(now time.Time) bool {
+// Spend counts a retry if the allowance of the moment has room for it, and tells
+// whether it had. The allowance may change from call to call.
+func (w *Window) Spend(now time.Time, a Allowance) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	current := w.slot(now)
@@ -52,7 +54,7 @@
 			retries += s.retries
 		}
 	}
-	if float64(retries+1) > w.allowance.Ratio*float64(requests)+w.allowance.Extra {
+	if float64(retries+1) > a.Ratio*float64(requests)+a.Extra {
 		return false
 	}
 	current.retries++
@@ -62,7 +64,7 @@
 // slot returns the current part of the window, emptied of what it held a window
 // ago.
 func (w *Window) slot(now time.Time) *windowSlot {
-	number := now.UnixNano() / int64(w.allowance.Window/windowSlots)
+	number := now.UnixNano() / int64(w.length/windowSlots)
 	s := &w.slots[number%windowSlots]
 	if s.number != number {
 		*s = windowSlot{number: number}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -77,7 +77,7 @@
 		if e.sent >= e.route.Attempts {
 			return e.giveUp(f)
 		}
-		if e.sent > 0 && !e.server.budget(e.service.Name).Spend(e.server.opts.Now()) {
+		if e.sent > 0 && !e.server.spend(e.service.Name, e.server.opts.Now()) {
 			e.server.opts.Counters.overBudget.Inc()
 			return e.giveUp(f)
 		}
--- a/serving/server.go
+++ b/serving/server.go
@@ -92,12 +92,17 @@
 	defer s.mu.Unlock()
 	b, ok := s.budgets[service]
 	if !ok {
-		b = retry.NewWindow(s.opts.Allowance())
+		b = retry.NewWindow(s.opts.Allowance().Window)
 		s.budgets[service] = b
 	}
 	return b
 }
 
+// spend counts a retry for a service, and tells whether there was room for it.
+func (s *Server) spend(service string, now time.Time) bool {
+	return s.budget(service).Spend(now, s.opts.Allowance())
+}
+
 // fault is an answer of our own.
 type fault struct {
 	status int
