replica: Keep a group of the largest model staged in each domain

Ruled out: late staging (no host had room for a second model). Change: while nobody is served, a host does not load another model if its domain would keep fewer than one large group staged.

--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -246,6 +246,24 @@
 	}
 }
 
+// TestPlanner_EveryDomainKeepsALargeGroupStaged looks at what the hosts of each
+// domain would have if all its workers restarted.
+func TestPlanner_EveryDomainKeepsALargeGroupStaged(t *testing.T) {
+	w := newWorld(6, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, time.Minute, true)
+	staged := map[string]int{}
+	for _, e := range w.engines {
+		if len(e.worker.Staged) == 1 && e.worker.Staged[0] == "m.large" {
+			staged[e.worker.Domain]++
+		}
+	}
+	must.MapLen(t, 6, staged)
+	for domain, n := range staged {
+		must.GreaterEq(t, 4, n, must.Sprint(domain))
+	}
+}
+
 // TestPlanner_KeepsTheLoadCeiling adds many empty workers at once.
 func TestPlanner_KeepsTheLoadCeiling(t *testing.T) {
 	w := newWorld(6, 8)
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -37,13 +37,38 @@
 			if left <= 0 {
 				return
 			}
-			if r.stageAt(w, m) {
+			if !r.robsDomain(w, m) && r.stageAt(w, m) {
 				left--
 			}
 		}
 	}
 }
 
+// robsDomain tells whether a domain would no longer have a group of the largest
+// model staged if a worker's host loaded another in its place. Hosts keep what is
+// staged when a whole domain goes dark and comes back, and only that.
+func (r *round) robsDomain(w workers.Worker, m catalog.Model) bool {
+	largest := slices.MaxFunc(r.service.Runtime.Models, func(a, b catalog.Model) int { return cmp.Compare(a.Size, b.Size) })
+	if m.Name == largest.Name || !r.keeps(w, largest.Name) {
+		return false
+	}
+	kept := 0
+	for _, other := range r.view.Of(r.service.Name) {
+		if other.Domain == w.Domain && r.keeps(other, largest.Name) {
+			kept++
+		}
+	}
+	return kept <= largest.Size
+}
+
+// keeps tells whether a worker's host has a model staged, or was asked to.
+func (r *round) keeps(w workers.Worker, model string) bool {
+	if asked := r.record(w.ID).staged; asked != "" {
+		return asked == model
+	}
+	return slices.Contains(w.Staged, model)
+}
+
 // lacking is a domain whose workers in no group could form a group after some
 // loads.
 type lacking struct {
