testbed: Let the test of RECOVER wait until orders could be given

Cause: 18 mutations against the tests of the stand-in: all red but one. The test of RECOVER compared orders before the new daemon could give any, so that a daemon that dissolves what earlier holders formed passed. Change: it waits for the lease and two renewals; the mutation is red now.

--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -477,6 +477,9 @@
 	s.daemons[1].Kill()
 	d := s.start(false)
 	eventually(t, "streams are served", func() bool { a := s.stream(); return wholeStream(a.ID, d.Send(t.Context(), a)) })
+	eventually(t, "it may give orders", func() bool { return strings.Contains(d.Log(), `"event":"lease_taken"`) })
+	renewals := s.store.Calls("rows-tx")
+	eventually(t, "it has looked around for a while", func() bool { return s.store.Calls("rows-tx") > renewals+1 })
 	must.EqOp(t, orders, len(s.workers["m0"].Orders())+len(s.workers["m1"].Orders()))
 }
 
