duty: Remember which duties were waited out until their rows are read

A daemon that takes the duties of a lapsed holder deletes the holder's row in the same transaction. Where it read its rows back before the transaction returned, or in place of a lost answer, it judged the lapse by a row that was gone, and treated the wait as not done: new keys were "unknown" for twice key_ahead. Safe, but refused.

Ruled out: the lease itself and the ledger; the same test with the answer first is green.

Change: the keeper notes, before it asks, for which epoch of a duty the last holder's lease had lapsed. The transaction takes effect only on the holder's row as it stood then, so that the note is true whenever the row with that epoch is read. A duty handed over by a holder that came back does not count as lapsed.

Before: TestKeeper_RowsReadBeforeTheAnswerTellOfTheWait red in both variants, TestKeeper_HandoverDoesNotCountAsLapsed red without the check of the handover.

--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -119,14 +119,18 @@
 	opts  Options
 	store Store
 
-	mu        sync.Mutex
-	self      nodeRow
-	version   uint64 // of our own row, 0 before the first renewal
-	sent      map[uint64]time.Time
-	lease     lease
-	nodes     map[string]observation
-	duties    map[string]dutyState
-	taken     map[string]uint64 // duty to the epoch that OnTaken was called for
+	mu      sync.Mutex
+	self    nodeRow
+	version uint64 // of our own row, 0 before the first renewal
+	sent    map[uint64]time.Time
+	lease   lease
+	nodes   map[string]observation
+	duties  map[string]dutyState
+	taken   map[string]uint64 // duty to the epoch that OnTaken was called for
+	// waited maps a duty to the epoch that we asked for once the last holder's lease
+	// had lapsed. Our rows may be read back before the transaction that took the
+	// duty returns, or without its answer.
+	waited    map[string]uint64
 	joined    time.Time
 	read      time.Time // when the last good read of the table was begun
 	releasing bool
@@ -151,6 +155,7 @@
 	k.version = 0
 	k.lease = lease{length: k.opts.Lease}
 	k.sent = map[uint64]time.Time{}
+	k.waited = map[string]uint64{}
 	k.taken = map[string]uint64{}
 	k.joined = time.Time{}
 }
@@ -299,15 +304,18 @@
 		if row.Decode(&d) != nil || row.Version() <= k.duties[name].version {
 			continue
 		}
-		lapsed := k.lapsedLocked(k.duties[name].row.Holder)
 		k.duties[name] = dutyState{row: d, version: row.Version()}
-		news = k.noteTaken(news, name, d, lapsed)
+		news = k.noteTaken(news, name, d)
 	}
 	k.mu.Unlock()
 	k.tell(news)
 }
 
-func (k *Keeper) noteTaken(news []Taken, name string, d dutyRow, lapsed bool) []Taken {
+// noteTaken adds a duty to the news if its row makes this daemon its holder. The
+// last holder's lease counts as lapsed if it had when we asked: our transaction
+// takes effect only on the holder's row as it stood then. A holder that handed the
+// duty over had come back in between.
+func (k *Keeper) noteTaken(news []Taken, name string, d dutyRow) []Taken {
 	if d.Holder != k.self.holder() {
 		delete(k.taken, name)
 		return news
@@ -316,6 +324,8 @@
 		return news
 	}
 	k.taken[name] = d.Epoch
+	lapsed := k.waited[name] == d.Epoch && d.Sealed == 0
+	delete(k.waited, name)
 	return append(news, Taken{name: name, epoch: d.Epoch, sealed: d.Sealed, lapsed: lapsed})
 }
 
--- a/duty/keeper_test.go
+++ b/duty/keeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,13 +28,24 @@
 type flaky struct {
 	*table.Memory
 	out, lose bool
+	// beforeAnswer, if set, runs once a transaction is done and before its answer
+	// arrives.
+	beforeAnswer func()
+	// beforeTransaction, if set, runs before one that takes a duty.
+	beforeTransaction func()
 }
 
 func (f *flaky) Commit(ctx context.Context, txn table.Txn) (uint64, error) {
 	if f.out {
 		return 0, table.NewUnavailableError("commit", errors.New("outage"), false)
 	}
+	if f.beforeTransaction != nil && touchesDuty(txn) {
+		f.beforeTransaction()
+	}
 	version, err := f.Memory.Commit(ctx, txn)
+	if f.beforeAnswer != nil {
+		f.beforeAnswer()
+	}
 	if f.lose {
 		f.lose = false
 		return 0, table.NewUnavailableError("commit", errors.New("answer lost"), true)
@@ -41,6 +53,11 @@
 	return version, err
 }
 
+func touchesDuty(txn table.Txn) bool {
+	data, err := txn.MarshalJSON()
+	return err == nil && strings.Contains(string(data), DutyPrefix)
+}
+
 // member is one keeper and how far it has followed the table.
 type member struct {
 	keeper   *Keeper
@@ -159,6 +176,55 @@
 	must.Eq(t, next, c.holders(), must.Sprint("the old holder is back and stays out"))
 }
 
+// TestKeeper_RowsReadBeforeTheAnswerTellOfTheWait has a successor read its own rows
+// back before the transaction that wrote them returns, or in place of its answer.
+func TestKeeper_RowsReadBeforeTheAnswerTellOfTheWait(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprint("answer lost ", lost), func(t *testing.T) {
+			c := newCluster(2)
+			c.run(10 * time.Second)
+			old := c.holders()[0]
+			next := c.members[0]
+			if next == old {
+				next = c.members[1]
+			}
+			c.table.beforeAnswer = func() {
+				before := len(next.taken)
+				c.poll(next)
+				c.table.lose = lost && len(next.taken) > before
+			}
+			c.run(testLease+testMargin+3*time.Second, old)
+			must.Eq(t, []*member{next}, c.holders())
+			must.SliceLen(t, 1, next.taken)
+			must.True(t, next.taken[0].Lapsed())
+		})
+	}
+}
+
+// TestKeeper_HandoverDoesNotCountAsLapsed has the holder come back and hand over
+// to the very daemon that was about to take the duty.
+func TestKeeper_HandoverDoesNotCountAsLapsed(t *testing.T) {
+	c := newCluster(2)
+	c.run(10 * time.Second)
+	old := c.holders()[0]
+	next := c.members[0]
+	if next == old {
+		next = c.members[1]
+	}
+	c.run(testLease+testMargin-500*time.Millisecond, old)
+	c.table.beforeTransaction = func() {
+		c.table.beforeTransaction = nil
+		c.step(old)
+		must.NoError(t, old.keeper.HandOver(context.Background(), old.keeper.Seal()))
+	}
+	for len(next.taken) == 0 {
+		c.now = c.now.Add(500 * time.Millisecond)
+		c.step(next)
+	}
+	must.EqOp(t, 1, next.taken[0].Sealed())
+	must.False(t, next.taken[0].Lapsed())
+}
+
 func TestKeeper_GivingUpNeedsNoWait(t *testing.T) {
 	c := newCluster(3)
 	c.run(10 * time.Second)
--- a/duty/take.go
+++ b/duty/take.go
@@ -48,6 +48,9 @@
 	chosen := k.chooseFree(wanted, candidates)
 	self := k.self
 	ready := !k.releasing && k.lease.left(k.opts.Now()) > k.opts.Lease/2 && k.opts.Now().Sub(k.joined) > settleTime
+	if ready {
+		k.noteWaited(chosen)
+	}
 	k.mu.Unlock()
 	if len(chosen) == 0 || !ready {
 		return
@@ -67,6 +70,18 @@
 	k.tookOver(chosen, self, version)
 }
 
+// noteWaited notes the duties that are about to be taken from holders whose lease
+// has lapsed.
+func (k *Keeper) noteWaited(chosen []free) {
+	for _, f := range chosen {
+		if f.dead != "" {
+			k.waited[f.name] = f.state.row.Epoch + 1
+		} else {
+			delete(k.waited, f.name)
+		}
+	}
+}
+
 func reason(chosen []free) string {
 	for _, f := range chosen {
 		if f.dead != "" {
@@ -95,7 +110,7 @@
 			}
 			d := dutyRow{Holder: self.holder(), Addr: self.Addr, Epoch: f.state.row.Epoch + 1}
 			k.duties[f.name] = dutyState{row: d, version: version}
-			news = k.noteTaken(news, f.name, d, f.dead != "")
+			news = k.noteTaken(news, f.name, d)
 		}
 	}
 	k.mu.Unlock()
