replica: Prepare spare workers for the models of their domain

Cause: in domains of 19 workers, groups of 8 and 4 leave 3 workers over. They were never prepared for a model (planner: a worker in no group "is about to join one"), so that a lost member could be replaced only after a load of 12 to 16 s.

Change: spares are staged before traffic, and workers that come later when they come, each for the model with the most members in the domain for each spare prepared for it. Members are chosen so that workers which can run only one model are used first.

Tests red first: TestPlanner_SparesReplaceLostMembersWithoutLoads, TestPlanner_PreparesWorkersThatComeLate.

--- a/replica/form.go
+++ b/replica/form.go
@@ -293,7 +293,11 @@
 func (r *round) choiceIn(domain string, list []workers.Worker, m catalog.Model) *choice {
 	sorted := slices.Clone(list)
 	slices.SortStableFunc(sorted, func(a, b workers.Worker) int {
-		return cmp.Or(cmp.Compare(preparationOf(a, m.Name), preparationOf(b, m.Name)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			cmp.Compare(preparationOf(a, m.Name), preparationOf(b, m.Name)),
+			cmp.Compare(versatility(a), versatility(b)),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
 	c := &choice{members: sorted[:m.Size], domain: domain}
 	for _, w := range c.members {
@@ -315,6 +319,16 @@
 	return c
 }
 
+// versatility returns how many models a worker can run without a load. Those that
+// can run few are used first.
+func versatility(w workers.Worker) int {
+	n := len(w.Staged)
+	if w.Last != "" && !slices.Contains(w.Staged, w.Last) {
+		n++
+	}
+	return n
+}
+
 // count notes a group of the same model, by its head.
 func (c *choice) count(head workers.Worker) {
 	if head.Domain == c.domain {
--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -280,6 +280,55 @@
 	}
 }
 
+// newUnevenWorld has domains whose workers don't all fit into groups.
+func newUnevenWorld(domains int) *world {
+	w := newWorld(domains, 19)
+	w.service.Runtime.Models[0].Size = 8
+	w.service.Runtime.Models[0].Share = 0.5
+	w.service.Runtime.Models[1].Size = 4
+	w.service.Runtime.Models[1].Share = 0.5
+	return w
+}
+
+// TestPlanner_SparesReplaceLostMembersWithoutLoads loses a member of a large and
+// one of a small group in each domain. The three spare workers of the domain were
+// prepared while nobody was served, so that all groups are back soon.
+func TestPlanner_SparesReplaceLostMembersWithoutLoads(t *testing.T) {
+	w := newUnevenWorld(4)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	large, small := whole(w, "m.large"), whole(w, "small")
+	must.EqOp(t, 4, large)
+	must.EqOp(t, 8, small)
+	loads := len(w.loads)
+	killed := map[string]bool{}
+	for _, g := range w.view.Groups() {
+		once := g.ID.Model() + g.Members[0].Domain
+		if !killed[once] {
+			killed[once] = true
+			w.engines[g.Members[1].ID].dead = w.now
+		}
+	}
+	calm(w, h, worldSilence+4*time.Second, false)
+	must.EqOp(t, large, whole(w, "m.large"))
+	must.EqOp(t, small, whole(w, "small"))
+	must.EqOp(t, loads, len(w.loads))
+}
+
+// TestPlanner_PreparesWorkersThatComeLate has empty workers come while others are
+// served. Each is prepared for a model, too few though they are for a group.
+func TestPlanner_PreparesWorkersThatComeLate(t *testing.T) {
+	w := newUnevenWorld(2)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	w.add("d0", 0)
+	w.add("d1", 0)
+	calm(w, h, 20*time.Second, false)
+	for _, e := range w.engines {
+		must.SliceNotEmpty(t, e.worker.Staged, must.Sprint(e.worker.ID))
+	}
+}
+
 func whole(w *world, model string) int {
 	n := 0
 	for _, g := range w.view.Groups() {
--- /dev/null
+++ b/replica/spare.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// stageSpares prepares the workers that no group has room for, so that they
+// replace lost members without waiting for a load, and returns how many loads are
+// left. Workers that come later are prepared alike.
+func (r *round) stageSpares(p *pool, left int) int {
+	models := r.service.Runtime.Models
+	for _, w := range r.view.Of(r.service.Name) {
+		if left <= 0 {
+			return left
+		}
+		free := p.free[w.Domain]
+		if !containsWorker(free, w.ID) || len(free) >= smallest(models) && r.idle {
+			continue
+		}
+		if r.prepared(w) {
+			continue
+		}
+		if r.stageAt(w, r.spareModel(w.Domain, free, models)) {
+			left--
+		}
+	}
+	return left
+}
+
+// prepared tells whether a worker can run some model without a load, or soon will.
+func (r *round) prepared(w workers.Worker) bool {
+	return w.Last != "" || len(w.Staged) > 0 || r.record(w.ID).staged != ""
+}
+
+// spareModel returns the model that a domain's spare workers cover worst: the one
+// with the most members in its groups there for each spare prepared for it.
+func (r *round) spareModel(domain string, free []workers.Worker, models []catalog.Model) catalog.Model {
+	members := r.membersIn(domain)
+	covered := map[string]int{}
+	for _, w := range free {
+		for _, m := range models {
+			if r.keeps(w, m.Name) || w.Last == m.Name {
+				covered[m.Name]++
+			}
+		}
+	}
+	worst := models[0]
+	for _, m := range models[1:] {
+		if need(members[m.Name], covered[m.Name]) > need(members[worst.Name], covered[worst.Name]) {
+			worst = m
+		}
+	}
+	return worst
+}
+
+// membersIn returns how many workers of a domain are in groups of each model, or
+// will be.
+func (r *round) membersIn(domain string) map[string]int {
+	members := map[string]int{}
+	for _, f := range r.forming {
+		if head, listed := r.view.Worker(f.members[0]); listed && f.service == r.service.Name && head.Domain == domain {
+			members[f.model.Name] += len(f.members)
+		}
+	}
+	for _, g := range r.view.Groups() {
+		_, forming := r.forming[g.ID]
+		if !forming && g.Service == r.service.Name && len(g.Members) > 0 && g.Members[0].Domain == domain {
+			members[g.ID.Model()] += len(g.Members)
+		}
+	}
+	return members
+}
+
+// need weighs the members that a model may lose in a domain against the spares
+// prepared for it.
+func need(members, covered int) float64 { return float64(members) / float64(covered+1) }
+
+func smallest(models []catalog.Model) int {
+	size := models[0].Size
+	for _, m := range models[1:] {
+		size = min(size, m.Size)
+	}
+	return size
+}
+
+func containsWorker(list []workers.Worker, id string) bool {
+	for _, w := range list {
+		if w.ID == id {
+			return true
+		}
+	}
+	return false
+}
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -29,6 +29,9 @@
 	slices.SortStableFunc(models, func(a, b catalog.Model) int { return cmp.Compare(p.fill(a, 0), p.fill(b, 0)) })
 	if !r.idle {
 		left = r.stageIdle(p, models, left)
+	}
+	left = r.stageSpares(p, left)
+	if !r.idle {
 		left -= r.service.Runtime.LoadsAtOnce / 2
 		models = models[:min(1, len(models))]
 	}
@@ -37,6 +40,9 @@
 			if left <= 0 {
 				return
 			}
+			if r.idle && w.Membership.Group.Name == "" {
+				continue // about to join a group, or a spare
+			}
 			if !r.robsDomain(w, m) && r.stageAt(w, m) {
 				left--
 			}
@@ -121,9 +127,6 @@
 	if w.Draining || rec.inFlight || w.Membership.State == workers.Joining || r.taken(w) {
 		return false
 	}
-	if r.idle && w.Membership.Group.Name == "" {
-		return false // about to join a group
-	}
 	keeps := slices.ContainsFunc(w.Staged, func(name string) bool { return name != w.Last })
 	if keeps || r.staging(w, catalog.Model{Name: rec.staged, Load: m.Load}) || preparationOf(w, m.Name) != fromStore {
 		return false
