relay: Relay the tables within a zone, and report failing groups to the holder

And the holder of the lease, which alone forms groups, saw 1/58 of the requests, so that a dead member was found only when its entry went, 3.6 s later; until then each daemon had to find out by a request that was late.

Ruled out: asking less often alone. The bounds on keys and leaving workers leave 1.5 calls a second a daemon.

Change: in zones of more than six daemons, two relay what the store says to the others, with the age of the evidence; whoever cannot rely on them asks the store. Daemons report failing groups to the holder, which asks the members. The lease is followed like the other tables, and is taken in order of processor time.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -101,7 +101,7 @@
 	signal.Ignore(syscall.SIGHUP)
 	edge, cleanUp := deps.NewEdge(settings, logger)
 	defer cleanUp()
-	p := &edgeProcess{edge: edge, settings: settings, failed: make(chan error, 3)}
+	p := &edgeProcess{edge: edge, settings: settings, failed: make(chan error, 4)}
 	if err := p.listen(); err != nil {
 		return err
 	}
@@ -134,6 +134,10 @@
 	metricsMux.HandleFunc("GET /metrics", p.serveMetrics)
 	p.others = []*http.Server{{Handler: readiness, ReadHeaderTimeout: callerHeaderRead}, {Handler: metricsMux, ReadHeaderTimeout: callerHeaderRead}}
 	addrs := []string{p.settings.CallersAddr(), p.settings.ReadinessAddr(), p.settings.MetricsAddr()}
+	if p.settings.PeersAddr() != "" {
+		p.others = append(p.others, &http.Server{Handler: p.edge.Peers, ReadHeaderTimeout: callerHeaderRead, IdleTimeout: callerIdle})
+		addrs = append(addrs, p.settings.PeersAddr())
+	}
 	for i, server := range append([]*http.Server{p.callers}, p.others...) {
 		listener, err := net.Listen("tcp", addrs[i])
 		if err != nil {
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -13,6 +13,7 @@
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/node"
 	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/serving"
@@ -23,17 +24,7 @@
 // Timing of an edge daemon.
 const (
 	storeTimeout = 1200 * time.Millisecond
-	// leastConfigWait and mostConfigWait bound how long the store holds a question
-	// for a newer configuration, and configSlack is what an answer may take.
-	leastConfigWait = 150 * time.Millisecond
-	mostConfigWait  = 1500 * time.Millisecond
-	configSlack     = 400 * time.Millisecond
-	workersWait     = 4 * time.Second
-	// workersPause is how long changes of workers gather: far below the bounds on
-	// leaving workers, and long enough that a group's orders show in one answer.
-	workersPause = 120 * time.Millisecond
-	// standbyPause is the same where no orders are given.
-	standbyPause = 400 * time.Millisecond
+	peerTimeout  = 400 * time.Millisecond
 	// revokeMargin is taken off the bound on withdrawn keys: a feed may be deaf
 	// for a second before the store says so.
 	revokeMargin = 1200 * time.Millisecond
@@ -55,9 +46,12 @@
 	Ingress    http.Handler
 	Lease      *replica.Lease
 	Controller *replica.Controller
+	// Peers serves other daemons.
+	Peers http.Handler
 
 	settings    *node.Settings
-	store       *platform.Store
+	following   *following
+	reporter    *reporter
 	workersRead atomic.Bool
 }
 
@@ -72,21 +66,30 @@
 		settings: settings,
 	}
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
+	peers, closePeers := relay.NewClient(platform.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
 	orders, closeOrders := platform.NewOrders()
-	e.store = client
+	e.following = newFollowing(e, client, peers)
 	e.Workers = workers.NewRegistry(e.workersChanged)
-	e.Lease = replica.NewLease(client, settings.Name(), e.Workers, time.Now, logger)
+	e.Lease = replica.NewLease(e.following, e.self(), e.Workers, time.Now, logger)
+	e.reporter = newReporter(e, peers)
 	e.wireServing(upstream)
 	e.wireControl(orders)
+	e.Peers = e.following.handler(e.Controller.Suspect)
 	e.gauges()
 	return e, func() {
 		closeOrders()
 		closeUpstream()
+		closePeers()
 		closeStore()
 	}
 }
 
+// self is how this daemon announces itself.
+func (e *Edge) self() replica.Node {
+	return replica.Node{Name: e.settings.Name(), Addr: e.settings.PeersAddr(), Zone: e.settings.Zone(), Cores: e.settings.Cores()}
+}
+
 func (e *Edge) wireServing(upstream serving.Upstream) {
 	e.Server = serving.NewServer(serving.Options{
 		Catalogs:     e.Catalogs,
@@ -96,6 +99,7 @@
 		Counters:     serving.NewCounters(e.Metrics),
 		MostAge:      mostAge(e.settings.Bounds().Revoke),
 		Allowance:    e.allowance,
+		Suspect:      e.reporter.report,
 		MostRequests: mostRequests,
 		Now:          time.Now,
 		Log:          e.Log,
@@ -126,14 +130,6 @@
 	return max(revoke-revokeMargin, revoke/2)
 }
 
-// configWait returns how long the store holds a question for a newer
-// configuration. Each answer is evidence that there is none as of the moment the
-// question was sent: while the store answers, evidence is at most twice as old,
-// and that has to stay below the age that counts.
-func configWait(age time.Duration) time.Duration {
-	return min(max((age-configSlack)/2, leastConfigWait), mostConfigWait)
-}
-
 // allowance returns this daemon's part of the retries for a service.
 func (e *Edge) allowance() retry.Allowance {
 	bounds := e.settings.Bounds()
@@ -161,42 +157,31 @@
 	e.Metrics.NewGauge("pointpass_config_evidence_age_seconds", func() float64 {
 		return min(e.Catalogs.Current().Age(time.Now()).Seconds(), 1e9)
 	})
+	e.Metrics.NewGauge("pointpass_store_direct", func() float64 { return asNumber(e.following.reader.Direct()) })
 	e.Metrics.NewGauge("pointpass_workers", func() float64 { return float64(e.Workers.View().Len()) })
 	e.Metrics.NewGauge("pointpass_requests_under_way", func() float64 { return float64(e.Server.UnderWay()) })
 	e.Metrics.NewGauge("pointpass_lease_held", func() float64 {
-		if _, held := e.Lease.Held(); held {
-			return 1
-		}
-		return 0
+		_, held := e.Lease.Held()
+		return asNumber(held)
 	})
 }
 
+func asNumber(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // Run follows the store and forms groups until ctx ends.
 func (e *Edge) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.configFollower().Run, e.workersFollower().Run, e.Lease.Run, e.Controller.Run} {
+	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run} {
 		running.Go(func() { run(ctx) })
 	}
 	running.Wait()
 }
 
-func (e *Edge) configFollower() *store.Follower {
-	return &store.Follower{Reader: e.store, Table: platform.ConfigTable, Wait: configWait(mostAge(e.settings.Bounds().Revoke)), Apply: e.applyConfig, Health: e.storeHealth, Now: time.Now}
-}
-
-func (e *Edge) workersFollower() *store.Follower {
-	return &store.Follower{Reader: e.store, Table: platform.WorkersTable, Wait: workersWait, Pause: e.workersPause, Apply: e.applyWorkers, Health: e.storeHealth, Now: time.Now}
-}
-
-// workersPause returns how long changes of workers gather: where orders are given
-// each step of a group's forming waits for the one before to show.
-func (e *Edge) workersPause() time.Duration {
-	if _, held := e.Lease.Held(); held {
-		return workersPause
-	}
-	return standbyPause
-}
-
 func (e *Edge) applyConfig(u store.Update) {
 	c, err := platform.Catalog(u.Rows)
 	if err != nil {
--- a/node/settings.go
+++ b/node/settings.go
@@ -18,6 +18,8 @@
 	callersAddr   string
 	readinessAddr string
 	metricsAddr   string
+	peersAddr     string
+	cores         float64
 	storeAddr     string
 	logLevel      string
 	firstStart    bool
@@ -46,6 +48,8 @@
 	CallersAddr   string     `json:"callers_addr"`
 	ReadinessAddr string     `json:"readiness_addr"`
 	MetricsAddr   string     `json:"metrics_addr"`
+	PeersAddr     string     `json:"peers_addr"`
+	Cores         float64    `json:"cores"`
 	StoreAddr     string     `json:"store_addr"`
 	LogLevel      string     `json:"log_level"`
 	FirstStart    bool       `json:"first_start"`
@@ -100,6 +104,8 @@
 		callersAddr:   c.address("callers_addr", f.CallersAddr),
 		readinessAddr: c.address("readiness_addr", f.ReadinessAddr),
 		metricsAddr:   c.address("metrics_addr", f.MetricsAddr),
+		peersAddr:     c.optionalAddress("peers_addr", f.PeersAddr),
+		cores:         c.number("cores", &f.Cores, 0),
 		storeAddr:     c.address("store_addr", f.StoreAddr),
 		logLevel:      f.LogLevel,
 		firstStart:    f.FirstStart,
@@ -132,6 +138,13 @@
 	return value
 }
 
+func (c *checker) optionalAddress(field, value string) string {
+	if value == "" {
+		return ""
+	}
+	return c.address(field, value)
+}
+
 func (c *checker) bounds(f fileBounds) Bounds {
 	return Bounds{
 		Grace:       c.seconds("bounds.grace_s", f.GraceS, defaultGraceS),
@@ -177,6 +190,12 @@
 // MetricsAddr returns where metrics are served.
 func (s *Settings) MetricsAddr() string { return s.metricsAddr }
 
+// PeersAddr returns where other daemons are served, "" for nowhere.
+func (s *Settings) PeersAddr() string { return s.peersAddr }
+
+// Cores returns the share of a core that the daemon may use, 0 if nobody says.
+func (s *Settings) Cores() float64 { return s.cores }
+
 // StoreAddr returns where the platform's store is.
 func (s *Settings) StoreAddr() string { return s.storeAddr }
 
--- /dev/null
+++ b/relay/member.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Member is a daemon as it announced itself.
+type Member struct {
+	Name string
+	// Addr is where the daemon serves other daemons.
+	Addr string
+	Zone string
+	// Cores is the share of a core that the daemon may use.
+	Cores float64
+}
+
+// Bounds of relaying. In a zone with few daemons each asks the store itself: that
+// costs little, and one hop less.
+const (
+	fewMembers    = 6
+	relaysPerZone = 2
+)
+
+// Upstreams returns the daemons that one asks in place of the store, best first.
+// None means that it asks the store itself: because its zone has few daemons, or
+// because it relays for the others.
+func Upstreams(self Member, all []Member) []Member {
+	relays := relaysIn(self.Zone, all)
+	if i := indexOf(relays, self.Name); i >= 0 {
+		return relays[:i]
+	}
+	return relays
+}
+
+// Relays tells whether others ask a daemon in place of the store.
+func Relays(self Member, all []Member) bool {
+	return indexOf(relaysIn(self.Zone, all), self.Name) >= 0
+}
+
+// relaysIn returns the daemons that relay in a zone. Those with the most processor
+// time do, and among these a hash decides, so that all daemons choose alike.
+func relaysIn(zone string, all []Member) []Member {
+	var here []Member
+	for _, m := range all {
+		if m.Zone == zone && m.Addr != "" {
+			here = append(here, m)
+		}
+	}
+	if len(here) <= fewMembers {
+		return nil
+	}
+	slices.SortFunc(here, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return here[:relaysPerZone]
+}
+
+func indexOf(list []Member, name string) int {
+	return slices.IndexFunc(list, func(m Member) bool { return m.Name == name })
+}
+
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,294 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/rpc"
+	"github.com/pointpass/pointpass/store"
+)
+
+var quiet = &log.Logger{Level: log.PanicLevel}
+
+func row(key string, version uint64) store.Row {
+	return store.Row{Key: key, Value: []byte(strconv.FormatUint(version, 10)), Version: version}
+}
+
+func gone(key string, version uint64) store.Row {
+	return store.Row{Key: key, Version: version, Deleted: true}
+}
+
+func filled(t *testing.T, updates ...store.Update) *Cache {
+	t.Helper()
+	c := NewCache("t", time.Now)
+	for _, u := range updates {
+		c.Apply(u)
+	}
+	return c
+}
+
+func changes(t *testing.T, c *Cache, since uint64) []store.Row {
+	t.Helper()
+	s, err := c.Changes(t.Context(), since, 0)
+	must.NoError(t, err)
+	return s.Rows
+}
+
+func TestCache_TellsWhatChanged(t *testing.T) {
+	c := filled(t,
+		store.Update{Full: true, Version: 10, Rows: []store.Row{row("a", 4), row("b", 9)}},
+		store.Update{Version: 12, Rows: []store.Row{row("a", 11), gone("b", 12)}},
+	)
+	must.Eq(t, []store.Row{row("a", 11), gone("b", 12)}, changes(t, c, 10))
+	must.Eq(t, []store.Row{gone("b", 12)}, changes(t, c, 11))
+	must.SliceEmpty(t, changes(t, c, 12))
+	all, known := c.Rows()
+	must.True(t, known)
+	must.EqOp(t, 12, all.Version)
+	must.Eq(t, []store.Row{row("a", 11)}, all.Rows)
+}
+
+// TestCache_ForgetsChangesBeforeARead reads the whole table after history was lost.
+// In between a row may have come and gone, which a follower of the cache may know.
+func TestCache_ForgetsChangesBeforeARead(t *testing.T) {
+	c := filled(t,
+		store.Update{Full: true, Version: 10, Rows: []store.Row{row("a", 4)}},
+		store.Update{Full: true, Version: 30, Rows: []store.Row{row("a", 4)}},
+	)
+	var lost *store.HistoryLostError
+	_, err := c.Changes(t.Context(), 20, 0)
+	must.True(t, errors.As(err, &lost))
+	must.SliceEmpty(t, changes(t, c, 30))
+}
+
+func TestCache_KnowsHowFarItReaches(t *testing.T) {
+	var empty *EmptyError
+	_, err := NewCache("t", time.Now).Changes(t.Context(), 5, 0)
+	must.True(t, errors.As(err, &empty))
+	c := filled(t, store.Update{Full: true, Version: 10, Rows: []store.Row{row("a", 4)}})
+	var lost *store.HistoryLostError
+	_, err = c.Changes(t.Context(), 9, 0)
+	must.True(t, errors.As(err, &lost))
+	for v := uint64(11); v < 11+mostChanges+5; v++ {
+		c.Apply(store.Update{Version: v, Rows: []store.Row{row("a", v)}})
+	}
+	must.Len(t, mostChanges, c.changes)
+	_, err = c.Changes(t.Context(), 14, 0)
+	must.True(t, errors.As(err, &lost))
+	must.Len(t, mostChanges, changes(t, c, 15))
+}
+
+func TestCache_AnswersAsSoonAsThereIsSomething(t *testing.T) {
+	c := filled(t, store.Update{Full: true, Version: 10})
+	answered := make(chan store.Snapshot, 1)
+	go func() {
+		s, _ := c.Changes(context.Background(), 10, time.Hour)
+		answered <- s
+	}()
+	c.Apply(store.Update{Version: 11}) // evidence alone wakes nobody
+	c.Apply(store.Update{Version: 12, Rows: []store.Row{row("a", 12)}})
+	must.Eq(t, []store.Row{row("a", 12)}, (<-answered).Rows)
+}
+
+// serve serves a cache as a daemon would, whose clock is ahead of the caller's.
+func serve(t *testing.T, c *Cache, now func() time.Time) (addr string, reports chan string) {
+	t.Helper()
+	reports = make(chan string, 1)
+	handler := rpc.NewRelayServer(NewServer(func(group, reporter string) { reports <- group + " " + reporter }, now, c))
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), reports
+}
+
+func newTestClient(t *testing.T, now func() time.Time) *Client {
+	t.Helper()
+	c, cleanUp := NewClient(&net.Dialer{}, now)
+	t.Cleanup(cleanUp)
+	return c
+}
+
+// TestEvidence_IsNeverYoungerThanItWas has a call take three seconds to arrive and
+// be held for two. The store was asked one second after the call was sent.
+func TestEvidence_IsNeverYoungerThanItWas(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	asked := sent.Add(time.Second)
+	c := filled(t, store.Update{Full: true, Version: 10, Evidence: asked, Rows: []store.Row{row("a", 4)}})
+	moments := []time.Time{sent.Add(3 * time.Second), sent.Add(5 * time.Second)}
+	addr, _ := serve(t, c, func() time.Time {
+		now := moments[0]
+		moments = moments[1:]
+		return now
+	})
+	s, err := newTestClient(t, func() time.Time { return sent }).Changes(t.Context(), addr, "t", 0, 0)
+	must.NoError(t, err)
+	must.False(t, s.Evidence.After(asked))
+	must.Eq(t, []store.Row{row("a", 4)}, s.Rows)
+}
+
+func TestServer_TellsLostHistoryAndUnknownTables(t *testing.T) {
+	addr, _ := serve(t, filled(t, store.Update{Full: true, Version: 10}), time.Now)
+	client := newTestClient(t, time.Now)
+	var lost *store.HistoryLostError
+	_, err := client.Changes(t.Context(), addr, "t", 3, 0)
+	must.True(t, errors.As(err, &lost))
+	var failed *CallError
+	_, err = client.Changes(t.Context(), addr, "other", 3, 0)
+	must.True(t, errors.As(err, &failed))
+}
+
+func TestServer_PassesOnReports(t *testing.T) {
+	addr, reports := serve(t, filled(t), time.Now)
+	must.NoError(t, newTestClient(t, time.Now).Suspect(t.Context(), addr, "m.7", "e1"))
+	must.EqOp(t, "m.7 e1", <-reports)
+	var failed *CallError
+	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", "m.7", "e1"), &failed))
+}
+
+// asked is a store and other daemons that answer by script.
+type asked struct {
+	now     time.Time
+	answers map[string]func() (store.Snapshot, error)
+	calls   []string
+}
+
+func (a *asked) answer(name string) (store.Snapshot, error) {
+	a.calls = append(a.calls, name)
+	return a.answers[name]()
+}
+
+func (a *asked) Rows(context.Context, string) (store.Snapshot, error) { return a.answer("store") }
+
+func (a *asked) Changes(context.Context, string, uint64, time.Duration) (store.Snapshot, error) {
+	return a.answer("store")
+}
+
+type askedPeers struct{ *asked }
+
+func (a askedPeers) Changes(_ context.Context, addr, _ string, _ uint64, _ time.Duration) (store.Snapshot, error) {
+	return a.answer(addr)
+}
+
+func newTestReader(answers map[string]func() (store.Snapshot, error)) (*Reader, *asked) {
+	a := &asked{now: time.Unix(1000, 0), answers: answers}
+	upstreams := func() []Member { return []Member{{Name: "first", Addr: "first"}, {Name: "second", Addr: "second"}} }
+	return NewReader(a, askedPeers{a}, upstreams, func() time.Time { return a.now }, quiet), a
+}
+
+func young(version uint64) func() (store.Snapshot, error) {
+	return func() (store.Snapshot, error) {
+		return store.Snapshot{Version: version, Evidence: time.Unix(999, 500e6)}, nil
+	}
+}
+
+func failing() (store.Snapshot, error) {
+	return store.Snapshot{}, &CallError{Err: http.ErrServerClosed}
+}
+
+func stale() (store.Snapshot, error) {
+	return store.Snapshot{Version: 50, Evidence: time.Unix(1000, 0).Add(-mostAge - time.Millisecond)}, nil
+}
+
+func TestReader_GoesOnToTheNextAndTheStore(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		first, second func() (store.Snapshot, error)
+		calls         []string
+		direct        bool
+	}{
+		{"sound", young(9), young(9), []string{"first"}, false},
+		{"first fails", failing, young(9), []string{"first", "second"}, false},
+		{"first stale", stale, young(9), []string{"first", "second"}, false},
+		{"both fail", failing, failing, []string{"first", "second", "store"}, true},
+		{"both stale", stale, stale, []string{"first", "second", "store"}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": c.first, "second": c.second, "store": young(9)})
+			_, err := r.Changes(t.Context(), "t", 5, time.Second)
+			must.NoError(t, err)
+			must.Eq(t, c.calls, a.calls)
+			must.EqOp(t, c.direct, r.Direct())
+		})
+	}
+}
+
+// TestReader_AsksAFailedDaemonAgainLater bounds what a daemon that is gone for good
+// costs the others.
+func TestReader_AsksAFailedDaemonAgainLater(t *testing.T) {
+	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": failing, "second": young(9), "store": young(9)})
+	for range 600 {
+		_, err := r.Changes(t.Context(), "t", 5, time.Second)
+		must.NoError(t, err)
+		a.now = a.now.Add(100 * time.Millisecond)
+		a.answers["second"] = func() (store.Snapshot, error) { return store.Snapshot{Version: 9, Evidence: a.now}, nil }
+	}
+	tries := 0
+	for _, name := range a.calls {
+		if name == "first" {
+			tries++
+		}
+	}
+	must.Between(t, 4, tries, 6)
+	a.answers["first"] = a.answers["second"]
+	a.now = a.now.Add(mostAvoid)
+	a.calls = nil
+	r.Changes(t.Context(), "t", 5, time.Second)
+	r.Changes(t.Context(), "t", 5, time.Second)
+	must.Eq(t, []string{"first", "first"}, a.calls)
+}
+
+// TestReader_TakesNoOlderRows keeps a whole table from going back to what a daemon
+// knew that is behind.
+func TestReader_TakesNoOlderRows(t *testing.T) {
+	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": young(20), "second": young(9), "store": young(21)})
+	_, err := r.Rows(t.Context(), "t")
+	must.NoError(t, err)
+	a.answers["first"] = young(19)
+	s, err := r.Rows(t.Context(), "t")
+	must.NoError(t, err)
+	must.EqOp(t, 21, s.Version)
+	must.Eq(t, []string{"first", "first", "second", "store"}, a.calls)
+}
+
+func TestReader_LostHistoryIsNobodysFault(t *testing.T) {
+	lost := func() (store.Snapshot, error) { return store.Snapshot{}, &store.HistoryLostError{Table: "t"} }
+	r, _ := newTestReader(map[string]func() (store.Snapshot, error){"first": lost, "second": young(9), "store": young(9)})
+	var want *store.HistoryLostError
+	_, err := r.Changes(t.Context(), "t", 5, time.Second)
+	must.True(t, errors.As(err, &want))
+	must.False(t, r.Direct())
+}
+
+func TestUpstreams(t *testing.T) {
+	var all []Member
+	for i := range 20 {
+		all = append(all, Member{Name: "e" + strconv.Itoa(i), Addr: "a" + strconv.Itoa(i), Zone: "z", Cores: 0.2})
+	}
+	all[7].Cores = 0.8
+	all = append(all, Member{Name: "mute", Zone: "z", Cores: 2}, Member{Name: "far", Addr: "f", Zone: "other", Cores: 2})
+	must.SliceEmpty(t, Upstreams(all[7], all), must.Sprint("it asks the store for all"))
+	must.True(t, Relays(all[7], all))
+	must.SliceEmpty(t, Upstreams(all[21], all), must.Sprint("its zone has few"))
+	must.False(t, Relays(all[21], all))
+	relays := 0
+	for _, m := range all[:20] {
+		up := Upstreams(m, all)
+		if Relays(m, all) {
+			relays++
+			must.Less(t, relaysPerZone, len(up), must.Sprint("relays don't ask each other in a circle"))
+			continue
+		}
+		must.Len(t, relaysPerZone, up)
+		must.EqOp(t, "e7", up[0].Name)
+	}
+	must.EqOp(t, relaysPerZone, relays)
+}
--- /dev/null
+++ b/relay/rpc.go
@@ -0,0 +1,166 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/pointpass/pointpass/rpc"
+	"github.com/pointpass/pointpass/store"
+)
+
+// Bounds of calls between daemons.
+const (
+	callTimeout   = 500 * time.Millisecond
+	reportTimeout = 300 * time.Millisecond
+	mostWait      = 2 * time.Second
+	idleConns     = 2
+	idleTime      = 20 * time.Second
+)
+
+// Server answers other daemons. It implements rpc.Relay.
+type Server struct {
+	caches  map[string]*Cache
+	suspect func(group, reporter string)
+	now     func() time.Time
+}
+
+// NewServer returns a server of some tables that tells suspect what others report.
+func NewServer(suspect func(group, reporter string), now func() time.Time, caches ...*Cache) *Server {
+	s := &Server{caches: map[string]*Cache{}, suspect: suspect, now: now}
+	for _, c := range caches {
+		s.caches[c.table] = c
+	}
+	return s
+}
+
+// Changes returns what has changed in a table.
+func (s *Server) Changes(ctx context.Context, m *rpc.ChangesRequest) (*rpc.ChangesReply, error) {
+	arrived := s.now()
+	cache, ok := s.caches[m.Table]
+	if !ok {
+		return nil, twirp.NotFoundError("no such table")
+	}
+	var snapshot store.Snapshot
+	var err error
+	if m.Since == 0 {
+		if snapshot, ok = cache.Rows(); !ok {
+			err = &EmptyError{Table: m.Table}
+		}
+	} else {
+		snapshot, err = cache.Changes(ctx, m.Since, min(time.Duration(m.WaitMs)*time.Millisecond, mostWait))
+	}
+	if err != nil {
+		return nil, asTwirp(err)
+	}
+	reply := &rpc.ChangesReply{
+		Version:    snapshot.Version,
+		ClockUs:    snapshot.Clock.Microseconds(),
+		EvidenceUs: snapshot.Evidence.Sub(arrived).Microseconds() - 1, // rounded towards older
+	}
+	for _, r := range snapshot.Rows {
+		reply.Rows = append(reply.Rows, &rpc.StoreRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+	}
+	return reply, nil
+}
+
+func asTwirp(err error) error {
+	var lost *store.HistoryLostError
+	if errors.As(err, &lost) {
+		return twirp.NewError(twirp.OutOfRange, err.Error())
+	}
+	return twirp.NewError(twirp.Unavailable, err.Error())
+}
+
+// Suspect takes in that a group fails requests elsewhere.
+func (s *Server) Suspect(_ context.Context, m *rpc.SuspectRequest) (*rpc.SuspectReply, error) {
+	s.suspect(m.Group, m.Reporter)
+	return &rpc.SuspectReply{}, nil
+}
+
+// Client asks other daemons. It is safe for use by many goroutines.
+type Client struct {
+	http *http.Client
+	now  func() time.Time
+
+	mu    sync.Mutex
+	stubs map[string]rpc.Relay
+}
+
+// NewClient returns a client that opens connections with dialer. The function
+// returned closes them.
+func NewClient(dialer *net.Dialer, now func() time.Time) (*Client, func()) {
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTime,
+		DisableCompression:  true,
+	}
+	c := &Client{http: &http.Client{Transport: transport}, now: now, stubs: map[string]rpc.Relay{}}
+	return c, transport.CloseIdleConnections
+}
+
+func (c *Client) stub(addr string) rpc.Relay {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stub, ok := c.stubs[addr]
+	if !ok {
+		stub = rpc.NewRelayProtobufClient("http://"+addr, c.http)
+		c.stubs[addr] = stub
+	}
+	return stub
+}
+
+// Changes asks one daemon what has changed. The evidence is dated by when this call
+// was sent: the other daemon received it later, so that its evidence is not older
+// than that.
+func (c *Client) Changes(ctx context.Context, addr, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+	wait = min(wait, mostWait)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	sent := c.now()
+	reply, err := c.stub(addr).Changes(ctx, &rpc.ChangesRequest{Table: table, Since: since, WaitMs: wait.Milliseconds()})
+	var failed twirp.Error
+	if errors.As(err, &failed) && failed.Code() == twirp.OutOfRange {
+		return store.Snapshot{}, &store.HistoryLostError{Table: table}
+	}
+	if err != nil {
+		return store.Snapshot{}, &CallError{Addr: addr, Err: err}
+	}
+	s := store.Snapshot{
+		Version:  reply.Version,
+		Clock:    time.Duration(reply.ClockUs) * time.Microsecond,
+		Evidence: sent.Add(time.Duration(reply.EvidenceUs) * time.Microsecond),
+	}
+	for _, r := range reply.Rows {
+		s.Rows = append(s.Rows, store.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+	}
+	return s, nil
+}
+
+// Suspect tells another daemon that a group fails requests.
+func (c *Client) Suspect(ctx context.Context, addr, group, reporter string) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if _, err := c.stub(addr).Suspect(ctx, &rpc.SuspectRequest{Group: group, Reporter: reporter}); err != nil {
+		return &CallError{Addr: addr, Err: err}
+	}
+	return nil
+}
+
+// CallError tells that another daemon did not answer.
+type CallError struct {
+	Addr string
+	Err  error
+}
+
+// Error describes the error.
+func (e *CallError) Error() string { return "daemon at " + e.Addr + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/replica/control.go
@@ -0,0 +1,80 @@
+package replica
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/pointpass/pointpass/store"
+)
+
+// Node is a process as it announces itself.
+type Node struct {
+	Name string `json:"-"`
+	// Addr is where it serves other processes, "" if it doesn't.
+	Addr string `json:"addr,omitempty"`
+	Zone string `json:"zone,omitempty"`
+	// Cores is the share of a core that it may use.
+	Cores float64 `json:"cores,omitempty"`
+}
+
+// Control is what the table LeaseTable says.
+type Control struct {
+	// Nodes are those that announced themselves.
+	Nodes []Node
+	// Holder is the last holder of the lease, "" before the first.
+	Holder string
+}
+
+// Parse returns what the rows of LeaseTable say.
+func Parse(rows []store.Row) Control {
+	var c Control
+	for _, r := range rows {
+		name, isNode := strings.CutPrefix(r.Key, nodePrefix)
+		if !isNode || r.Deleted {
+			continue
+		}
+		n := Node{}
+		json.Unmarshal(r.Value, &n) // a row that can't be read still counts as a node
+		n.Name = name
+		c.Nodes = append(c.Nodes, n)
+	}
+	slices.SortFunc(c.Nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+	row, _ := leaseIn(rows)
+	c.Holder = row.Holder
+	return c
+}
+
+// leaseIn returns the lease among the rows of LeaseTable and its version, 0 if
+// there is none.
+func leaseIn(rows []store.Row) (row leaseRow, version uint64) {
+	for _, r := range rows {
+		if r.Key == leaseKey && !r.Deleted {
+			json.Unmarshal(r.Value, &row) // a row that can't be read is a lease that ended
+			version = r.Version
+		}
+	}
+	return row, version
+}
+
+// Rank returns how many nodes come before one: those with more processor time,
+// then those first by name.
+func (c Control) Rank(self Node) int {
+	rank := 0
+	for _, n := range c.Nodes {
+		if n.Cores > self.Cores || n.Cores == self.Cores && n.Name < self.Name {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Node returns a node by its name.
+func (c Control) Node(name string) (Node, bool) {
+	i, found := slices.BinarySearchFunc(c.Nodes, name, func(n Node, name string) int { return cmp.Compare(n.Name, name) })
+	if !found {
+		return Node{}, false
+	}
+	return c.Nodes[i], true
+}
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -41,6 +41,7 @@
 
 	unreachable chan unreachable
 	probed      map[workers.GroupID]time.Time
+	suspects    suspects
 }
 
 type result struct {
@@ -135,7 +136,7 @@
 		c.planner = NewPlanner(term, c.opts.Ceiling)
 	}
 	c.probeFailing(ctx, term, c.opts.Workers(), c.opts.Now())
-	situation := Situation{Now: c.opts.Now(), View: c.opts.Workers(), Services: current.Services(), Idle: c.opts.Idle(), Failing: c.opts.Failing}
+	situation := Situation{Now: c.opts.Now(), View: c.opts.Workers(), Services: current.Services(), Idle: c.opts.Idle(), Failing: c.failing}
 	for _, o := range c.planner.Plan(situation) {
 		go c.give(ctx, term, o)
 	}
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -21,10 +21,15 @@
 const (
 	leaseKey   = "lease"
 	nodePrefix = "node/"
-	// announcement is the value of a process's row, which says all by being there.
-	announcement = "{}"
-	renewEvery   = 1500 * time.Millisecond
+	renewEvery = 1500 * time.Millisecond
+	// standbyEvery is how often a process that doesn't hold the lease looks whether
+	// it is free.
+	standbyEvery = 500 * time.Millisecond
 	leaseLength  = 4500 * time.Millisecond
+	// rankPause is how much later each node tries to take a free lease than the one
+	// ranked before it, up to mostRank.
+	rankPause = 200 * time.Millisecond
+	mostRank  = 10
 	// leaseMargin is how long before its end the holder stops giving orders.
 	leaseMargin = 1000 * time.Millisecond
 )
@@ -63,7 +68,7 @@
 // the other methods may be called from anywhere.
 type Lease struct {
 	table  Table
-	node   string
+	self   Node
 	memory Memory
 	now    func() time.Time
 	log    *log.Logger
@@ -73,8 +78,8 @@
 }
 
 // NewLease returns a lease that a node tries to hold.
-func NewLease(table Table, node string, memory Memory, now func() time.Time, logger *log.Logger) *Lease {
-	return &Lease{table: table, node: node, memory: memory, now: now, log: logger}
+func NewLease(table Table, self Node, memory Memory, now func() time.Time, logger *log.Logger) *Lease {
+	return &Lease{table: table, self: self, memory: memory, now: now, log: logger}
 }
 
 // Held returns the term of the lease while this node holds it.
@@ -97,14 +102,21 @@
 			announced = l.announce(ctx) == nil
 		}
 		l.round(ctx)
-		wait(ctx, renewEvery)
+		wait(ctx, l.pause())
 	}
 }
 
+func (l *Lease) pause() time.Duration {
+	if _, held := l.Held(); held {
+		return renewEvery
+	}
+	return standbyEvery
+}
+
 // Release gives up the lease for good and takes back the node's row.
 func (l *Lease) Release(ctx context.Context) error {
 	l.released.Store(true)
-	txn := store.Txn{Deletes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.node}}}
+	txn := store.Txn{Deletes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.self.Name}}}
 	row, version := l.state.row()
 	if _, held := l.Held(); held {
 		l.state.drop()
@@ -117,7 +129,7 @@
 }
 
 func (l *Lease) announce(ctx context.Context) error {
-	_, err := l.table.Commit(ctx, store.Txn{Writes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.node, Value: []byte(announcement)}}})
+	_, err := l.table.Commit(ctx, store.Txn{Writes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.self.Name, Value: encode(l.self)}}})
 	return err
 }
 
@@ -126,24 +138,35 @@
 	if l.released.Load() {
 		return
 	}
+	snapshot, err := l.table.Rows(ctx, LeaseTable)
+	if err == nil {
+		l.state.note(Parse(snapshot.Rows))
+	}
 	if _, held := l.Held(); held {
 		l.renew(ctx)
 		return
 	}
-	snapshot, err := l.table.Rows(ctx, LeaseTable)
 	if err != nil {
 		return
 	}
-	row, version := l.state.read(snapshot)
-	if row.Holder == l.node && version != 0 && row.UntilMs > snapshot.Clock.Milliseconds() {
+	row, version := leaseIn(snapshot.Rows)
+	if row.Holder == l.self.Name && version != 0 && row.UntilMs > snapshot.Clock.Milliseconds() {
 		// An earlier life of this node, or a renewal whose answer was lost. What it
 		// may have ordered counts as another holder's.
 		l.log.Info().Str("event", "lease_found_own").Uint64("term", row.Term).Msg("")
-	} else if row.UntilMs > snapshot.Clock.Milliseconds() {
+	} else if row.UntilMs > snapshot.Clock.Milliseconds() || !l.turn(snapshot.Rows, version) {
 		return
 	}
 	l.memory.Remember(row.Last)
-	l.commit(ctx, leaseRow{Holder: l.node, Term: snapshot.Version + 1}, version, snapshot.Clock)
+	l.commit(ctx, leaseRow{Holder: l.self.Name, Term: snapshot.Version + 1}, version, snapshot.Clock)
+}
+
+// turn tells whether it is this node's turn to take a lease that is free. The nodes
+// with the most processor time come first, and the others a little later each, so
+// that they don't all write at once.
+func (l *Lease) turn(rows []store.Row, version uint64) bool {
+	rank := min(Parse(rows).Rank(l.self), mostRank)
+	return l.now().Sub(l.state.freeSince(version, l.now())) >= time.Duration(rank)*rankPause
 }
 
 func (l *Lease) renew(ctx context.Context) {
@@ -187,8 +210,8 @@
 	}
 }
 
-func encode(row leaseRow) []byte {
-	data, _ := json.Marshal(row) // a struct of numbers and texts
+func encode(row any) []byte {
+	data, _ := json.Marshal(row) // structs of numbers and texts
 	return data
 }
 
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -90,7 +90,7 @@
 	var leases []*Lease
 	for i := range n {
 		now := func() time.Time { return table.now }
-		leases = append(leases, NewLease(table, fmt.Sprint("n", i), &noMemory{}, now, &log.Logger{Level: log.PanicLevel}))
+		leases = append(leases, NewLease(table, Node{Name: fmt.Sprint("n", i)}, &noMemory{}, now, &log.Logger{Level: log.PanicLevel}))
 	}
 	return table, leases
 }
@@ -146,7 +146,7 @@
 	leases[0].round(ctx)
 	first, _ := leases[0].Held()
 	table.version += 5
-	again := NewLease(table, "n0", &noMemory{}, func() time.Time { return table.now }, &log.Logger{Level: log.PanicLevel})
+	again := NewLease(table, Node{Name: "n0"}, &noMemory{}, func() time.Time { return table.now }, &log.Logger{Level: log.PanicLevel})
 	again.round(ctx)
 	second, held := again.Held()
 	must.True(t, held)
--- a/replica/leasestate.go
+++ b/replica/leasestate.go
@@ -1,8 +1,6 @@
 package replica
 
 import (
-	"encoding/json"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +18,9 @@
 	version uint64
 	until   time.Time // when this node stops holding the lease
 	known   int       // processes that announced themselves
+	// free is since when the lease was seen free at a version of its row.
+	free        time.Time
+	freeVersion uint64
 
 	// storeClock is what the store's clock showed at some moment after sent.
 	storeClock time.Duration
@@ -53,23 +54,22 @@
 	return s.storeClock, s.sent
 }
 
-// read takes in all rows of the table and returns the lease as it stands.
-func (s *leaseState) read(snapshot store.Snapshot) (leaseRow, uint64) {
+// note takes in who has announced themselves.
+func (s *leaseState) note(c Control) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known = 0
-	var row leaseRow
-	var version uint64
-	for _, r := range snapshot.Rows {
-		if strings.HasPrefix(r.Key, nodePrefix) {
-			s.known++
-		}
-		if r.Key == leaseKey {
-			version = r.Version
-			json.Unmarshal(r.Value, &row) // a row that can't be read is a lease that ended
-		}
+	s.known = len(c.Nodes)
+}
+
+// freeSince returns since when the lease was seen free at a version of its row.
+func (s *leaseState) freeSince(version uint64, now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.freeVersion != version || s.free.IsZero() {
+		s.freeVersion = version
+		s.free = now
 	}
-	return row, version
+	return s.free
 }
 
 func (s *leaseState) renewed(row leaseRow, snapshot store.Snapshot, sent, until time.Time) {
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -19,7 +19,7 @@
 func (c *Controller) probeFailing(ctx context.Context, term uint64, view *workers.View, now time.Time) {
 	for _, g := range view.Groups() {
 		head, found := g.Head()
-		if !found || head.Membership.State != workers.Open || !c.opts.Failing(g.ID.Name) {
+		if !found || head.Membership.State != workers.Open || !c.failing(g.ID.Name) {
 			continue
 		}
 		if now.Sub(c.probed[g.ID]) < probePause {
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -182,7 +182,7 @@
 	if ctx.Err() != nil && !stalled {
 		return false, e.expired(ctx)
 	}
-	e.server.opts.Balancer.Fail(target.Key, e.server.opts.Now())
+	e.failed(target)
 	e.logAttempt(target, err)
 	if notSent != nil {
 		return true, &fault{status: http.StatusServiceUnavailable, reason: "the worker can't be reached", retryAfter: absentRetry}
@@ -190,12 +190,20 @@
 	return e.route.Repeats(), &fault{status: http.StatusBadGateway, reason: "the answer of the worker is lost", aborted: e.begun}
 }
 
+// failed notes that a target failed at what a sound one does.
+func (e *exchange) failed(target Target) {
+	e.server.opts.Balancer.Fail(target.Key, e.server.opts.Now())
+	if e.service.Runtime != nil {
+		e.server.opts.Suspect(target.Key)
+	}
+}
+
 // rejected handles a worker that did not run the request.
 func (e *exchange) rejected(target Target, reply *Reply) (again bool, f *fault) {
 	e.server.opts.Counters.rejected.Inc()
 	e.logAttempt(target, &rejectedError{status: reply.Status})
 	if reply.Mistaken {
-		e.server.opts.Balancer.Fail(target.Key, e.server.opts.Now())
+		e.failed(target)
 	}
 	return true, &fault{status: http.StatusServiceUnavailable, reason: "the worker has no room", retryAfter: fullRetry}
 }
--- a/serving/server.go
+++ b/serving/server.go
@@ -26,6 +26,8 @@
 	MostAge time.Duration
 	// Allowance returns this process's part of the retries for a service.
 	Allowance func() retry.Allowance
+	// Suspect is told each group that fails a request.
+	Suspect func(group string)
 	// MostRequests is how many requests may be under way.
 	MostRequests int64
 	Now          func() time.Time
--- a/store/follow.go
+++ b/store/follow.go
@@ -16,6 +16,8 @@
 	// later; nothing is known about the time after.
 	Evidence time.Time
 	Version  uint64
+	// Clock is what the store's own clock showed at Evidence or later.
+	Clock time.Duration
 }
 
 // Follower keeps a copy of a table up to date.
@@ -24,7 +26,7 @@
 	Reader Reader
 	Table  string
 	// Wait is how long the store may hold a call that has nothing to tell.
-	Wait time.Duration
+	Wait func() time.Duration
 	// Pause returns how long changes are left to gather before they are asked for
 	// again, so that many changes in a row don't cost a call each. Nil stands for
 	// no pause.
@@ -81,17 +83,25 @@
 		if err != nil {
 			return 0, err
 		}
-		f.Apply(Update{Rows: snapshot.Rows, Full: true, Evidence: sent, Version: snapshot.Version})
+		f.Apply(Update{Rows: snapshot.Rows, Full: true, Evidence: evidenceOf(snapshot, sent), Version: snapshot.Version, Clock: snapshot.Clock})
 		return snapshot.Version, nil
 	}
-	snapshot, err := f.Reader.Changes(ctx, f.Table, since, f.Wait)
+	snapshot, err := f.Reader.Changes(ctx, f.Table, since, f.Wait())
 	if err != nil {
 		return since, err
 	}
-	f.Apply(Update{Rows: newest(snapshot.Rows), Evidence: sent, Version: snapshot.Version})
+	f.Apply(Update{Rows: newest(snapshot.Rows), Evidence: evidenceOf(snapshot, sent), Version: snapshot.Version, Clock: snapshot.Clock})
 	return max(since, snapshot.Version), nil
 }
 
+// evidenceOf returns when the store was asked.
+func evidenceOf(s Snapshot, sent time.Time) time.Time {
+	if s.Evidence.IsZero() {
+		return sent
+	}
+	return s.Evidence
+}
+
 // newest returns the last of each row's changes. A feed tells all changes of a row
 // in order; what it was in between no longer counts.
 func newest(rows []Row) []Row {
--- a/store/follow_test.go
+++ b/store/follow_test.go
@@ -41,6 +41,7 @@
 	f := &Follower{
 		Reader: reader,
 		Table:  "t",
+		Wait:   func() time.Duration { return 0 },
 		Apply:  func(u Update) { updates = append(updates, u) },
 		Health: func(_ string, err error) { health = append(health, err) },
 		Now:    time.Now,
--- a/store/store.go
+++ b/store/store.go
@@ -26,6 +26,9 @@
 	Version uint64
 	// Clock is the store's own steady clock when it answered.
 	Clock time.Duration
+	// Evidence is when the store was asked, if another daemon asked it; the zero
+	// time if the reader did.
+	Evidence time.Time
 }
 
 // Condition demands that a row has a version; 0 demands that there is none.
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -100,10 +100,10 @@
 
 // Daemon is a running pointpassd edge.
 type Daemon struct {
-	addr, readiness, metrics string
-	command                  *exec.Cmd
-	done                     chan struct{}
-	log                      *buffer
+	addr, readiness, metrics, peers string
+	command                         *exec.Cmd
+	done                            chan struct{}
+	log                             *buffer
 }
 
 // buffer is a log that may be read while it grows.
@@ -127,14 +127,14 @@
 
 const settings = `{
   "name": %q, "zone": "z1", "first_start": %t,
-  "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "store_addr": %q,
+  "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
   "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10},
 }`
 
 // Start starts a daemon of a name, and returns it with a function that kills it.
 func Start(program, dir, name string, store *Store, firstStart bool) (*Daemon, func(), error) {
 	d := &Daemon{done: make(chan struct{}), log: &buffer{}}
-	for _, addr := range []*string{&d.addr, &d.readiness, &d.metrics} {
+	for _, addr := range []*string{&d.addr, &d.readiness, &d.metrics, &d.peers} {
 		free, err := freeAddr()
 		if err != nil {
 			return nil, nil, err
@@ -142,7 +142,7 @@
 		*addr = free
 	}
 	file := filepath.Join(dir, name+".jsonc")
-	text := fmt.Sprintf(settings, name, firstStart, d.addr, d.readiness, d.metrics, store.Addr())
+	text := fmt.Sprintf(settings, name, firstStart, d.addr, d.readiness, d.metrics, d.peers, store.Addr())
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
 	}
