replica: Count a load as over once its host was seen with the model

Cause: loads count as under way until the host has the model, and for at most twice their length. A worker that rejoins its last model loses what was loaded beside it, so that loads which were long over counted as under way for up to 32 s and kept all others from beginning.

Ruled out: the bound on loads per window (5 s long), a lost lease (until 17 s).

Change: a load is over once its host was seen with the model. TestPlanner_FinishedLoadsLeaveRoom was red before.

--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -329,6 +330,41 @@
 	}
 }
 
+// TestPlanner_FinishedLoadsLeaveRoom has hosts load a model and lose it again to
+// that of a group which their workers join. Loads that are over must not keep
+// others from beginning.
+func TestPlanner_FinishedLoadsLeaveRoom(t *testing.T) {
+	w := newUnevenWorld(1)
+	p := NewPlanner(1, testCeiling)
+	situation := func() Situation {
+		return Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Failing: w.failing}
+	}
+	atOnce := w.service.Runtime.LoadsAtOnce
+	w.step()
+	first := stages(p.Plan(situation()))
+	must.Len(t, atOnce, first)
+	finish := func(orders []Order, model string) {
+		for _, o := range orders {
+			e := w.engines[o.Worker.ID]
+			e.worker.Staged = []string{model}
+			w.tell(e, 0)
+			p.Result(w.now, o, Begun)
+		}
+		w.now = w.now.Add(6 * time.Second)
+		w.step()
+	}
+	finish(first, first[0].Model)
+	second := stages(p.Plan(situation()))
+	must.SliceNotEmpty(t, second)
+	finish(first, "another")
+	finish(second, second[0].Model)
+	must.SliceNotEmpty(t, stages(p.Plan(situation())))
+}
+
+func stages(orders []Order) []Order {
+	return slices.DeleteFunc(orders, func(o Order) bool { return o.Op != Stage })
+}
+
 func whole(w *world, model string) int {
 	n := 0
 	for _, g := range w.view.Groups() {
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -64,6 +64,9 @@
 	model  string
 	begun  time.Time
 	length time.Duration
+	// done tells that the worker's host was seen with the model. It may lose it
+	// again before the load is forgotten.
+	done bool
 }
 
 // Situation is what a plan looks at.
@@ -130,6 +133,7 @@
 	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing}
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
+	r.noteLoads()
 	for _, service := range s.Services {
 		r.service = service
 		r.advanceFormations()
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -184,6 +184,16 @@
 	return list
 }
 
+// noteLoads notes which loads are over.
+func (r *round) noteLoads() {
+	for i := range r.loads {
+		l := &r.loads[i]
+		if w, listed := r.view.Worker(l.worker); listed && staged(w, l.model) {
+			l.done = true
+		}
+	}
+}
+
 // stagesLeft returns how many loads fit beside those under way without slowing
 // them.
 func (r *round) stagesLeft() int {
@@ -192,7 +202,7 @@
 	}
 	underWay := 0
 	for _, l := range r.loads {
-		if w, listed := r.view.Worker(l.worker); listed && !staged(w, l.model) && r.now.Sub(l.begun) < 2*l.length {
+		if _, listed := r.view.Worker(l.worker); listed && !l.done && r.now.Sub(l.begun) < 2*l.length {
 			underWay++
 		}
 	}
