replica: Form the first groups once the list of workers is complete

Cause: workers are listed one after the other over four seconds. The first groups were formed of whoever was there, which are groups of the small model; up to 16 s went by until enough of them had been retired for the large one.

Change: before anybody is served, groups are formed half a second after the last worker was listed, after five seconds at the latest. TestPlanner_WaitsForTheListToBeComplete was red before.

--- a/replica/form.go
+++ b/replica/form.go
@@ -15,6 +15,9 @@
 // form begins groups of free workers, those first whose model is furthest below
 // its share.
 func (r *round) form() {
+	if !r.settled() {
+		return
+	}
 	pool := r.newPool()
 	for r.formed < epochsPerTerm {
 		model, members, ok := r.nextGroup(pool)
--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -405,6 +405,27 @@
 	must.SliceEmpty(t, w.broken)
 }
 
+// TestPlanner_WaitsForTheListToBeComplete lists the workers one after the other. The
+// groups formed are those that the shares call for, and none is given up again.
+func TestPlanner_WaitsForTheListToBeComplete(t *testing.T) {
+	w := newUnevenWorld(0)
+	for i := range 4 * 19 {
+		w.add(fmt.Sprint("d", i%4), time.Duration(i)*50*time.Millisecond)
+	}
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	left := 0
+	h.fate = func(o Order) fate {
+		if o.Op == Leave || o.Op == Close {
+			left++
+		}
+		return fateTaken
+	}
+	calm(w, h, 30*time.Second, true)
+	must.EqOp(t, 4, whole(w, "m.large"))
+	must.EqOp(t, 8, whole(w, "small"))
+	must.EqOp(t, 0, left)
+}
+
 func stages(orders []Order) []Order {
 	return slices.DeleteFunc(orders, func(o Order) bool { return o.Op != Stage })
 }
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -26,6 +26,10 @@
 	// leavePatience is how long workers that were told to leave their group count as
 	// free soon.
 	leavePatience = 3 * time.Second
+	// settlePause is how long no further worker must have been listed before the
+	// first groups are formed, and mostSettling how long that is waited for.
+	settlePause  = 500 * time.Millisecond
+	mostSettling = 5 * time.Second
 	// refusalPause is how long a worker that refused an order is left alone.
 	refusalPause = 3 * time.Second
 	// unreachablePause is how long a worker that did not answer is left out.
@@ -53,6 +57,11 @@
 	formed  uint64
 	ceiling LoadCeiling
 
+	// known is how many workers were listed last, grown when there came to be more,
+	// and begun when the first plan was made.
+	known        int
+	grown, begun time.Time
+
 	forming map[workers.GroupID]*formation
 	records map[string]*record
 	seen    map[workers.GroupID]time.Time // when a group was first seen unfinished
@@ -140,6 +149,7 @@
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
 	r.noteLoads()
+	p.noteGrowth(s.View, s.Now)
 	for _, service := range s.Services {
 		r.service = service
 		r.advanceFormations()
@@ -150,6 +160,24 @@
 	return r.orders
 }
 
+// noteGrowth notes when workers were listed that were not before.
+func (p *Planner) noteGrowth(view *workers.View, now time.Time) {
+	if p.begun.IsZero() {
+		p.begun = now
+	}
+	if view.Len() > p.known {
+		p.grown = now
+	}
+	p.known = view.Len()
+}
+
+// settled tells whether the list of workers seems complete. Before anybody is
+// served it grows for seconds; groups formed of the first that are listed would be
+// those that need few workers, and would have to be given up again.
+func (r *round) settled() bool {
+	return !r.idle || r.now.Sub(r.grown) >= settlePause || r.now.Sub(r.begun) >= mostSettling
+}
+
 // Result takes in what came of an order.
 func (p *Planner) Result(now time.Time, o Order, outcome Outcome) {
 	rec := p.record(o.Worker.ID)
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -21,7 +21,7 @@
 // model that lacks most.
 func (r *round) stage() {
 	left := min(r.loadsLeft(), r.stagesLeft())
-	if left <= 0 {
+	if left <= 0 || !r.settled() {
 		return
 	}
 	p := r.newPool()
