--- a/replica/lease.go
+++ b/replica/lease.go
@@ -25,13 +25,13 @@
 	// standbyEvery is how often a process that doesn't hold the lease looks whether
 	// it is free.
 	standbyEvery = 500 * time.Millisecond
-	leaseLength  = 4500 * time.Millisecond
+	leaseLength  = 3000 * time.Millisecond
 	// rankPause is how much later each node tries to take a free lease than the one
 	// ranked before it, up to mostRank.
 	rankPause = 200 * time.Millisecond
 	mostRank  = 10
 	// leaseMargin is how long before its end the holder stops giving orders.
-	leaseMargin = 1000 * time.Millisecond
+	leaseMargin = 700 * time.Millisecond
 )
 
 // leaseRow is the lease as it is stored.
