serving: Leave out targets that answer requests with failures

Cause: workers that say they are well and answer every request with an error were chosen like others: only silence and lost answers made a target suspect.

Ruled out: health checks (none are made); retries (both attempts met such heads).

Change: one failure in a row makes a group suspect, three make a plain worker, whose service has errors of its own; for 2 s, doubling up to 8 s, until an answer is good. TestStall_GroupsThatFailEveryRequestGetFew was red before.

--- a/serving/balance.go
+++ b/serving/balance.go
@@ -61,6 +61,8 @@
 	// suspectUntil is until when the target gets no new requests.
 	suspectUntil time.Time
 	failures     int
+	// errors counts the answers in a row that told of a failure.
+	errors int
 	// gap is the usual time between events of one stream, first that to a first
 	// event; both are moving averages.
 	gap, first time.Duration
@@ -78,6 +80,8 @@
 const (
 	firstSuspicion = time.Second
 	mostSuspicion  = 4 * time.Second
+	// mostErrorSuspicion is the same for targets that answer with failures.
+	mostErrorSuspicion = 8 * time.Second
 )
 
 // Balancer spreads requests over targets by what this process has under way at
@@ -165,6 +169,7 @@
 	l := b.of(key)
 	l.lastSign = now
 	l.failures = 0
+	l.errors = 0
 	if first {
 		l.first += (after - l.first) / newWeight
 		return
@@ -218,6 +223,25 @@
 	l.failures++
 }
 
+// Error notes that a target answered a request with a failure. A few in a row make
+// it suspect, as many as the service's own errors hardly make.
+func (b *Balancer) Error(key string, inARow int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.of(key)
+	l.errors++
+	if l.errors >= inARow && !now.Before(l.suspectUntil) {
+		l.suspectUntil = now.Add(min(firstSuspicion<<min(l.errors-inARow+1, 4), mostErrorSuspicion))
+	}
+}
+
+// Answered notes that a target answered a request well.
+func (b *Balancer) Answered(key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(key).errors = 0
+}
+
 // Suspects returns the targets that get no new requests now.
 func (b *Balancer) Suspects(now time.Time) []string {
 	b.mu.Lock()
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -223,6 +223,7 @@
 	}
 	answer := &wholeAnswer{reply: reply, body: body}
 	failed := reply.Status >= http.StatusInternalServerError
+	e.noteAnswer(target, failed)
 	if failed && e.route.Repeats() && e.sent < e.route.Attempts {
 		e.logAttempt(target, &failedError{status: reply.Status})
 		if passable(reply.Status) {
@@ -240,6 +241,25 @@
 	return false, nil
 }
 
+// How many failures in a row make a target suspect. Groups don't fail by
+// themselves; plain services have errors of their own.
+const (
+	groupErrors = 1
+	plainErrors = 3
+)
+
+// noteAnswer notes whether a target answered a request with a failure.
+func (e *exchange) noteAnswer(target Target, failed bool) {
+	switch {
+	case !failed:
+		e.server.opts.Balancer.Answered(target.Key)
+	case e.service.Runtime != nil:
+		e.server.opts.Balancer.Error(target.Key, groupErrors, e.server.opts.Now())
+	default:
+		e.server.opts.Balancer.Error(target.Key, plainErrors, e.server.opts.Now())
+	}
+}
+
 // writeWhole passes on an answer that was read to its end.
 func (e *exchange) writeWhole(a *wholeAnswer) {
 	e.begin(a.reply)
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -64,6 +64,26 @@
 	must.SliceEmpty(t, b.Suspects(now.Add(firstSuspicion)))
 }
 
+func TestError_FailuresInARowMakeSuspect(t *testing.T) {
+	b := NewBalancer("z1")
+	b.Error("a", 3, noon)
+	b.Error("a", 3, noon)
+	b.Answered("a")
+	b.Error("a", 3, noon)
+	b.Error("a", 3, noon)
+	must.SliceEmpty(t, b.Suspects(noon))
+	now := noon
+	for _, want := range []time.Duration{2, 4, 8, 8} {
+		b.Error("a", 3, now)
+		must.Eq(t, []string{"a"}, b.Suspects(now.Add(want*time.Second-time.Millisecond)))
+		now = now.Add(want * time.Second)
+		must.SliceEmpty(t, b.Suspects(now))
+	}
+	b.Sign("a", now, time.Millisecond, false)
+	b.Error("a", 3, now)
+	must.SliceEmpty(t, b.Suspects(now))
+}
+
 func TestPatience_FollowsWhatIsUsual(t *testing.T) {
 	b := NewBalancer("z1")
 	_, between := b.Patience("a")
--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -308,6 +308,23 @@
 	}
 }
 
+// TestStall_GroupsThatFailEveryRequestGetFew has a head say that it is well and
+// answer every request with a failure.
+func TestStall_GroupsThatFailEveryRequestGetFew(t *testing.T) {
+	s := newStage(t, 4)
+	d := s.start(true)
+	s.awaitGroups(2)
+	eventually(t, "a stream is served", func() bool { return d.Send(t.Context(), s.stream()).Status == http.StatusOK })
+	failing := s.open()[0]
+	failing.SetFault(Fails)
+	before := len(failing.Runs())
+	for range 12 {
+		a := s.stream()
+		must.True(t, wholeStream(a.ID, d.Send(t.Context(), a)))
+	}
+	must.LessEq(t, before+2, len(failing.Runs()))
+}
+
 // TestGone_LeavingCallersStopTheWork: GONE.
 func TestGone_LeavingCallersStopTheWork(t *testing.T) {
 	s := newStage(t, 0)
