testbed: Judge TWO, PARTIAL and CEILING at the stand-in of workers

A judge now watches the joins, the runs and the loads of all stand-in workers, in every test.

Workers become ready one after the other, so that PARTIAL can show; they answer /report.

--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -86,7 +86,14 @@
 }
 
 // Apply writes a configuration to the store.
-func (s *Store) Apply(c Config) { s.Put("op", "config", c) }
+func (s *Store) Apply(c Config) {
+	for _, service := range c.Services {
+		if service.Runtime != nil {
+			s.judge.setSizes(service.Runtime.Models)
+		}
+	}
+	s.Put("op", "config", c)
+}
 
 // Build builds pointpassd into a folder and returns the program's path.
 func Build(ctx context.Context, dir string) (string, error) {
--- /dev/null
+++ b/testbed/standin/judge.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Judge watches what workers see, and keeps the rules about groups that they broke.
+type Judge struct {
+	mu    sync.Mutex
+	sizes map[string]int
+	// open are the groups whose head is open, by name and epoch.
+	open map[string]bool
+	// ready are the members that were ready in a group, by member, group and list.
+	ready  map[string]bool
+	loads  []time.Time
+	broken []string
+}
+
+func newJudge() *Judge {
+	return &Judge{sizes: map[string]int{}, open: map[string]bool{}, ready: map[string]bool{}}
+}
+
+// Broken returns the rules broken so far.
+func (j *Judge) Broken() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.broken)
+}
+
+// MostLoads returns the most loads that began within any span of a length.
+func (j *Judge) MostLoads(span time.Duration) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	most := 0
+	for i, from := range j.loads {
+		n := 0
+		for _, at := range j.loads[i:] {
+			if at.Sub(from) <= span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Loads returns how many loads have begun.
+func (j *Judge) Loads() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.loads)
+}
+
+func (j *Judge) setSizes(models []Model) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, m := range models {
+		j.sizes[m.Name] = m.Size
+	}
+}
+
+func (j *Judge) load() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.loads = append(j.loads, time.Now())
+}
+
+func groupKey(g *groupState) string { return fmt.Sprintf("%s/%d", g.Name, g.Epoch) }
+
+func (j *Judge) setOpen(g *groupState, open bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.open[groupKey(g)] = open
+}
+
+func (j *Judge) isOpen(g *groupState) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.open[groupKey(g)]
+}
+
+func memberKey(id string, g *groupState, members []string) string {
+	return fmt.Sprint(id, " ", groupKey(g), members)
+}
+
+func (j *Judge) becameReady(id string, g *groupState, members []string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.ready[memberKey(id, g, members)] = true
+}
+
+// joins judges a worker that accepts a join while it is in another group: TWO.
+func (j *Judge) joins(id string, own *groupState, group string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if own != nil && j.open[groupKey(own)] {
+		j.broken = append(j.broken, fmt.Sprintf("TWO: %s joins %s while %s is open", id, group, groupKey(own)))
+	}
+}
+
+// runs judges a request that a head begins to run: PARTIAL.
+func (j *Judge) runs(g *groupState, model string, members []string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if want := j.sizes[model]; want != 0 && len(members) != want {
+		j.broken = append(j.broken, fmt.Sprintf("PARTIAL: %s has %d members of %d", groupKey(g), len(members), want))
+	}
+	for _, id := range members {
+		if !j.ready[memberKey(id, g, members)] {
+			j.broken = append(j.broken, fmt.Sprintf("PARTIAL: %s was never ready in %s", id, groupKey(g)))
+		}
+	}
+}
--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -66,6 +66,7 @@
 	s := &stage{t: t, workers: map[string]*Worker{}}
 	store, stopStore := NewStore()
 	t.Cleanup(stopStore)
+	t.Cleanup(func() { must.SliceEmpty(t, store.Judge().Broken()) })
 	s.store = store
 	s.config = Config{
 		Version: 5,
@@ -464,6 +465,42 @@
 	eventually(t, "streams are served", func() bool { a := s.stream(); return wholeStream(a.ID, d.Send(t.Context(), a)) })
 }
 
+// TestTwo_MembersLeaveBeforeTheyJoin: TWO and PARTIAL. Members die one after the
+// other while streams are asked for; the judge of the stand-in watches each join and
+// each run. In the end what is left serves.
+func TestTwo_MembersLeaveBeforeTheyJoin(t *testing.T) {
+	s := newStage(t, 8)
+	d := s.start(true)
+	s.awaitGroups(4)
+	eventually(t, "a stream is served", func() bool { return d.Send(t.Context(), s.stream()).Status == http.StatusOK })
+	for _, id := range []string{"m0", "m5"} {
+		s.workers[id].Kill()
+		delete(s.workers, id)
+		s.store.Put("servers", id, nil)
+		s.addWorker(id+"-next", "llm", map[string]string{"m0": "d0", "m5": "d1"}[id])
+		eventually(t, "all groups are open again", func() bool {
+			d.Send(t.Context(), s.stream())
+			return len(s.open()) == 4
+		})
+	}
+	must.SliceEmpty(t, s.store.Judge().Broken())
+}
+
+// TestCeiling_LoadsAreSpread: CEILING. Many empty workers need loads while others
+// may be served.
+func TestCeiling_LoadsAreSpread(t *testing.T) {
+	s := newStage(t, 0)
+	s.config.Services[1].Runtime.LoadsPerS = 2
+	s.config.Version++
+	s.store.Apply(s.config)
+	for i := range 24 {
+		s.addWorker(fmt.Sprint("m", i), "llm", fmt.Sprint("d", i/8))
+	}
+	s.start(false)
+	eventually(t, "loads of two windows have begun", func() bool { return s.store.Judge().Loads() > 12 })
+	must.LessEq(t, 13, s.store.Judge().MostLoads(5*time.Second))
+}
+
 // TestLease_PassesOnWhenItsHolderDies has one of two daemons killed that gives
 // the orders, while the store loses answers.
 func TestLease_PassesOnWhenItsHolderDies(t *testing.T) {
--- a/testbed/standin/store.go
+++ b/testbed/standin/store.go
@@ -51,11 +51,12 @@
 	floor   uint64 // history up to here is gone
 	trouble Trouble
 	calls   map[string]int
+	judge   *Judge
 }
 
 // NewStore starts a store, and returns it with a function that stops it.
 func NewStore() (*Store, func()) {
-	s := &Store{begun: time.Now(), changed: make(chan struct{}), rows: map[string]Row{}, calls: map[string]int{}}
+	s := &Store{begun: time.Now(), changed: make(chan struct{}), rows: map[string]Row{}, calls: map[string]int{}, judge: newJudge()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.faulty("rows-get", s.serveRows))
 	mux.HandleFunc("GET /rows-feed", s.faulty("rows-feed", s.serveFeed))
@@ -73,6 +74,9 @@
 // Addr returns where the store listens.
 func (s *Store) Addr() string { return s.server.Listener.Addr().String() }
 
+// Judge returns who watches the rules about groups.
+func (s *Store) Judge() *Judge { return s.judge }
+
 // SetTrouble begins or ends a trouble.
 func (s *Store) SetTrouble(t Trouble) {
 	s.mu.Lock()
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -76,7 +76,9 @@
 
 // Times of the workers: loads and events are much quicker than real ones.
 const (
-	joinTime  = 30 * time.Millisecond
+	joinTime = 30 * time.Millisecond
+	// lateJoin is added for each rank, so that the head is ready long before the rest.
+	lateJoin  = 600 * time.Millisecond
 	eventTime = 15 * time.Millisecond
 	events    = 8
 )
@@ -95,6 +97,7 @@
 	staged   []string
 	group    *groupState
 	members  []string
+	model    string // of the last group
 	epoch    uint64 // highest seen
 	orders   []string
 	runs     []*Run
@@ -107,6 +110,7 @@
 	w := &Worker{id: id, service: service, domain: domain, store: store, released: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /order", w.serveOrder)
+	mux.HandleFunc("GET /report", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", w.serve)
 	w.server = httptest.NewServer(mux)
 	w.publish()
@@ -121,6 +125,9 @@
 	default:
 		close(w.released)
 	}
+	if w.group != nil && w.group.Rank == 0 {
+		w.store.judge.setOpen(w.group, false)
+	}
 	w.mu.Unlock()
 	w.server.CloseClientConnections()
 	w.server.Close()
@@ -226,6 +233,7 @@
 	switch o.Op {
 	case "phase":
 		w.staged = []string{o.Model}
+		w.store.judge.load()
 		return http.StatusAccepted
 	case "join":
 		return w.join(o)
@@ -235,14 +243,17 @@
 	}
 	switch o.Op {
 	case "leave":
+		w.store.judge.setOpen(w.group, w.group.Rank != 0 && w.store.judge.isOpen(w.group))
 		w.group = nil
 	case "open":
 		if w.group.State != "ready" {
 			return http.StatusConflict
 		}
 		w.group.State = "open"
+		w.store.judge.setOpen(w.group, true)
 	case "close":
 		w.group.State = "ready"
+		w.store.judge.setOpen(w.group, false)
 	default:
 		return http.StatusBadRequest
 	}
@@ -259,16 +270,22 @@
 		}
 		return http.StatusPreconditionFailed
 	}
+	w.store.judge.joins(w.id, w.group, o.Group)
+	if w.model != o.Model && !slices.Contains(w.staged, o.Model) {
+		w.store.judge.load()
+	}
 	w.epoch = o.Epoch
+	w.model = o.Model
 	w.members = o.Members
 	group := &groupState{Name: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, w.id), State: "joining"}
 	w.group = group
 	w.staged = []string{o.Model}
-	time.AfterFunc(joinTime, func() {
+	time.AfterFunc(joinTime+time.Duration(group.Rank)*lateJoin, func() {
 		w.mu.Lock()
 		current := w.group == group && group.State == "joining"
 		if current {
 			group.State = "ready"
+			w.store.judge.becameReady(w.id, group, o.Members)
 		}
 		w.mu.Unlock()
 		if current {
@@ -286,6 +303,7 @@
 	released := w.released
 	head := w.group != nil && w.group.State == "open"
 	grouped := w.group != nil
+	group, model, members := w.group, w.model, w.members
 	w.mu.Unlock()
 	if r.Header.Get(headerExpect) != w.id || (grouped && !head) {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -296,6 +314,9 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if grouped {
+		w.store.judge.runs(group, model, members)
+	}
 	run := w.begin(r)
 	switch fault {
 	case LosesAnswers:
