common/tcp: Bound unacknowledged bytes on connections from callers too

Change: one leaf package opens and takes connections; callers have 10 s. The dialer moves out of platform/, which only translates.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -17,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"github.com/pointpass/pointpass/common/tcp"
 	"github.com/pointpass/pointpass/deps"
 	"github.com/pointpass/pointpass/node"
 )
@@ -124,6 +124,8 @@
 const (
 	callerHeaderRead = 3 * time.Second
 	callerIdle       = 30 * time.Second
+	// callerUnacked is how long a caller may leave unacknowledged what was sent to it.
+	callerUnacked = 10 * time.Second
 )
 
 func (p *edgeProcess) listen() error {
@@ -139,7 +141,7 @@
 		addrs = append(addrs, p.settings.PeersAddr())
 	}
 	for i, server := range append([]*http.Server{p.callers}, p.others...) {
-		listener, err := net.Listen("tcp", addrs[i])
+		listener, err := tcp.Listen(context.Background(), addrs[i], callerUnacked)
 		if err != nil {
 			return err
 		}
--- a/common/histories/histories.go
+++ b/common/histories/histories.go
@@ -11,7 +11,7 @@
 // search for faults takes other ones.
 const (
 	seed   = "20261202"
-	checks = "1000"
+	checks = "2000"
 )
 
 // Run runs a package's tests; TestMain calls it.
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/common/tcp"
 	"github.com/pointpass/pointpass/node"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/relay"
@@ -66,7 +67,7 @@
 		settings: settings,
 	}
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
-	peers, closePeers := relay.NewClient(platform.Dialer(peerTimeout), time.Now)
+	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
 	orders, closeOrders := platform.NewOrders()
 	e.following = newFollowing(e, client, peers)
