--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -116,11 +116,11 @@
 	Runtime *Runtime
 }
 
-// NoPriority is the priority of a tenant that leaves it to the route.
+// NoPriority is the priority of a customer that leaves it to the route.
 const NoPriority = -1
 
-// Tenant is somebody who sends requests.
-type Tenant struct {
+// Customer is somebody who sends requests.
+type Customer struct {
 	Name string
 	// Priority outranks that of the route unless it is NoPriority; 0 is the
 	// most urgent.
@@ -140,12 +140,12 @@
 	limits   Limits
 	hosts    map[string][]*Route
 	services map[string]*Service
-	tenants  map[string]*Tenant
+	customers  map[string]*Customer
 }
 
 // New returns a catalog.
-func New(version uint64, limits Limits, routes []Route, services []Service, tenants []Tenant) *Catalog {
-	c := &Catalog{version: version, limits: limits, hosts: map[string][]*Route{}, services: map[string]*Service{}, tenants: map[string]*Tenant{}}
+func New(version uint64, limits Limits, routes []Route, services []Service, customers []Customer) *Catalog {
+	c := &Catalog{version: version, limits: limits, hosts: map[string][]*Route{}, services: map[string]*Service{}, customers: map[string]*Customer{}}
 	for i := range routes {
 		r := &routes[i]
 		c.hosts[r.Host] = append(c.hosts[r.Host], r)
@@ -156,9 +156,9 @@
 	for i := range services {
 		c.services[services[i].Name] = &services[i]
 	}
-	for i := range tenants {
-		for _, key := range tenants[i].Keys {
-			c.tenants[key] = &tenants[i]
+	for i := range customers {
+		for _, key := range customers[i].Keys {
+			c.customers[key] = &customers[i]
 		}
 	}
 	return c
@@ -198,11 +198,11 @@
 	return list
 }
 
-// NeedsCredential tells whether requests must name their tenant.
-func (c *Catalog) NeedsCredential() bool { return len(c.tenants) > 0 }
+// NeedsCredential tells whether requests must name their customer.
+func (c *Catalog) NeedsCredential() bool { return len(c.customers) > 0 }
 
-// Tenant returns the tenant that holds a key.
-func (c *Catalog) Tenant(key string) (*Tenant, bool) {
-	t, ok := c.tenants[key]
+// Customer returns the customer that holds a key.
+func (c *Catalog) Customer(key string) (*Customer, bool) {
+	t, ok := c.customers[key]
 	return t, ok
 }
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -64,7 +64,7 @@
 		Log:      logger,
 		Metrics:  metrics.NewSet(),
 		Catalogs: &catalog.Holder{},
-		Balancer: serving.NewBalancer(settings.Zone()),
+		Balancer: serving.NewBalancer(settings.Hall()),
 		settings: settings,
 	}
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
@@ -89,7 +89,7 @@
 
 // self is how this daemon announces itself.
 func (e *Edge) self() replica.Node {
-	return replica.Node{Name: e.settings.Name(), Addr: e.settings.PeersAddr(), Zone: e.settings.Zone(), Cores: e.settings.Cores()}
+	return replica.Node{Name: e.settings.Name(), Addr: e.settings.PeersAddr(), Hall: e.settings.Hall(), Cores: e.settings.Cores()}
 }
 
 func (e *Edge) wireServing(upstream serving.Upstream) {
--- a/node/settings.go
+++ b/node/settings.go
@@ -14,7 +14,7 @@
 // Settings are the settings of one daemon. They never change.
 type Settings struct {
 	name          string
-	zone          string
+	hall          string
 	callersAddr   string
 	readinessAddr string
 	metricsAddr   string
@@ -44,7 +44,7 @@
 
 type fileSettings struct {
 	Name          string     `json:"name"`
-	Zone          string     `json:"zone"`
+	Hall          string     `json:"hall"`
 	CallersAddr   string     `json:"callers_addr"`
 	ReadinessAddr string     `json:"readiness_addr"`
 	MetricsAddr   string     `json:"metrics_addr"`
@@ -100,7 +100,7 @@
 	c := &checker{document: document}
 	s := &Settings{
 		name:          c.text("name", f.Name),
-		zone:          f.Zone,
+		hall:          f.Hall,
 		callersAddr:   c.address("callers_addr", f.CallersAddr),
 		readinessAddr: c.address("readiness_addr", f.ReadinessAddr),
 		metricsAddr:   c.address("metrics_addr", f.MetricsAddr),
@@ -178,8 +178,8 @@
 // Name returns the daemon's name, alike to no other's.
 func (s *Settings) Name() string { return s.name }
 
-// Zone returns the data hall that the daemon stands in.
-func (s *Settings) Zone() string { return s.zone }
+// Hall returns the data hall that the daemon stands in.
+func (s *Settings) Hall() string { return s.hall }
 
 // CallersAddr returns where callers are served.
 func (s *Settings) CallersAddr() string { return s.callersAddr }
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -12,7 +12,7 @@
 
 const sample = `{
   "name": "e1",
-  "zone": "z1",
+  "hall": "z1",
   "callers_addr": "10.1.0.4:80",
   "readiness_addr": "10.1.0.4:81",
   "metrics_addr": "10.1.0.4:82",
@@ -54,7 +54,7 @@
 	})
 	bare := section.ReplaceAllString(string(template), "")
 	for _, text := range []string{whole, bare} {
-		for gap, value := range map[string]string{"nodeName": "e1", "zone": "z1", "ip": "10.1.0.4", "listen.http": "10.1.0.4:80", "listen.readiness": "10.1.0.4:81", "platform.address": "10.200.1.7:83"} {
+		for gap, value := range map[string]string{"nodeName": "e1", "hall": "z1", "ip": "10.1.0.4", "listen.http": "10.1.0.4:80", "listen.readiness": "10.1.0.4:81", "platform.address": "10.200.1.7:83"} {
 			text = strings.ReplaceAll(text, "{{"+gap+"}}", value)
 		}
 		s, err := Parse("settings.jsonc", []byte(text))
--- a/relay/member.go
+++ b/relay/member.go
@@ -11,23 +11,23 @@
 	Name string
 	// Addr is where the daemon serves other daemons.
 	Addr string
-	Zone string
+	Hall string
 	// Cores is the share of a core that the daemon may use.
 	Cores float64
 }
 
-// Bounds of relaying. In a zone with few daemons each asks the store itself: that
+// Bounds of relaying. In a hall with few daemons each asks the store itself: that
 // costs little, and one hop less.
 const (
 	fewMembers    = 6
-	relaysPerZone = 2
+	relaysPerHall = 2
 )
 
 // Upstreams returns the daemons that one asks in place of the store, best first.
-// None means that it asks the store itself: because its zone has few daemons, or
+// None means that it asks the store itself: because its hall has few daemons, or
 // because it relays for the others.
 func Upstreams(self Member, all []Member) []Member {
-	relays := relaysIn(self.Zone, all)
+	relays := relaysIn(self.Hall, all)
 	if i := indexOf(relays, self.Name); i >= 0 {
 		return relays[:i]
 	}
@@ -36,15 +36,15 @@
 
 // Relays tells whether others ask a daemon in place of the store.
 func Relays(self Member, all []Member) bool {
-	return indexOf(relaysIn(self.Zone, all), self.Name) >= 0
+	return indexOf(relaysIn(self.Hall, all), self.Name) >= 0
 }
 
-// relaysIn returns the daemons that relay in a zone. Those with the most processor
+// relaysIn returns the daemons that relay in a hall. Those with the most processor
 // time do, and among these a hash decides, so that all daemons choose alike.
-func relaysIn(zone string, all []Member) []Member {
+func relaysIn(hall string, all []Member) []Member {
 	var here []Member
 	for _, m := range all {
-		if m.Zone == zone && m.Addr != "" {
+		if m.Hall == hall && m.Addr != "" {
 			here = append(here, m)
 		}
 	}
@@ -54,7 +54,7 @@
 	slices.SortFunc(here, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
 	})
-	return here[:relaysPerZone]
+	return here[:relaysPerHall]
 }
 
 func indexOf(list []Member, name string) int {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -271,24 +271,24 @@
 func TestUpstreams(t *testing.T) {
 	var all []Member
 	for i := range 20 {
-		all = append(all, Member{Name: "e" + strconv.Itoa(i), Addr: "a" + strconv.Itoa(i), Zone: "z", Cores: 0.2})
+		all = append(all, Member{Name: "e" + strconv.Itoa(i), Addr: "a" + strconv.Itoa(i), Hall: "z", Cores: 0.2})
 	}
 	all[7].Cores = 0.8
-	all = append(all, Member{Name: "mute", Zone: "z", Cores: 2}, Member{Name: "far", Addr: "f", Zone: "other", Cores: 2})
+	all = append(all, Member{Name: "mute", Hall: "z", Cores: 2}, Member{Name: "far", Addr: "f", Hall: "other", Cores: 2})
 	must.SliceEmpty(t, Upstreams(all[7], all), must.Sprint("it asks the store for all"))
 	must.True(t, Relays(all[7], all))
-	must.SliceEmpty(t, Upstreams(all[21], all), must.Sprint("its zone has few"))
+	must.SliceEmpty(t, Upstreams(all[21], all), must.Sprint("its hall has few"))
 	must.False(t, Relays(all[21], all))
 	relays := 0
 	for _, m := range all[:20] {
 		up := Upstreams(m, all)
 		if Relays(m, all) {
 			relays++
-			must.Less(t, relaysPerZone, len(up), must.Sprint("relays don't ask each other in a circle"))
+			must.Less(t, relaysPerHall, len(up), must.Sprint("relays don't ask each other in a circle"))
 			continue
 		}
-		must.Len(t, relaysPerZone, up)
+		must.Len(t, relaysPerHall, up)
 		must.EqOp(t, "e7", up[0].Name)
 	}
-	must.EqOp(t, relaysPerZone, relays)
+	must.EqOp(t, relaysPerHall, relays)
 }
--- a/replica/control.go
+++ b/replica/control.go
@@ -14,7 +14,7 @@
 	Name string `json:"-"`
 	// Addr is where it serves other processes, "" if it doesn't.
 	Addr string `json:"addr,omitempty"`
-	Zone string `json:"zone,omitempty"`
+	Hall string `json:"hall,omitempty"`
 	// Cores is the share of a core that it may use.
 	Cores float64 `json:"cores,omitempty"`
 }
--- a/replica/form.go
+++ b/replica/form.go
@@ -272,7 +272,7 @@
 	loads   int
 	// spoiled are the groups of the largest model that no longer fit the domain.
 	spoiled int
-	// alike and near are the groups of the model in the same domain and zone.
+	// alike and near are the groups of the model in the same domain and hall.
 	alike, near int
 	domain      string
 }
@@ -373,7 +373,7 @@
 	if head.Domain == c.domain {
 		c.alike++
 	}
-	if head.Zone == c.members[0].Zone {
+	if head.Hall == c.members[0].Hall {
 		c.near++
 	}
 }
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -92,7 +92,7 @@
 // add starts an empty worker in a domain; its row comes after a lag.
 func (w *world) add(domain string, lag time.Duration) {
 	w.next++
-	e := &engine{worker: workers.Worker{ID: fmt.Sprint("i", w.next), Service: "llm", Domain: domain, Zone: domain}}
+	e := &engine{worker: workers.Worker{ID: fmt.Sprint("i", w.next), Service: "llm", Domain: domain, Hall: domain}}
 	w.engines[e.worker.ID] = e
 	w.tell(e, lag)
 }
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -88,17 +88,17 @@
 // each. It is safe for use by many goroutines.
 type Balancer struct {
 	mu    sync.Mutex
-	zone  string
+	hall  string
 	loads map[string]*load
 }
 
-// NewBalancer returns a balancer for a process in a zone.
-func NewBalancer(zone string) *Balancer { return &Balancer{zone: zone, loads: map[string]*load{}} }
+// NewBalancer returns a balancer for a process in a hall.
+func NewBalancer(hall string) *Balancer { return &Balancer{hall: hall, loads: map[string]*load{}} }
 
 // Choose returns the target with the least work among those that aren't excluded,
 // and counts a request there. Suspect targets are chosen only where all are
 // suspect: trying one is better than refusing. Among equals it prefers the own
-// zone. It returns false if there is none.
+// hall. It returns false if there is none.
 func (b *Balancer) Choose(targets []Target, excluded []string, now time.Time) (Target, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -121,7 +121,7 @@
 	return targets[best], true
 }
 
-// farPenalty is what a target outside the zone costs, in requests under way, and
+// farPenalty is what a target outside the hall costs, in requests under way, and
 // tieSpread how far chance may move a score, so that processes that know the
 // same don't all choose the same.
 const (
@@ -139,7 +139,7 @@
 			score += suspectPenalty
 		}
 	}
-	if t.Worker.Zone != b.zone {
+	if t.Worker.Hall != b.hall {
 		score += farPenalty
 	}
 	return score
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -20,7 +20,7 @@
 	deadline time.Time
 	inForce  catalog.InForce
 	route    *catalog.Route
-	tenant   *catalog.Tenant
+	customer   *catalog.Customer
 	service  *catalog.Service
 
 	// sent is how many workers got the request, tried the targets it was sent to.
@@ -162,10 +162,10 @@
 		LastEvent:     e.lastEvent,
 		NewConnection: !e.route.Repeats(),
 	}
-	if e.tenant != nil {
-		a.Tenant = e.tenant.Name
-		if e.tenant.Priority != catalog.NoPriority {
-			a.Priority = e.tenant.Priority
+	if e.customer != nil {
+		a.Customer = e.customer.Name
+		if e.customer.Priority != catalog.NoPriority {
+			a.Priority = e.customer.Priority
 		}
 	}
 	return a
--- a/serving/record.go
+++ b/serving/record.go
@@ -50,8 +50,8 @@
 	if e.service != nil {
 		entry = entry.Str("service", e.service.Name)
 	}
-	if e.tenant != nil {
-		entry = entry.Str("tenant", e.tenant.Name)
+	if e.customer != nil {
+		entry = entry.Str("customer", e.customer.Name)
 	}
 	if e.inForce.Catalog != nil {
 		entry = entry.Uint64("config", e.inForce.Catalog.Version()).Dur("config_age", e.inForce.Age(e.arrived))
--- a/serving/server.go
+++ b/serving/server.go
@@ -125,7 +125,7 @@
 	w.Write([]byte(f.reason + "\n"))
 }
 
-// admit finds the route, tenant and service of a request, or the reason why it
+// admit finds the route, customer and service of a request, or the reason why it
 // is refused.
 func (e *exchange) admit(underWay int64) *fault {
 	s := e.server
@@ -147,11 +147,11 @@
 		if !fresh {
 			return &fault{status: http.StatusServiceUnavailable, reason: "credentials can't be checked at present", retryAfter: settingsRetry}
 		}
-		tenant, known := c.Tenant(e.req.Credential)
+		customer, known := c.Customer(e.req.Credential)
 		if !known {
 			return &fault{status: http.StatusUnauthorized, reason: "the key is not known"}
 		}
-		e.tenant = tenant
+		e.customer = customer
 	}
 	service, known := c.Service(route.ServiceFor(rand.Float64()))
 	if !known {
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -16,11 +16,11 @@
 
 var noon = time.Unix(1_000_000, 0)
 
-func target(key, zone string) Target {
-	return Target{Key: key, Worker: workers.Worker{ID: key, Zone: zone}, Pace: 1}
+func target(key, hall string) Target {
+	return Target{Key: key, Worker: workers.Worker{ID: key, Hall: hall}, Pace: 1}
 }
 
-func TestChoose_LeastWorkThenOwnZone(t *testing.T) {
+func TestChoose_LeastWorkThenOwnHall(t *testing.T) {
 	b := NewBalancer("z1")
 	targets := []Target{target("far", "z2"), target("near", "z1")}
 	first, _ := b.Choose(targets, nil, noon)
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -133,7 +133,7 @@
 }
 
 const settings = `{
-  "name": %q, "zone": "z1", "first_start": %t,
+  "name": %q, "hall": "z1", "first_start": %t,
   "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
   "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10},
 }`
--- a/workers/worker.go
+++ b/workers/worker.go
@@ -38,7 +38,7 @@
 	ID       string
 	Service  string
 	Address  string
-	Zone     string
+	Hall     string
 	Domain   string
 	Slots    int
 	Draining bool
