replica: Keep the planner of a term while its lease counts as lapsed

When a renewal takes longer than the lease, the lease counts as lapsed; the controller dropped its planner; the renewal then succeeds, since nobody else took the lease, and the term goes on. A new planner of the same term counted its groups from one again.

Change: the planner is kept until the term changes. While the lease counts as lapsed it gives no orders.

--- a/replica/controller.go
+++ b/replica/controller.go
@@ -127,22 +127,37 @@
 func (c *Controller) step(ctx context.Context) time.Duration {
 	term, held := c.opts.Lease.Held()
 	if !held {
-		c.planner = nil
 		return standbyTick
 	}
+	for _, o := range c.plan(ctx, term) {
+		go c.give(ctx, term, o)
+	}
+	return holderTick
+}
+
+// plan returns the orders to give now under a term of the lease. The planner of a
+// term is kept while the lease counts as lapsed here: a renewal that comes late lets
+// the term go on, and a second planner would use the names of the first one's groups
+// again.
+func (c *Controller) plan(ctx context.Context, term uint64) []Order {
 	current := c.opts.Catalogs.Current().Catalog
 	if current == nil {
-		return holderTick
+		return nil
 	}
 	if c.planner == nil || c.planner.Term() != term {
 		c.planner = NewPlanner(term, c.opts.Ceiling)
 	}
-	c.probeFailing(ctx, term, c.opts.Workers(), c.opts.Now())
-	situation := Situation{Now: c.opts.Now(), View: c.opts.Workers(), Services: current.Services(), Idle: c.opts.Idle(), Failing: c.failing, StoreBack: c.opts.StoreBack()}
-	for _, o := range c.planner.Plan(situation) {
-		go c.give(ctx, term, o)
-	}
-	return holderTick
+	now := c.opts.Now()
+	view := c.opts.Workers()
+	c.probeFailing(ctx, term, view, now)
+	return c.planner.Plan(Situation{
+		Now:       now,
+		View:      view,
+		Services:  current.Services(),
+		Idle:      c.opts.Idle(),
+		Failing:   c.failing,
+		StoreBack: c.opts.StoreBack(),
+	})
 }
 
 // give gives one order, unless the lease has ended in the meantime.
--- /dev/null
+++ b/replica/controller_test.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// listedOrders keeps the member lists that joins named, by group.
+type listedOrders struct {
+	mu    sync.Mutex
+	lists map[workers.GroupID]map[string]bool
+}
+
+// Give takes an order that gets no answer.
+func (l *listedOrders) Give(_ context.Context, o Order) (Outcome, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.Op == Join {
+		if l.lists[o.Group] == nil {
+			l.lists[o.Group] = map[string]bool{}
+		}
+		l.lists[o.Group][fmt.Sprint(o.Members)] = true
+	}
+	return Unanswered, nil
+}
+
+func (l *listedOrders) Answers(context.Context, workers.Worker) bool { return true }
+
+// TestController_ALeaseThatGoesOnKeepsItsPlanner has the lease of a slow holder run
+// out while its renewal is under way, and go on under the same term. A second
+// planner of that term would give the names of the first one's groups to others.
+func TestController_ALeaseThatGoesOnKeepsItsPlanner(t *testing.T) {
+	table, leases := newLeases(1)
+	lease := leases[0]
+	ctx := t.Context()
+	lease.round(ctx)
+	term, held := lease.Held()
+	must.True(t, held)
+
+	w := newWorld(1, 8)
+	w.step()
+	var catalogs catalog.Holder
+	catalogs.Accept(catalog.New(1, catalog.Limits{}, nil, []catalog.Service{*w.service}, nil), table.now)
+	orders := &listedOrders{lists: map[workers.GroupID]map[string]bool{}}
+	c := NewController(Options{
+		Lease:     lease,
+		Orders:    orders,
+		Prober:    orders,
+		Workers:   func() *workers.View { return w.view },
+		Catalogs:  &catalogs,
+		Ceiling:   testCeiling,
+		Idle:      func() bool { return true },
+		Failing:   func(string) bool { return false },
+		StoreBack: func() time.Time { return time.Time{} },
+		Metrics:   metrics.NewSet(),
+		Now:       func() time.Time { return table.now },
+		Log:       &log.Logger{Level: log.PanicLevel},
+	})
+	act := func() {
+		term, held := lease.Held()
+		if !held {
+			c.step(ctx)
+			return
+		}
+		for _, o := range c.plan(ctx, term) {
+			c.give(ctx, term, o)
+		}
+		c.takeAll()
+	}
+	act()
+	table.now = table.now.Add(2 * time.Second)
+	lease.renew(ctx)
+	act()
+	must.MapNotEmpty(t, orders.lists)
+
+	table.now = table.now.Add(leaseLength)
+	_, held = lease.Held()
+	must.False(t, held)
+	act()
+	lease.renew(ctx)
+	again, held := lease.Held()
+	must.True(t, held)
+	must.EqOp(t, term, again)
+	w.reg.Apply(nil, []string{"i1"}, false)
+	act()
+	table.now = table.now.Add(time.Second)
+	act()
+	for id, lists := range orders.lists {
+		must.MapLen(t, 1, lists, must.Sprint(id))
+	}
+}
