relay: Tell the holder of the lease when callers are being served

Loads are free until the first request, and the holder took its own first request for that. One of 300 daemons sees its first request late.

Ruled out: the bound itself (kept once it applies).

Change: each daemon tells the holder once, when its first request comes. TestCeiling_HoldsOnceAnyDaemonServes was red before.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -54,7 +54,9 @@
 	following   *following
 	reporter    *reporter
 	workersRead atomic.Bool
-	storeBack   atomic.Pointer[time.Time]
+	// begun tells that callers are being served, here or elsewhere.
+	begun     atomic.Bool
+	storeBack atomic.Pointer[time.Time]
 }
 
 // NewEdge wires a daemon. Nothing runs before Run. The function returned frees
@@ -77,7 +79,7 @@
 	e.reporter = newReporter(e, peers)
 	e.wireServing(upstream)
 	e.wireControl(orders)
-	e.Peers = e.following.handler(e.Controller.Suspect)
+	e.Peers = e.following.handler(reports{e})
 	e.gauges()
 	return e, func() {
 		closeOrders()
@@ -102,6 +104,7 @@
 		MostAge:      mostAge(e.settings.Bounds().Revoke),
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
+		FirstUse:     e.firstUse,
 		MostRequests: mostRequests,
 		Now:          time.Now,
 		Log:          e.Log,
@@ -120,7 +123,7 @@
 		Ceiling:   replica.LoadCeiling{Window: bounds.LoadWindow, Overrun: bounds.LoadOverrun},
 		Failing:   e.Balancer.Failing,
 		StoreBack: e.lastBack,
-		Idle:      func() bool { return e.settings.FirstStart() && !e.Server.Used() },
+		Idle:      func() bool { return e.settings.FirstStart() && !e.begun.Load() },
 		Metrics:   e.Metrics,
 		Now:       time.Now,
 		Log:       e.Log,
@@ -241,6 +244,22 @@
 	e.Log.Info().Str("event", "store_regained").Str("table", table).Msg("")
 }
 
+// firstUse notes that callers are being served, and tells the holder of the lease,
+// which may be the last to see one.
+func (e *Edge) firstUse() {
+	e.begun.Store(true)
+	e.reporter.reportBegun()
+}
+
+// reports is how other daemons tell an Edge things.
+type reports struct{ *Edge }
+
+// Suspect takes in that a group fails requests at another daemon.
+func (r reports) Suspect(group, reporter string) { r.Controller.Suspect(group, reporter) }
+
+// Begun takes in that callers are being served.
+func (r reports) Begun() { r.begun.Store(true) }
+
 // lastBack returns when the workers' table could be read again after it could not.
 func (e *Edge) lastBack() time.Time {
 	if at := e.storeBack.Load(); at != nil {
--- a/deps/following.go
+++ b/deps/following.go
@@ -71,13 +71,13 @@
 	return f
 }
 
-// handler serves other daemons; suspect is told what they report.
-func (f *following) handler(suspect func(group, reporter string)) http.Handler {
+// handler serves other daemons; reports is told what they report.
+func (f *following) handler(reports relay.Reports) http.Handler {
 	var caches []*relay.Cache
 	for _, c := range f.caches {
 		caches = append(caches, c)
 	}
-	return rpc.NewRelayServer(relay.NewServer(suspect, time.Now, caches...))
+	return rpc.NewRelayServer(relay.NewServer(reports, time.Now, caches...))
 }
 
 // Run follows all tables until ctx ends.
--- a/deps/reporter.go
+++ b/deps/reporter.go
@@ -24,13 +24,14 @@
 	edge  *Edge
 	peers *relay.Client
 	queue chan string
+	begun chan struct{}
 
 	mu   sync.Mutex
 	last map[string]time.Time
 }
 
 func newReporter(e *Edge, peers *relay.Client) *reporter {
-	return &reporter{edge: e, peers: peers, queue: make(chan string, mostReports), last: map[string]time.Time{}}
+	return &reporter{edge: e, peers: peers, queue: make(chan string, mostReports), begun: make(chan struct{}, 1), last: map[string]time.Time{}}
 }
 
 // report has a failing group reported soon. It never waits.
@@ -65,10 +66,31 @@
 			return
 		case group := <-r.queue:
 			r.send(ctx, group)
+		case <-r.begun:
+			r.sendBegun(ctx)
 		}
 	}
 }
 
+// reportBegun has the holder told soon that callers are being served. It never
+// waits.
+func (r *reporter) reportBegun() {
+	select {
+	case r.begun <- struct{}{}:
+	default:
+	}
+}
+
+func (r *reporter) sendBegun(ctx context.Context) {
+	holder, known := r.edge.following.holder()
+	if !known || holder.Name == r.edge.settings.Name() {
+		return
+	}
+	if err := r.peers.Begun(ctx, holder.Addr); err != nil {
+		r.edge.Log.Warn().Str("event", "report_failed").Str("holder", holder.Name).Err(err).Msg("")
+	}
+}
+
 func (r *reporter) send(ctx context.Context, group string) {
 	if _, held := r.edge.Lease.Held(); held {
 		r.edge.Controller.Suspect(group, r.edge.settings.Name())
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -100,11 +100,18 @@
 	must.Eq(t, []store.Row{row("a", 12)}, (<-answered).Rows)
 }
 
+// reported keeps reports as text.
+type reported chan string
+
+func (r reported) Suspect(group, reporter string) { r <- group + " " + reporter }
+
+func (r reported) Begun() { r <- "begun" }
+
 // serve serves a cache as a daemon would, whose clock is ahead of the caller's.
-func serve(t *testing.T, c *Cache, now func() time.Time) (addr string, reports chan string) {
+func serve(t *testing.T, c *Cache, now func() time.Time) (addr string, reports reported) {
 	t.Helper()
-	reports = make(chan string, 1)
-	handler := rpc.NewRelayServer(NewServer(func(group, reporter string) { reports <- group + " " + reporter }, now, c))
+	reports = make(reported, 1)
+	handler := rpc.NewRelayServer(NewServer(reports, now, c))
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://"), reports
@@ -150,6 +157,8 @@
 	addr, reports := serve(t, filled(t), time.Now)
 	must.NoError(t, newTestClient(t, time.Now).Suspect(t.Context(), addr, "m.7", "e1"))
 	must.EqOp(t, "m.7 e1", <-reports)
+	must.NoError(t, newTestClient(t, time.Now).Begun(t.Context(), addr))
+	must.EqOp(t, "begun", <-reports)
 	var failed *CallError
 	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", "m.7", "e1"), &failed))
 }
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -26,13 +26,21 @@
 // Server answers other daemons. It implements rpc.Relay.
 type Server struct {
 	caches  map[string]*Cache
-	suspect func(group, reporter string)
+	reports Reports
 	now     func() time.Time
 }
 
-// NewServer returns a server of some tables that tells suspect what others report.
-func NewServer(suspect func(group, reporter string), now func() time.Time, caches ...*Cache) *Server {
-	s := &Server{caches: map[string]*Cache{}, suspect: suspect, now: now}
+// Reports takes in what other daemons report.
+type Reports interface {
+	// Suspect takes in that a group fails requests at a daemon.
+	Suspect(group, reporter string)
+	// Begun takes in that callers are being served somewhere.
+	Begun()
+}
+
+// NewServer returns a server of some tables that tells reports what others report.
+func NewServer(reports Reports, now func() time.Time, caches ...*Cache) *Server {
+	s := &Server{caches: map[string]*Cache{}, reports: reports, now: now}
 	for _, c := range caches {
 		s.caches[c.table] = c
 	}
@@ -79,10 +87,16 @@
 
 // Suspect takes in that a group fails requests elsewhere.
 func (s *Server) Suspect(_ context.Context, m *rpc.SuspectRequest) (*rpc.SuspectReply, error) {
-	s.suspect(m.Group, m.Reporter)
+	s.reports.Suspect(m.Group, m.Reporter)
 	return &rpc.SuspectReply{}, nil
 }
 
+// Begun takes in that callers are being served.
+func (s *Server) Begun(context.Context, *rpc.BegunRequest) (*rpc.BegunReply, error) {
+	s.reports.Begun()
+	return &rpc.BegunReply{}, nil
+}
+
 // Client asks other daemons. It is safe for use by many goroutines.
 type Client struct {
 	http *http.Client
@@ -153,6 +167,16 @@
 	return nil
 }
 
+// Begun tells another daemon that callers are being served.
+func (c *Client) Begun(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if _, err := c.stub(addr).Begun(ctx, &rpc.BegunRequest{}); err != nil {
+		return &CallError{Addr: addr, Err: err}
+	}
+	return nil
+}
+
 // CallError tells that another daemon did not answer.
 type CallError struct {
 	Addr string
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -20,7 +20,7 @@
 	deadline time.Time
 	inForce  catalog.InForce
 	route    *catalog.Route
-	customer   *catalog.Customer
+	customer *catalog.Customer
 	service  *catalog.Service
 
 	// sent is how many workers got the request, tried the targets it was sent to.
--- a/serving/request.go
+++ b/serving/request.go
@@ -40,7 +40,7 @@
 type Attempt struct {
 	Request  *Request
 	Worker   workers.Worker
-	Customer   string
+	Customer string
 	Priority int
 	// Left is how long the worker may take.
 	Left time.Duration
--- a/serving/server.go
+++ b/serving/server.go
@@ -28,6 +28,8 @@
 	Allowance func() retry.Allowance
 	// Suspect is told each group that fails a request.
 	Suspect func(group string)
+	// FirstUse is told once, when the first request comes.
+	FirstUse func()
 	// MostRequests is how many requests may be under way.
 	MostRequests int64
 	Now          func() time.Time
@@ -39,7 +41,7 @@
 	opts     Options
 	underWay atomic.Int64
 	stopping atomic.Bool
-	used     atomic.Bool
+	used     sync.Once
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -53,9 +55,6 @@
 // Stop makes the server ask callers to leave after their present request.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// Used tells whether any request has come yet.
-func (s *Server) Used() bool { return s.used.Load() }
-
 // UnderWay returns how many requests are being served.
 func (s *Server) UnderWay() int64 { return s.underWay.Load() }
 
@@ -69,7 +68,7 @@
 // Serve answers a request. It panics with http.ErrAbortHandler where an answer
 // that has begun can't be brought to its end.
 func (s *Server) Serve(w http.ResponseWriter, r *http.Request, req *Request) {
-	s.used.Store(true)
+	s.used.Do(s.opts.FirstUse)
 	count := s.underWay.Add(1)
 	defer s.underWay.Add(-1)
 	if s.stopping.Load() {
--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -501,6 +501,24 @@
 	must.LessEq(t, 13, s.store.Judge().MostLoads(5*time.Second))
 }
 
+// TestCeiling_HoldsOnceAnyDaemonServes: CEILING. The daemon that gives orders has
+// served nobody yet, but another one has.
+func TestCeiling_HoldsOnceAnyDaemonServes(t *testing.T) {
+	s := newStage(t, 0)
+	s.config.Services[1].Runtime.LoadsPerS = 2
+	s.config.Version++
+	s.store.Apply(s.config)
+	holder := s.start(true)
+	eventually(t, "the first holds the lease", func() bool { return strings.Contains(holder.Metrics(), "pointpass_lease_held 1") })
+	other := s.start(true)
+	must.EqOp(t, http.StatusOK, other.Send(t.Context(), s.ask(http.MethodPost, "/post/x")).Status)
+	for i := range 24 {
+		s.addWorker(fmt.Sprint("m", i), "llm", fmt.Sprint("d", i/8))
+	}
+	eventually(t, "loads of two windows have begun", func() bool { return s.store.Judge().Loads() > 12 })
+	must.LessEq(t, 13, s.store.Judge().MostLoads(5*time.Second))
+}
+
 // TestLease_PassesOnWhenItsHolderDies has one of two daemons killed that gives
 // the orders, while the store loses answers.
 func TestLease_PassesOnWhenItsHolderDies(t *testing.T) {
