--- a/replica/stage.go
+++ b/replica/stage.go
@@ -208,3 +208,21 @@
 	}
 	return r.service.Runtime.LoadsAtOnce - underWay
 }
+
+// loadsLeft returns how many loads may begin now.
+func (r *round) loadsLeft() int {
+	rate := r.service.Runtime.LoadsPerSecond
+	if r.idle || rate <= 0 {
+		return len(r.view.Of(r.service.Name))
+	}
+	r.loads = slices.DeleteFunc(r.loads, func(l load) bool {
+		return r.now.Sub(l.begun) > max(r.ceiling.Window, 2*l.length)
+	})
+	begun := 0
+	for _, l := range r.loads {
+		if r.now.Sub(l.begun) <= r.ceiling.Window {
+			begun++
+		}
+	}
+	return int(rate*r.ceiling.Window.Seconds()*r.ceiling.Overrun) + r.ceiling.Extra - begun
+}
