--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -136,11 +136,11 @@
 
 // Catalog is one version of the configuration. It never changes.
 type Catalog struct {
-	version  uint64
-	limits   Limits
-	hosts    map[string][]*Route
-	services map[string]*Service
-	customers  map[string]*Customer
+	version   uint64
+	limits    Limits
+	hosts     map[string][]*Route
+	services  map[string]*Service
+	customers map[string]*Customer
 }
 
 // New returns a catalog.
