node: Check that the settings template has no unfilled gap

Cause: the renaming of zone to hall also renamed the gap that the test of the template fills. The template still says {{zone}}, which stayed unfilled, and the test passed, since any text is a hall: it had become weaker.

Change: the gap is called zone again, no gap may be left, and the hall is compared.

--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -54,11 +54,13 @@
 	})
 	bare := section.ReplaceAllString(string(template), "")
 	for _, text := range []string{whole, bare} {
-		for gap, value := range map[string]string{"nodeName": "e1", "hall": "z1", "ip": "10.1.0.4", "listen.http": "10.1.0.4:80", "listen.readiness": "10.1.0.4:81", "platform.address": "10.200.1.7:83"} {
+		for gap, value := range map[string]string{"nodeName": "e1", "zone": "z1", "ip": "10.1.0.4", "listen.http": "10.1.0.4:80", "listen.readiness": "10.1.0.4:81", "platform.address": "10.200.1.7:83"} {
 			text = strings.ReplaceAll(text, "{{"+gap+"}}", value)
 		}
+		must.StrNotContains(t, text, "{{", must.Sprint("a gap was not filled"))
 		s, err := Parse("settings.jsonc", []byte(text))
 		must.NoError(t, err)
+		must.EqOp(t, "z1", s.Hall())
 		must.EqOp(t, "10.1.0.4:9102", s.MetricsAddr())
 		must.EqOp(t, text != bare && strings.Contains(text, "first_start"), s.FirstStart())
 	}
