--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
 )
 
@@ -22,6 +23,8 @@
 	route    *catalog.Route
 	customer *catalog.Customer
 	service  *catalog.Service
+	// window counts the request while it is under way, nil where nothing bounds it.
+	window *admission.Window
 
 	// sent is how many workers got the request, tried the targets it was sent to.
 	sent  int
--- /dev/null
+++ b/serving/overload.go
@@ -0,0 +1,64 @@
+package serving
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pointpass/pointpass/admission"
+)
+
+// A refusal for want of room names a wait between these parts of the slack that
+// first events leave: another daemon may have room at once, and whoever finds some
+// then is still in time.
+const (
+	leastReturn = 0.2
+	mostReturn  = 0.6
+)
+
+// window returns the window of a model's requests.
+func (s *Server) window(key modelKey) *admission.Window {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.windows[key]
+	if !ok {
+		w = admission.NewWindow()
+		s.windows[key] = w
+	}
+	return w
+}
+
+// enter counts a request for a model as under way, or refuses it where the model's
+// groups have as much to do as they can in time. Services whose workers each serve
+// alone have no window: their queues are short.
+func (e *exchange) enter() *fault {
+	if e.service.Runtime == nil {
+		return nil
+	}
+	if _, known := e.service.Runtime.Model(e.req.Model); !known {
+		return nil
+	}
+	w := e.server.window(modelKey{service: e.service.Name, model: e.req.Model})
+	if !w.Enter(rand.Float64()) {
+		e.server.opts.Counters.overload.Inc()
+		part := leastReturn + (mostReturn-leastReturn)*rand.Float64()
+		wait := time.Duration(part * float64(w.Slack(e.route.Goal)))
+		return &fault{status: http.StatusServiceUnavailable, reason: "the model's groups are fully used", retryAfter: wait}
+	}
+	e.window = w
+	return nil
+}
+
+// leave ends the count that enter began.
+func (e *exchange) leave() {
+	if e.window != nil {
+		e.window.Leave(e.server.opts.Now().Sub(e.arrived))
+	}
+}
+
+// noteFirstEvent tells the window how long an attempt's first event took.
+func (e *exchange) noteFirstEvent(now time.Time, took time.Duration) {
+	if e.window != nil {
+		e.window.FirstEvent(now, took, e.route.Goal)
+	}
+}
--- a/serving/record.go
+++ b/serving/record.go
@@ -16,6 +16,8 @@
 	rejected   *metrics.Counter
 	resumed    *metrics.Counter
 	overBudget *metrics.Counter
+	// overload counts the requests refused since their model's groups were fully used.
+	overload *metrics.Counter
 	// oldEvidence counts the verdicts given while evidence was old.
 	oldEvidence map[catalog.Verdict]*metrics.Counter
 	firstEvent  *metrics.Histogram
@@ -34,6 +36,7 @@
 		rejected:    set.NewCounter("pointpass_attempts_rejected_total"),
 		resumed:     set.NewCounter("pointpass_streams_resumed_total"),
 		overBudget:  set.NewCounter("pointpass_retries_over_budget_total"),
+		overload:    set.NewCounter("pointpass_refused_overload_total"),
 		firstEvent:  set.NewHistogram("pointpass_first_event_seconds"),
 		duration:    set.NewHistogram("pointpass_request_seconds"),
 	}
--- a/serving/server.go
+++ b/serving/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
@@ -45,11 +46,15 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
+	windows map[modelKey]*admission.Window
 }
 
+// modelKey names a model of a service.
+type modelKey struct{ service, model string }
+
 // NewServer returns a server.
 func NewServer(opts Options) *Server {
-	return &Server{opts: opts, budgets: map[string]*retry.Window{}}
+	return &Server{opts: opts, budgets: map[string]*retry.Window{}, windows: map[modelKey]*admission.Window{}}
 }
 
 // Stop makes the server ask callers to leave after their present request.
@@ -76,8 +81,12 @@
 	}
 	e := &exchange{server: s, w: w, req: req, arrived: s.opts.Now(), lastEvent: req.LastEvent}
 	fault := e.admit(count)
+	if fault == nil {
+		fault = e.enter()
+	}
 	if fault == nil {
 		fault = e.run(r.Context())
+		e.leave()
 	}
 	e.finish(r.Context(), fault)
 }
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -190,6 +190,9 @@
 	w.last = now
 	balancer := w.exchange.server.opts.Balancer
 	balancer.Sign(w.key, now, now.Sub(since), first)
+	if first {
+		w.exchange.noteFirstEvent(now, now.Sub(since))
+	}
 	if w.timer != nil {
 		_, between := balancer.Patience(w.key)
 		w.timer.Reset(between)
