--- a/admission/window.go
+++ b/admission/window.go
@@ -1,23 +1,34 @@
 package admission
 
 import (
+	"container/list"
 	"math"
 	"sync"
 	"time"
 )
 
-// How a window follows the delay of first events.
+// How a window follows the delay of first events. The figures are from paired plays
+// of surge days and calm days, see docs/design/overload.md.
 const (
 	// mostDelay is the part of its goal that a first event may take on average. The
 	// rest is for prompts longer than usual and for the wait that chance makes.
 	mostDelay = 0.75
-	// delayWeight is how much the newest first event counts in the average.
+	// delayWeight is how much the newest first event counts in the average, and
+	// mostCounted the most that it counts for, so that one that was held up by a
+	// fault doesn't look like load.
 	delayWeight = 0.25
-	// least is the smallest window: with none under way nothing would tell that
+	mostCounted = 1.2
+	// growth is how much one first event grows the window, for each part of the goal
+	// that the average delay leaves. At a healthy delay that is a tenth of a usual
+	// window for each first event.
+	growth = 2.0
+	// cutFactor multiplies what a cut takes away, since requests arrive while it
+	// takes effect, and deepestCut is the least part of a window that one cut leaves.
+	cutFactor  = 1.5
+	deepestCut = 0.75
+	// leastWindow is the smallest window: with none under way nothing would tell that
 	// there is room again.
-	least = 1
-	// deepestCut is the least part of a window that one cut leaves.
-	deepestCut = 0.5
+	leastWindow = 1
 	// usualDuration is how long requests are taken to last before one has ended.
 	usualDuration = time.Second
 )
@@ -39,48 +50,99 @@
 	// delay is the average time to a first event, as a part of its goal.
 	delay    float64
 	duration Estimate
+	// waiting are the requests without a first event, in order of their coming.
+	waiting list.List
+}
+
+// Place is a request's place in a window, from Enter to Leave.
+type Place struct {
+	window  *Window
+	goal    time.Duration
+	entered time.Time
+	// waiting is the place's element among those that wait, nil once it had its first
+	// event or was counted as late.
+	waiting *list.Element
 }
 
 // NewWindow returns a window without a bound.
 func NewWindow() *Window { return &Window{limit: math.Inf(1)} }
 
-// Enter counts a request as under way if there is room for it, and tells whether
-// there was. Random, in [0, 1), decides on the fraction of a place that a limit
-// leaves.
-func (w *Window) Enter(random float64) bool {
+// Enter counts a request as under way if there is room for it, and returns its place,
+// nil if there was none. Goal is what its first event should take, 0 if nobody says.
+// Random, in [0, 1), decides on the fraction of a place that a limit leaves.
+func (w *Window) Enter(now time.Time, goal time.Duration, random float64) *Place {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.noteOverdue(now)
 	if float64(w.underWay)+random >= w.limit {
-		return false
+		return nil
 	}
 	w.underWay++
-	return true
+	p := &Place{window: w, goal: goal, entered: now}
+	if goal > 0 {
+		p.waiting = w.waiting.PushBack(p)
+	}
+	return p
 }
 
-// Leave ends the count of a request that lasted for took.
-func (w *Window) Leave(took time.Duration) {
+// Leave ends the count of a request.
+func (p *Place) Leave(now time.Time) {
+	w := p.window
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.stopWaiting(p)
 	w.underWay--
-	w.duration.Add(took)
+	w.duration.Add(now.Sub(p.entered))
 }
 
-// FirstEvent takes in that the first event of a request came after took, where goal
-// was wanted.
-func (w *Window) FirstEvent(now time.Time, took, goal time.Duration) {
+// FirstEvent takes in that the first event of an attempt came after took. Requests
+// without a goal tell nothing.
+func (p *Place) FirstEvent(now time.Time, took time.Duration) {
+	w := p.window
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if goal <= 0 || now.Add(-took).Before(w.cutAt) {
+	if p.waiting == nil {
+		return // counted before
+	}
+	w.stopWaiting(p)
+	w.count(now, took, p.goal)
+}
+
+// stopWaiting takes a place off those that wait.
+func (w *Window) stopWaiting(p *Place) {
+	if p.waiting != nil {
+		w.waiting.Remove(p.waiting)
+		p.waiting = nil
+	}
+}
+
+// noteOverdue counts requests whose first event is late by now. Waiting for it would
+// tell of a surge only once the queues have grown by all that came in the meantime.
+func (w *Window) noteOverdue(now time.Time) {
+	for first := w.waiting.Front(); first != nil; first = w.waiting.Front() {
+		p := first.Value.(*Place)
+		waited := now.Sub(p.entered)
+		if waited.Seconds() < mostCounted*p.goal.Seconds() {
+			return
+		}
+		w.stopWaiting(p)
+		w.count(now, waited, p.goal)
+	}
+}
+
+// count takes in a delay.
+func (w *Window) count(now time.Time, took, goal time.Duration) {
+	if now.Add(-took).Before(w.cutAt) {
 		return
 	}
-	delay := took.Seconds() / goal.Seconds()
+	delay := min(took.Seconds()/goal.Seconds(), mostCounted)
 	w.delay += delayWeight * (delay - w.delay)
 	if w.delay > mostDelay {
 		w.cut(now, goal)
 		return
 	}
 	if float64(w.underWay) > w.limit-1 {
-		w.limit += 1 / w.limit
+		w.limit += growth * (mostDelay - w.delay)
 	}
 }
 
@@ -91,9 +153,9 @@
 	if duration <= 0 {
 		duration = usualDuration
 	}
-	excess := (w.delay - mostDelay) * goal.Seconds() / duration.Seconds()
+	excess := cutFactor * (w.delay - mostDelay) * goal.Seconds() / duration.Seconds()
 	left := max(1-excess, deepestCut)
-	w.limit = max(min(w.limit, float64(w.underWay))*left, least)
+	w.limit = max(min(w.limit, float64(w.underWay))*left, leastWindow)
 	w.cutAt = now
 	w.delay = mostDelay
 }
--- /dev/null
+++ b/admission/window_test.go
@@ -0,0 +1,239 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const testGoal = 300 * time.Millisecond
+
+// play has requests enter a window and get their first events after took, one each
+// step.
+func play(w *Window, now time.Time, n int, step, took time.Duration) time.Time {
+	for range n {
+		now = now.Add(step)
+		if p := w.Enter(now.Add(-took), testGoal, 0); p != nil {
+			p.FirstEvent(now, took)
+			p.Leave(now)
+		}
+	}
+	return now
+}
+
+func TestWindow_OneLateFirstEventBoundsNothing(t *testing.T) {
+	w := NewWindow()
+	now := play(w, time.Unix(1000, 0), 20, time.Millisecond, 180*time.Millisecond)
+	play(w, now, 1, 0, 5*time.Second)
+	limit, _ := w.Limit()
+	must.True(t, math.IsInf(limit, 1))
+}
+
+func TestWindow_RequestsWithoutAGoalTellNothing(t *testing.T) {
+	w := NewWindow()
+	now := time.Unix(1000, 0)
+	for range 20 {
+		p := w.Enter(now, 0, 0)
+		now = now.Add(time.Minute)
+		p.FirstEvent(now, time.Minute)
+		p.Leave(now)
+	}
+	limit, underWay := w.Limit()
+	must.True(t, math.IsInf(limit, 1))
+	must.EqOp(t, 0, underWay)
+}
+
+func TestWindow_CutsOnceForRequestsSentBefore(t *testing.T) {
+	w := NewWindow()
+	now := time.Unix(1000, 0)
+	var places []*Place
+	for range 10 {
+		places = append(places, w.Enter(now, testGoal, 0))
+	}
+	now = now.Add(350 * time.Millisecond)
+	for _, p := range places {
+		p.FirstEvent(now, 350*time.Millisecond)
+	}
+	limit, underWay := w.Limit()
+	must.EqOp(t, 10, underWay)
+	must.Between(t, deepestCut*10, limit, 10)
+	must.Nil(t, w.Enter(now, testGoal, 0))
+	for _, p := range places[:3] {
+		p.Leave(now)
+	}
+	must.NotNil(t, w.Enter(now, testGoal, 0))
+}
+
+// TestWindow_LateOnesCountBeforeTheirFirstEvent has requests wait that get no first
+// event at all.
+func TestWindow_LateOnesCountBeforeTheirFirstEvent(t *testing.T) {
+	w := NewWindow()
+	now := time.Unix(1000, 0)
+	refused := false
+	for range 50 {
+		now = now.Add(20 * time.Millisecond)
+		refused = refused || w.Enter(now, testGoal, 0) == nil
+	}
+	must.True(t, refused)
+}
+
+func TestWindow_NeverShrinksToNothing(t *testing.T) {
+	w := NewWindow()
+	now := play(w, time.Unix(1000, 0), 100, time.Second, 900*time.Millisecond)
+	must.NotNil(t, w.Enter(now, testGoal, 0.5))
+}
+
+// TestWindow_SurgeIsServedInTime plays daemons with uneven traffic before groups with
+// a first come, first served queue each. In a surge of twice what they can serve, most
+// of what they can serve has to be in time, and once it is over nobody may be refused
+// or late for long. Without a window hardly anybody is in time.
+func TestWindow_SurgeIsServedInTime(t *testing.T) {
+	for _, daemons := range []int{1, 7, 30} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			calm := playSurge(daemons, true, 0.7)
+			must.Greater(t, 0.98, calm.inTime, must.Sprint("a load that fits"))
+			with := playSurge(daemons, true, 2)
+			without := playSurge(daemons, false, 2)
+			t.Logf("in time during the surge, as a part of what could be: with a window %.2f, without %.2f", with.inTime, without.inTime)
+			must.Greater(t, 0.75, with.inTime)
+			must.Less(t, 0.35, without.inTime)
+			must.Greater(t, 0.95, with.after, must.Sprint("a second after the surge"))
+		})
+	}
+}
+
+// surgeResult is what came of a played surge.
+type surgeResult struct {
+	// inTime is the part that was in time during the surge, of what came or could be
+	// served, whichever is less; after that of the requests from a second after it.
+	inTime, after float64
+}
+
+// The groups of a played surge.
+const (
+	playedGroups  = 6
+	playedSlots   = 26
+	playedLasting = 1200 * time.Millisecond
+	// playedFirst is how long a first event takes without a queue.
+	playedFirst = 170 * time.Millisecond
+)
+
+// playedRequest is one request of a played surge.
+type playedRequest struct {
+	place *Place
+	sent  time.Time
+}
+
+// playedEvent is something that happens at a moment.
+type playedEvent struct {
+	at time.Time
+	do func(now time.Time)
+}
+
+type eventQueue []playedEvent
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(playedEvent)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// playSurge plays 4 s at half load, 6 s at a load and 6 s at half load.
+func playSurge(daemons int, bounded bool, load float64) surgeResult {
+	random := rand.New(rand.NewPCG(5, uint64(daemons)))
+	begin := time.Unix(1000, 0)
+	surge, calm, end := begin.Add(4*time.Second), begin.Add(10*time.Second), begin.Add(16*time.Second)
+	capacity := playedGroups * playedSlots / playedLasting.Seconds()
+	windows := make([]*Window, daemons)
+	for i := range windows {
+		windows[i] = NewWindow()
+	}
+	var queue eventQueue
+	at := func(now time.Time, do func(time.Time)) { heap.Push(&queue, playedEvent{now, do}) }
+	waiting := make([][]playedRequest, playedGroups)
+	busy := make([]int, playedGroups)
+	asked, inTime, askedAfter, inTimeAfter := 0, 0, 0, 0
+	var start func(g int, now time.Time)
+	start = func(g int, now time.Time) {
+		for busy[g] < playedSlots && len(waiting[g]) > 0 {
+			r := waiting[g][0]
+			waiting[g] = waiting[g][1:]
+			busy[g]++
+			at(now.Add(playedFirst), func(now time.Time) {
+				took := now.Sub(r.sent)
+				r.place.FirstEvent(now, took)
+				switch {
+				case took <= testGoal && r.sent.After(surge) && r.sent.Before(calm):
+					inTime++
+				case took <= testGoal && r.sent.After(calm.Add(time.Second)):
+					inTimeAfter++
+				}
+			})
+			lasting := time.Duration((0.5 + random.Float64()) * float64(playedLasting))
+			at(now.Add(lasting), func(now time.Time) {
+				busy[g]--
+				r.place.Leave(now)
+				start(g, now)
+			})
+		}
+	}
+	arrive := func(now time.Time) {
+		// The first daemons get up to twice what the others get.
+		d := min(random.IntN(daemons), random.IntN(daemons))
+		switch {
+		case now.After(surge) && now.Before(calm):
+			asked++
+		case now.After(calm.Add(time.Second)):
+			askedAfter++
+		}
+		window := windows[d]
+		if !bounded {
+			window = NewWindow()
+		}
+		place := window.Enter(now, testGoal, random.Float64())
+		if place == nil {
+			return
+		}
+		g := random.IntN(playedGroups)
+		if other := random.IntN(playedGroups); busy[other]+len(waiting[other]) < busy[g]+len(waiting[g]) {
+			g = other
+		}
+		waiting[g] = append(waiting[g], playedRequest{place: place, sent: now})
+		start(g, now)
+	}
+	for now := begin; now.Before(end); {
+		rate := 0.5 * capacity
+		if now.After(surge) && now.Before(calm) {
+			rate = load * capacity
+		}
+		now = now.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		at(now, arrive)
+	}
+	for queue.Len() > 0 {
+		e := heap.Pop(&queue).(playedEvent)
+		e.do(e.at)
+	}
+	could := min(float64(asked), capacity*calm.Sub(surge).Seconds())
+	return surgeResult{inTime: float64(inTime) / could, after: float64(inTimeAfter) / float64(askedAfter)}
+}
+
+func BenchmarkWindow(b *testing.B) {
+	w := NewWindow()
+	now := time.Unix(1000, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		if p := w.Enter(now, testGoal, 0); p != nil {
+			p.FirstEvent(now, 200*time.Millisecond)
+			p.Leave(now)
+		}
+	}
+}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -23,8 +23,8 @@
 	route    *catalog.Route
 	customer *catalog.Customer
 	service  *catalog.Service
-	// window counts the request while it is under way, nil where nothing bounds it.
-	window *admission.Window
+	// place is the request's in its model's window, nil where nothing bounds it.
+	place *admission.Place
 
 	// sent is how many workers got the request, tried the targets it was sent to.
 	sent  int
--- a/serving/overload.go
+++ b/serving/overload.go
@@ -24,6 +24,7 @@
 	if !ok {
 		w = admission.NewWindow()
 		s.windows[key] = w
+		s.opts.Counters.gaugeWindow(key, w)
 	}
 	return w
 }
@@ -39,26 +40,26 @@
 		return nil
 	}
 	w := e.server.window(modelKey{service: e.service.Name, model: e.req.Model})
-	if !w.Enter(rand.Float64()) {
+	e.place = w.Enter(e.arrived, e.route.Goal, rand.Float64())
+	if e.place == nil {
 		e.server.opts.Counters.overload.Inc()
 		part := leastReturn + (mostReturn-leastReturn)*rand.Float64()
 		wait := time.Duration(part * float64(w.Slack(e.route.Goal)))
 		return &fault{status: http.StatusServiceUnavailable, reason: "the model's groups are fully used", retryAfter: wait}
 	}
-	e.window = w
 	return nil
 }
 
 // leave ends the count that enter began.
 func (e *exchange) leave() {
-	if e.window != nil {
-		e.window.Leave(e.server.opts.Now().Sub(e.arrived))
+	if e.place != nil {
+		e.place.Leave(e.server.opts.Now())
 	}
 }
 
 // noteFirstEvent tells the window how long an attempt's first event took.
 func (e *exchange) noteFirstEvent(now time.Time, took time.Duration) {
-	if e.window != nil {
-		e.window.FirstEvent(now, took, e.route.Goal)
+	if e.place != nil {
+		e.place.FirstEvent(now, took)
 	}
 }
--- a/serving/record.go
+++ b/serving/record.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
 )
 
@@ -42,6 +45,15 @@
 	}
 }
 
+// gaugeWindow shows how many requests a model's window lets be under way.
+func (c *Counters) gaugeWindow(key modelKey, w *admission.Window) {
+	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q}`, key.service, key.model)
+	c.set.GetOrCreateGauge(name, func() float64 {
+		limit, _ := w.Limit()
+		return min(limit, math.MaxInt32) // no bound shows as a large number
+	})
+}
+
 // record writes the request's line in the log and counts its outcome.
 func (e *exchange) record(ctx context.Context, f *fault) {
 	now := e.server.opts.Now()
