admission: Tell groups that are dead from groups that are full

Change: an overdue request counts only where its group has sent something to some other request within half of the goal; a second sending is awaited anew.

--- a/admission/window.go
+++ b/admission/window.go
@@ -29,6 +29,9 @@
 	// leastWindow is the smallest window: with none under way nothing would tell that
 	// there is room again.
 	leastWindow = 1
+	// silentPart divides a goal: a group that has sent nothing to anybody for this part
+	// of it isn't queueing.
+	silentPart = 2
 	// usualDuration is how long requests are taken to last before one has ended.
 	usualDuration = time.Second
 )
@@ -50,8 +53,16 @@
 	// delay is the average time to a first event, as a part of its goal.
 	delay    float64
 	duration Estimate
-	// waiting are the requests without a first event, in order of their coming.
+	// waiting are the requests without a first event, in order of their last sending.
 	waiting list.List
+	signs   Signs
+}
+
+// Signs tells of the groups that requests are sent to.
+type Signs interface {
+	// Silence returns for how long a group has sent nothing to any request, since a
+	// moment at the most.
+	Silence(group string, since, now time.Time) time.Duration
 }
 
 // Place is a request's place in a window, from Enter to Leave.
@@ -59,13 +70,16 @@
 	window  *Window
 	goal    time.Duration
 	entered time.Time
+	// sent is when the request was last sent to a group, and group which.
+	sent  time.Time
+	group string
 	// waiting is the place's element among those that wait, nil once it had its first
 	// event or was counted as late.
 	waiting *list.Element
 }
 
 // NewWindow returns a window without a bound.
-func NewWindow() *Window { return &Window{limit: math.Inf(1)} }
+func NewWindow(signs Signs) *Window { return &Window{limit: math.Inf(1), signs: signs} }
 
 // Enter counts a request as under way if there is room for it, and returns its place,
 // nil if there was none. Goal is what its first event should take, 0 if nobody says.
@@ -78,11 +92,20 @@
 		return nil
 	}
 	w.underWay++
-	p := &Place{window: w, goal: goal, entered: now}
-	if goal > 0 {
+	return &Place{window: w, goal: goal, entered: now}
+}
+
+// Sent notes that the request was sent to a group. Its first event is awaited anew.
+func (p *Place) Sent(now time.Time, group string) {
+	w := p.window
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopWaiting(p)
+	p.sent = now
+	p.group = group
+	if p.goal > 0 {
 		p.waiting = w.waiting.PushBack(p)
 	}
-	return p
 }
 
 // Leave ends the count of a request.
@@ -95,9 +118,9 @@
 	w.duration.Add(now.Sub(p.entered))
 }
 
-// FirstEvent takes in that the first event of an attempt came after took. Requests
-// without a goal tell nothing.
-func (p *Place) FirstEvent(now time.Time, took time.Duration) {
+// FirstEvent takes in the first event since the request was sent. Requests without a
+// goal tell nothing.
+func (p *Place) FirstEvent(now time.Time) {
 	w := p.window
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -105,7 +128,7 @@
 		return // counted before
 	}
 	w.stopWaiting(p)
-	w.count(now, took, p.goal)
+	w.count(now, now.Sub(p.sent), p.goal)
 }
 
 // stopWaiting takes a place off those that wait.
@@ -118,15 +141,19 @@
 
 // noteOverdue counts requests whose first event is late by now. Waiting for it would
 // tell of a surge only once the queues have grown by all that came in the meantime.
+// Where the group sends nothing to others either, it is dead or stands still, which
+// tells nothing of the load.
 func (w *Window) noteOverdue(now time.Time) {
 	for first := w.waiting.Front(); first != nil; first = w.waiting.Front() {
 		p := first.Value.(*Place)
-		waited := now.Sub(p.entered)
+		waited := now.Sub(p.sent)
 		if waited.Seconds() < mostCounted*p.goal.Seconds() {
 			return
 		}
 		w.stopWaiting(p)
-		w.count(now, waited, p.goal)
+		if w.signs.Silence(p.group, p.sent, now) < p.goal/silentPart {
+			w.count(now, waited, p.goal)
+		}
 	}
 }
 
--- a/admission/window_test.go
+++ b/admission/window_test.go
@@ -11,6 +11,16 @@
 	"github.com/shoenig/test/must"
 )
 
+// alive are groups that always send something to somebody, dead ones that never do.
+type (
+	alive struct{}
+	dead  struct{}
+)
+
+func (alive) Silence(string, time.Time, time.Time) time.Duration { return 0 }
+
+func (dead) Silence(_ string, since, now time.Time) time.Duration { return now.Sub(since) }
+
 const testGoal = 300 * time.Millisecond
 
 // play has requests enter a window and get their first events after took, one each
@@ -19,7 +29,8 @@
 	for range n {
 		now = now.Add(step)
 		if p := w.Enter(now.Add(-took), testGoal, 0); p != nil {
-			p.FirstEvent(now, took)
+			p.Sent(now.Add(-took), "g")
+			p.FirstEvent(now)
 			p.Leave(now)
 		}
 	}
@@ -27,7 +38,7 @@
 }
 
 func TestWindow_OneLateFirstEventBoundsNothing(t *testing.T) {
-	w := NewWindow()
+	w := NewWindow(alive{})
 	now := play(w, time.Unix(1000, 0), 20, time.Millisecond, 180*time.Millisecond)
 	play(w, now, 1, 0, 5*time.Second)
 	limit, _ := w.Limit()
@@ -35,12 +46,13 @@
 }
 
 func TestWindow_RequestsWithoutAGoalTellNothing(t *testing.T) {
-	w := NewWindow()
+	w := NewWindow(alive{})
 	now := time.Unix(1000, 0)
 	for range 20 {
 		p := w.Enter(now, 0, 0)
+		p.Sent(now, "g")
 		now = now.Add(time.Minute)
-		p.FirstEvent(now, time.Minute)
+		p.FirstEvent(now)
 		p.Leave(now)
 	}
 	limit, underWay := w.Limit()
@@ -49,15 +61,17 @@
 }
 
 func TestWindow_CutsOnceForRequestsSentBefore(t *testing.T) {
-	w := NewWindow()
+	w := NewWindow(alive{})
 	now := time.Unix(1000, 0)
 	var places []*Place
 	for range 10 {
-		places = append(places, w.Enter(now, testGoal, 0))
+		p := w.Enter(now, testGoal, 0)
+		p.Sent(now, "g")
+		places = append(places, p)
 	}
 	now = now.Add(350 * time.Millisecond)
 	for _, p := range places {
-		p.FirstEvent(now, 350*time.Millisecond)
+		p.FirstEvent(now)
 	}
 	limit, underWay := w.Limit()
 	must.EqOp(t, 10, underWay)
@@ -70,20 +84,45 @@
 }
 
 // TestWindow_LateOnesCountBeforeTheirFirstEvent has requests wait that get no first
-// event at all.
+// event at all, at groups that serve others and at groups that are dead.
 func TestWindow_LateOnesCountBeforeTheirFirstEvent(t *testing.T) {
-	w := NewWindow()
+	for _, c := range []struct {
+		signs Signs
+		want  bool
+	}{{alive{}, true}, {dead{}, false}} {
+		w := NewWindow(c.signs)
+		now := time.Unix(1000, 0)
+		refused := false
+		for range 50 {
+			now = now.Add(20 * time.Millisecond)
+			if p := w.Enter(now, testGoal, 0); p != nil {
+				p.Sent(now, "g")
+				continue
+			}
+			refused = true
+		}
+		must.EqOp(t, c.want, refused)
+	}
+}
+
+// TestWindow_ASecondSendingIsAwaitedAnew has requests sent to a dead group first.
+func TestWindow_ASecondSendingIsAwaitedAnew(t *testing.T) {
+	w := NewWindow(alive{})
 	now := time.Unix(1000, 0)
-	refused := false
 	for range 50 {
-		now = now.Add(20 * time.Millisecond)
-		refused = refused || w.Enter(now, testGoal, 0) == nil
+		p := w.Enter(now, testGoal, 0)
+		p.Sent(now, "dead")
+		p.Sent(now.Add(time.Second), "alive")
+		now = now.Add(time.Second + 150*time.Millisecond)
+		p.FirstEvent(now)
+		p.Leave(now)
 	}
-	must.True(t, refused)
+	limit, _ := w.Limit()
+	must.True(t, math.IsInf(limit, 1))
 }
 
 func TestWindow_NeverShrinksToNothing(t *testing.T) {
-	w := NewWindow()
+	w := NewWindow(alive{})
 	now := play(w, time.Unix(1000, 0), 100, time.Second, 900*time.Millisecond)
 	must.NotNil(t, w.Enter(now, testGoal, 0.5))
 }
@@ -156,7 +195,7 @@
 	capacity := playedGroups * playedSlots / playedLasting.Seconds()
 	windows := make([]*Window, daemons)
 	for i := range windows {
-		windows[i] = NewWindow()
+		windows[i] = NewWindow(alive{})
 	}
 	var queue eventQueue
 	at := func(now time.Time, do func(time.Time)) { heap.Push(&queue, playedEvent{now, do}) }
@@ -171,7 +210,7 @@
 			busy[g]++
 			at(now.Add(playedFirst), func(now time.Time) {
 				took := now.Sub(r.sent)
-				r.place.FirstEvent(now, took)
+				r.place.FirstEvent(now)
 				switch {
 				case took <= testGoal && r.sent.After(surge) && r.sent.Before(calm):
 					inTime++
@@ -198,7 +237,7 @@
 		}
 		window := windows[d]
 		if !bounded {
-			window = NewWindow()
+			window = NewWindow(alive{})
 		}
 		place := window.Enter(now, testGoal, random.Float64())
 		if place == nil {
@@ -208,6 +247,7 @@
 		if other := random.IntN(playedGroups); busy[other]+len(waiting[other]) < busy[g]+len(waiting[g]) {
 			g = other
 		}
+		place.Sent(now, "g")
 		waiting[g] = append(waiting[g], playedRequest{place: place, sent: now})
 		start(g, now)
 	}
@@ -228,12 +268,13 @@
 }
 
 func BenchmarkWindow(b *testing.B) {
-	w := NewWindow()
+	w := NewWindow(alive{})
 	now := time.Unix(1000, 0)
 	b.ReportAllocs()
 	for b.Loop() {
 		if p := w.Enter(now, testGoal, 0); p != nil {
-			p.FirstEvent(now, 200*time.Millisecond)
+			p.Sent(now, "g")
+			p.FirstEvent(now)
 			p.Leave(now)
 		}
 	}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -138,6 +138,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	e.noteSent(s.opts.Now(), target)
 	watch := e.watch(target.Key, cancel)
 	defer watch.stop()
 	reply, err := s.opts.Upstream.Send(ctx, e.newAttempt(target, left))
--- a/serving/overload.go
+++ b/serving/overload.go
@@ -22,7 +22,7 @@
 	defer s.mu.Unlock()
 	w, ok := s.windows[key]
 	if !ok {
-		w = admission.NewWindow()
+		w = admission.NewWindow(s.opts.Balancer)
 		s.windows[key] = w
 		s.opts.Counters.gaugeWindow(key, w)
 	}
@@ -57,9 +57,16 @@
 	}
 }
 
-// noteFirstEvent tells the window how long an attempt's first event took.
-func (e *exchange) noteFirstEvent(now time.Time, took time.Duration) {
+// noteSent tells the window that the request goes to a target.
+func (e *exchange) noteSent(now time.Time, target Target) {
 	if e.place != nil {
-		e.place.FirstEvent(now, took)
+		e.place.Sent(now, target.Key)
+	}
+}
+
+// noteFirstEvent tells the window of an attempt's first event.
+func (e *exchange) noteFirstEvent(now time.Time) {
+	if e.place != nil {
+		e.place.FirstEvent(now)
 	}
 }
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -191,7 +191,7 @@
 	balancer := w.exchange.server.opts.Balancer
 	balancer.Sign(w.key, now, now.Sub(since), first)
 	if first {
-		w.exchange.noteFirstEvent(now, now.Sub(since))
+		w.exchange.noteFirstEvent(now)
 	}
 	if w.timer != nil {
 		_, between := balancer.Patience(w.key)
