relay: Ask the first relays of other halls before the store

In the log 252 relays are given up within 2 s after 24 of 68 daemons are cut: where both relays of a hall lose the store its daemons all ask it themselves, three tables each. Change: after the relays of its own hall a daemon asks the first of each other hall, in an order that differs from daemon to daemon. Test: TestUpstreams_GoOnToOtherHalls, red before.

--- a/relay/member.go
+++ b/relay/member.go
@@ -25,13 +25,38 @@
 
 // Upstreams returns the daemons that one asks in place of the store, best first.
 // None means that it asks the store itself: because its hall has few daemons, or
-// because it relays for the others.
+// because it relays for the others. Where the relays of its hall can't be relied on it
+// asks the first of each other hall, which costs bytes between halls, but doesn't have
+// a whole hall ask the store.
 func Upstreams(self Member, all []Member) []Member {
 	relays := relaysIn(self.Hall, all)
 	if i := indexOf(relays, self.Name); i >= 0 {
 		return relays[:i]
 	}
-	return relays
+	if len(relays) == 0 {
+		return nil
+	}
+	return append(relays, firstElsewhere(self, all)...)
+}
+
+// firstElsewhere returns the first relay of each other hall, in an order that differs
+// from daemon to daemon, so that no one of them gets all of a hall's questions.
+func firstElsewhere(self Member, all []Member) []Member {
+	var firsts []Member
+	seen := map[string]bool{self.Hall: true}
+	for _, m := range all {
+		if seen[m.Hall] {
+			continue
+		}
+		seen[m.Hall] = true
+		if relays := relaysIn(m.Hall, all); len(relays) > 0 {
+			firsts = append(firsts, relays[0])
+		}
+	}
+	slices.SortFunc(firsts, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(hash(self.Name+a.Name), hash(self.Name+b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return firsts
 }
 
 // Relays tells whether others ask a daemon in place of the store.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -301,3 +301,33 @@
 	}
 	must.EqOp(t, relaysPerHall, relays)
 }
+
+// TestUpstreams_GoOnToOtherHalls: where a hall's relays can't be relied on, its
+// daemons ask the first relays of other halls, not all of them the same one, and not
+// the store. Halls with few daemons have none.
+func TestUpstreams_GoOnToOtherHalls(t *testing.T) {
+	var all []Member
+	for _, hall := range []string{"x", "y", "z"} {
+		for i := range 20 {
+			name := hall + strconv.Itoa(i)
+			all = append(all, Member{Name: name, Addr: "a" + name, Hall: hall, Cores: 0.2})
+		}
+	}
+	all = append(all, Member{Name: "few", Addr: "f", Hall: "few", Cores: 2})
+	next := map[string]int{}
+	for _, m := range all[:20] {
+		if Relays(m, all) {
+			continue
+		}
+		up := Upstreams(m, all)
+		must.Len(t, relaysPerHall+2, up)
+		for i, relay := range up {
+			must.EqOp(t, i < relaysPerHall, relay.Hall == m.Hall)
+			must.True(t, Relays(relay, all))
+		}
+		must.NotEq(t, up[relaysPerHall].Hall, up[relaysPerHall+1].Hall)
+		next[up[relaysPerHall].Hall]++
+	}
+	must.MapLen(t, 2, next)
+	must.SliceEmpty(t, Upstreams(all[60], all))
+}
