--- a/deps/edge.go
+++ b/deps/edge.go
@@ -72,7 +72,7 @@
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
-	orders, closeOrders := platform.NewOrders()
+	orders, closeOrders := platform.NewOrders(settings.Bounds().Fenced)
 	e.following = newFollowing(e, client, peers)
 	e.Workers = workers.NewRegistry(e.workersChanged)
 	e.Lease = replica.NewLease(e.following, e.self(), e.Workers, time.Now, logger)
--- a/node/settings.go
+++ b/node/settings.go
@@ -42,6 +42,8 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// Fenced tells that workers refuse orders with an old fencing token.
+	Fenced bool
 	// LoadWindow and LoadOverrun bound how many loads of weights may begin.
 	LoadWindow  time.Duration
 	LoadOverrun float64
@@ -69,6 +71,7 @@
 	RetryRatio   *float64 `json:"retry_ratio"`
 	RetryExtra   *float64 `json:"retry_extra"`
 	RetryWindowS *float64 `json:"retry_window_s"`
+	Fenced       *bool    `json:"fenced"`
 	LoadWindowS  *float64 `json:"load_window_s"`
 	LoadOverrun  *float64 `json:"load_overrun"`
 }
@@ -165,6 +168,7 @@
 		RetryRatio:   c.number("bounds.retry_ratio", f.RetryRatio, defaultRetryRatio),
 		RetryExtra:   c.number("bounds.retry_extra", f.RetryExtra, defaultRetryExtra),
 		RetryWindow:  c.seconds("bounds.retry_window_s", f.RetryWindowS, defaultRetryWindowS),
+		Fenced:       flagOr(f.Fenced, false),
 		LoadWindow:   c.seconds("bounds.load_window_s", f.LoadWindowS, defaultLoadWindowS),
 		LoadOverrun:  c.number("bounds.load_overrun", f.LoadOverrun, defaultLoadOverrun),
 	}
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -67,6 +67,7 @@
 		s, err := Parse("settings.jsonc", []byte(text))
 		must.NoError(t, err)
 		must.EqOp(t, "z1", s.Hall())
+		must.EqOp(t, strings.Contains(text, `"fenced": true`), s.Bounds().Fenced)
 		must.EqOp(t, text == whole || strings.Contains(text, `"revoke_strict": true`), s.Bounds().RevokeStrict)
 		must.EqOp(t, "10.1.0.4:9102", s.MetricsAddr())
 		must.EqOp(t, text != bare && strings.Contains(text, "first_start"), s.FirstStart())
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -118,6 +118,9 @@
 }
 
 func (c *Controller) take(r result) {
+	if r.outcome == Fenced {
+		c.opts.Lease.Outranked(r.term)
+	}
 	if c.planner != nil && c.planner.Term() == r.term {
 		c.planner.Result(c.opts.Now(), r.order, r.outcome)
 	}
@@ -168,6 +171,7 @@
 	if held, ok := c.opts.Lease.Held(); ok && held == term {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
+		o.Fence = term
 		outcome, err = c.opts.Orders.Give(ctx, o)
 	}
 	c.orders.Inc()
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -128,6 +128,16 @@
 	return err
 }
 
+// Outranked gives up a term, since a worker has taken orders under a later one. The
+// node takes the lease again only under a new term, once the row shows it free.
+func (l *Lease) Outranked(term uint64) {
+	if current, held := l.Held(); !held || current != term {
+		return
+	}
+	l.state.drop()
+	l.log.Warn().Str("event", "lease_outranked").Uint64("term", term).Msg("a worker has seen a higher fencing token")
+}
+
 func (l *Lease) announce(ctx context.Context) error {
 	_, err := l.table.Commit(ctx, store.Txn{Writes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.self.Name, Value: encode(l.self)}}})
 	return err
--- a/replica/order.go
+++ b/replica/order.go
@@ -33,6 +33,9 @@
 	// Model is set for Join and Stage, Members, the head first, for Join.
 	Model   string
 	Members []string
+	// Fence is the fencing token: the term of the lease that the order is given under.
+	// Where workers look at it they refuse orders of earlier terms.
+	Fence uint64
 }
 
 // Outcome is what came of an order.
@@ -49,13 +52,16 @@
 	Unfit
 	// Outdated orders carry an epoch that is too low.
 	Outdated
+	// Fenced orders carry a fencing token that is too low: another process has given
+	// orders under a later term of the lease.
+	Fenced
 	// NotTaken orders did not reach the worker meant.
 	NotTaken
 )
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"unanswered", "begun", "holds", "unfit", "outdated", "not_taken"}[o]
+	return [...]string{"unanswered", "begun", "holds", "unfit", "outdated", "fenced", "not_taken"}[o]
 }
 
 // Orders gives orders to workers.
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -135,7 +135,7 @@
 const settings = `{
   "name": %q, "hall": "z1", "first_start": %t,
   "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
-  "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10, "revoke_strict": %t},
+  "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10, "revoke_strict": %t, "fenced": %t},
 }`
 
 // Setup is how a daemon is started.
@@ -144,6 +144,8 @@
 	FirstStart bool
 	// LooseRevoke lets keys be taken on evidence of up to a minute.
 	LooseRevoke bool
+	// Fenced tells that workers refuse orders with an old fencing token.
+	Fenced bool
 }
 
 // Start starts a daemon of a name, and returns it with a function that kills it.
@@ -157,7 +159,7 @@
 		*addr = free
 	}
 	file := filepath.Join(dir, name+".jsonc")
-	text := fmt.Sprintf(settings, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, store.Addr(), !setup.LooseRevoke)
+	text := fmt.Sprintf(settings, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, store.Addr(), !setup.LooseRevoke, setup.Fenced)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
 	}
--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -574,6 +574,52 @@
 	must.StrContains(t, second.Log(), `"event":"lease_taken"`)
 }
 
+// TestFence_AnOutrankedHolderGivesUpItsTerm has a worker that has seen a later fencing
+// token refuse an order. The holder has to give up its term at once, order nothing more
+// with its token there, and may only come back with a later one.
+func TestFence_AnOutrankedHolderGivesUpItsTerm(t *testing.T) {
+	s := newStage(t, 4)
+	d := s.startAs(Setup{FirstStart: true, Fenced: true})
+	s.awaitGroups(2)
+	token := s.workers["m0"].Fence()
+	must.Positive(t, token)
+	for _, w := range s.workers {
+		w.SetFence(token + 100)
+	}
+	refused := func() int {
+		n := 0
+		for _, w := range s.workers {
+			for _, o := range w.Orders() {
+				if strings.HasSuffix(o, " 412") {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	s.workers["m0"].Kill()
+	s.store.Put("servers", "m0", nil)
+	delete(s.workers, "m0")
+	s.addWorker("m9", "llm", "d0")
+	eventually(t, "the term is given up", func() bool { return strings.Contains(d.Log(), "lease_outranked") })
+	for range 200 {
+		s.store.Put("other", "row", "value") // the store's version passes the token
+	}
+	eventually(t, "it comes back with a later term", func() bool { return s.workers["m9"].Fence() > token+100 })
+	s.awaitGroups(2)
+	must.LessEq(t, 12, refused(), must.Sprint("it went on with a token that was refused"))
+}
+
+// TestFence_NoTokenWhereNobodyLooks: where workers don't look at tokens none is sent.
+func TestFence_NoTokenWhereNobodyLooks(t *testing.T) {
+	s := newStage(t, 4)
+	s.start(true)
+	s.awaitGroups(2)
+	for _, w := range s.workers {
+		must.EqOp(t, 0, w.Fence())
+	}
+}
+
 // TestRecover_AllDaemonsDie: RECOVER. What was formed is found again without a
 // new order.
 func TestRecover_AllDaemonsDie(t *testing.T) {
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -99,6 +99,7 @@
 	members  []string
 	model    string // of the last group
 	epoch    uint64 // highest seen
+	fence    uint64 // highest fencing token seen
 	orders   []string
 	runs     []*Run
 	released chan struct{} // closed when a stall ends
@@ -162,6 +163,21 @@
 	return runs
 }
 
+// SetFence has the worker have seen a fencing token, as if a later holder of the lease
+// had ordered something.
+func (w *Worker) SetFence(token uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fence = token
+}
+
+// Fence returns the highest fencing token that the worker has seen, 0 if none.
+func (w *Worker) Fence() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence
+}
+
 // Orders returns the orders that the worker took, as "op group/epoch".
 func (w *Worker) Orders() []string {
 	w.mu.Lock()
@@ -208,6 +224,7 @@
 	Epoch   uint64   `json:"epoch"`
 	Model   string   `json:"modelId"`
 	Members []string `json:"members"`
+	Fence   uint64   `json:"fencingToken"`
 }
 
 func (w *Worker) serveOrder(rw http.ResponseWriter, r *http.Request) {
@@ -221,7 +238,11 @@
 		return
 	}
 	w.mu.Lock()
-	status := w.take(o)
+	status := http.StatusPreconditionFailed
+	if o.Fence >= w.fence {
+		w.fence = o.Fence
+		status = w.take(o)
+	}
 	w.orders = append(w.orders, fmt.Sprintf("%s %s/%d %d", o.Op, o.Group, o.Epoch, status))
 	w.mu.Unlock()
 	w.publish()
