replica: Decide here what a refused order says of a higher fencing token

A line of an order did not say which model a host was asked to load, so that a log could not tell why six loads were spent on the model that lacked nothing.

Change: the platform hands on "outdated"; replica.outranked decides, by the order and by whether workers look at tokens, with a table test that was red on a join let through. The line of an order names its model.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -120,6 +120,7 @@
 		Prober:    orders,
 		Workers:   e.Workers.View,
 		Catalogs:  e.Catalogs,
+		Fenced:    bounds.Fenced,
 		Ceiling:   replica.LoadCeiling{Window: bounds.LoadWindow, Overrun: bounds.LoadOverrun},
 		Failing:   e.Balancer.Failing,
 		StoreBack: e.lastBack,
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -19,6 +19,8 @@
 	Workers  func() *workers.View
 	Catalogs *catalog.Holder
 	Ceiling  LoadCeiling
+	// Fenced tells that workers refuse orders with an old fencing token.
+	Fenced bool
 	// Idle tells that nobody has been served yet, so that loads disturb nobody.
 	Idle func() bool
 	// Failing tells whether a group has failed requests since it last sent
@@ -118,7 +120,7 @@
 }
 
 func (c *Controller) take(r result) {
-	if r.outcome == Fenced {
+	if outranked(r.order, r.outcome, c.opts.Fenced) {
 		c.opts.Lease.Outranked(r.term)
 	}
 	if c.planner != nil && c.planner.Term() == r.term {
@@ -179,7 +181,7 @@
 		c.lost.Inc()
 	}
 	c.opts.Log.Info().Str("event", "order").Str("op", o.Op.String()).Str("group", o.Group.Name).Uint64("epoch", o.Group.Epoch).
-		Str("worker", o.Worker.ID).Str("outcome", outcome.String()).Dur("took", c.opts.Now().Sub(begun)).Uint64("term", term).Err(err).Msg("")
+		Str("worker", o.Worker.ID).Str("model", o.Model).Str("outcome", outcome.String()).Dur("took", c.opts.Now().Sub(begun)).Uint64("term", term).Err(err).Msg("")
 	select {
 	case c.results <- result{term: term, order: o, outcome: outcome}:
 	case <-ctx.Done():
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -99,3 +99,22 @@
 		must.MapLen(t, 1, lists, must.Sprint(id))
 	}
 }
+
+func TestOutranked_OnlyOrdersThatNoEpochRefuses(t *testing.T) {
+	for _, c := range []struct {
+		op      Op
+		outcome Outcome
+		fenced  bool
+		want    bool
+	}{
+		{Leave, Outdated, true, true},
+		{Open, Outdated, true, true},
+		{Stage, Outdated, true, true},
+		{Join, Outdated, true, false},
+		{Leave, Outdated, false, false},
+		{Leave, Unfit, true, false},
+		{Leave, Unanswered, true, false},
+	} {
+		must.EqOp(t, c.want, outranked(Order{Op: c.op}, c.outcome, c.fenced), must.Sprint(c))
+	}
+}
--- a/replica/order.go
+++ b/replica/order.go
@@ -50,18 +50,23 @@
 	Holds
 	// Unfit orders do not fit the worker's state.
 	Unfit
-	// Outdated orders carry an epoch that is too low.
+	// Outdated orders carry an epoch or a fencing token that is too low.
 	Outdated
-	// Fenced orders carry a fencing token that is too low: another process has given
-	// orders under a later term of the lease.
-	Fenced
 	// NotTaken orders did not reach the worker meant.
 	NotTaken
 )
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"unanswered", "begun", "holds", "unfit", "outdated", "fenced", "not_taken"}[o]
+	return [...]string{"unanswered", "begun", "holds", "unfit", "outdated", "not_taken"}[o]
+}
+
+// outranked tells whether an order's outcome shows that another process has given
+// orders under a later term of the lease, where workers look at fencing tokens. A join
+// may also be refused for a higher epoch, even one that the same holder gave before and
+// that was carried out late, so that only that of other orders is sure to show it.
+func outranked(o Order, outcome Outcome, fenced bool) bool {
+	return fenced && outcome == Outdated && o.Op != Join
 }
 
 // Orders gives orders to workers.
