--- a/replica/form.go
+++ b/replica/form.go
@@ -58,8 +58,7 @@
 		return cmp.Or(cmp.Compare(p.fill(a, 0), p.fill(b, 0)), cmp.Compare(b.Share, a.Share))
 	})
 	for i, m := range models {
-		wouldHave := float64(p.counts[m.Name] + m.Size)
-		if i > 0 && wouldHave > mostAboveShare*m.Share*float64(p.total) {
+		if i > 0 && p.aboveShare(m) {
 			continue
 		}
 		if members, ok := r.membersFor(m, p, models[:i]); ok {
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -130,8 +130,8 @@
 	stagedAt time.Time
 }
 
-// NewPlanner returns a planner for a term. Loads that an earlier term began may
-// still count, so that it begins with half of what the ceiling allows.
+// NewPlanner returns a planner for a term. It knows nothing of the loads that an
+// earlier term began.
 func NewPlanner(term uint64, ceiling LoadCeiling) *Planner {
 	return &Planner{
 		term:    term,
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -34,6 +34,13 @@
 	return float64(p.counts[m.Name]+more) / max(m.Share, 0.001)
 }
 
+// aboveShare tells whether a model would have too much of the workers with another
+// group.
+func (p *pool) aboveShare(m catalog.Model) bool {
+	wouldHave := float64(p.counts[m.Name] + m.Size)
+	return wouldHave > mostAboveShare*m.Share*float64(p.total)
+}
+
 func (r *round) newPool() *pool {
 	p := &pool{free: r.freeByDomain(), counts: map[string]int{}, whole: map[string][]*workers.Group{}, leaving: r.leavingByDomain()}
 	for _, list := range p.free {
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -88,7 +88,10 @@
 func (r *round) stageIdle(p *pool, models []catalog.Model, left int) int {
 	var all []lacking
 	for domain, free := range p.free {
-		for _, m := range models {
+		for i, m := range models {
+			if i > 0 && p.aboveShare(m) {
+				continue
+			}
 			loads := m.Size - len(prepared(free, m.Name))
 			if loads > 0 && len(free) >= m.Size {
 				all = append(all, lacking{domain: domain, model: m, loads: loads})
