relay: Ask the next daemon without a hold once one has failed

Cause: a relay that stands still costs its follower the hold and the time limit of a call, 1.2 s for a configuration; the next was held as long again, so that two in a row that stand still leave a change unknown for 2.4 s, over the shortest bound of the sites known.

Ruled out: shorter holds for all, which cost calls at rest.

Change: after a failed question the next of the same read is asked without a hold.

The new test was red on a mutation.

Conclusion: the bound is kept with one hold and two time limits.

--- a/relay/reader.go
+++ b/relay/reader.go
@@ -116,11 +116,12 @@
 // returned otherwise.
 func (r *Reader) read(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
 	var stale *StaleError
+	hold := wait
 	for _, m := range r.upstreams() {
 		if r.avoids(m.Addr) {
 			continue
 		}
-		s, err := r.ask(ctx, m, table, since, wait)
+		s, err := r.ask(ctx, m, table, since, hold)
 		var lost *store.HistoryLostError
 		switch {
 		case errors.As(err, &lost), ctx.Err() != nil:
@@ -128,6 +129,7 @@
 		case errors.As(err, &stale):
 		case err != nil:
 			r.avoid(m, table, err)
+			hold = 0 // time has passed; what there is now is wanted
 		case since > 0 || s.Version >= r.newestOf(table):
 			return s, nil
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -183,6 +183,7 @@
 
 // asked is a store and other daemons that answer by script.
 type asked struct {
+	holds   []time.Duration // of the questions to daemons
 	now     time.Time
 	answers map[string]func() (store.Snapshot, error)
 	calls   []string
@@ -201,7 +202,8 @@
 
 type askedPeers struct{ *asked }
 
-func (a askedPeers) Changes(_ context.Context, addr, _ string, _ uint64, _ time.Duration) (store.Snapshot, error) {
+func (a askedPeers) Changes(_ context.Context, addr, _ string, _ uint64, wait time.Duration) (store.Snapshot, error) {
+	a.holds = append(a.holds, wait)
 	return a.answer(addr)
 }
 
@@ -249,6 +251,18 @@
 	}
 }
 
+// TestReader_AsksTheNextWithoutAHold: the daemon that failed may have stood still for the
+// whole of a held question, and what changed meanwhile has to be known soon.
+func TestReader_AsksTheNextWithoutAHold(t *testing.T) {
+	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": failing, "second": young(9), "store": young(9)})
+	_, err := r.Changes(t.Context(), "t", 5, time.Second)
+	must.NoError(t, err)
+	must.Eq(t, []time.Duration{time.Second, 0}, a.holds)
+	_, err = r.Changes(t.Context(), "t", 5, time.Second)
+	must.NoError(t, err)
+	must.Eq(t, []time.Duration{time.Second, 0, time.Second}, a.holds)
+}
+
 // TestReader_SparesAStoreThatNobodyHeardFrom has both relays and the daemon behind them
 // lose the store for a minute. It is asked now and then, and what a relay says counts
 // again as soon as that is young.
