testbed: The store away in six ways, for all and for some daemons; what that showed

Change: the stand-in store has doors, addresses with troubles of their own, and the troubles busy, many, silent, reset, lossy, late and slow. Tests: known keys on old evidence, twice, with a key withdrawn, one given and routes added meanwhile; a daemon behind a relay that alone lost the store; leaving workers, requests without a key, and what changed meanwhile (history forgotten) while the store is away and after. This holds what TestKeys_KnownOnesAreServedOnOldEvidence checked in three of the ways.

What they showed: a daemon that asks alone held its question for a configuration for 1.5 s, so that its evidence was up to 3 s old while the store answered, and who isn't known was put off in place of denied (red: 503 for 401); the hold follows from denyAge too now. Behind a relay that lost the store a route took 2.0 to 2.1 s, once 3.4 s, on a machine with a load of 30: the evidence of a relayed configuration may be 1.4 s old, not 1.6, which leaves 0.6 s. How soon is checked without a clock that a busy machine disturbs (TestPaces, TestDirectPause, TestConfigWait).

Found beside: places in a model's window were not given back after a panic (the new test is red on the old shape); three figures of the runtime were read, under one spelling of two, and used by nobody: gone.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -94,9 +94,6 @@
 	LoadsAtOnce    int
 	// Form is how long an open group takes to serve.
 	Form time.Duration
-	// Step and StepPerSequence are the times of one token step and of each
-	// further sequence in it, in ms; ReadPerSecond is prompt tokens a second.
-	Step, StepPerSequence, ReadPerSecond float64
 }
 
 // Model returns a model by name.
--- a/deps/edge_test.go
+++ b/deps/edge_test.go
@@ -22,6 +22,8 @@
 		must.LessEq(t, age, 2*configWait(age)+storeAnswer, must.Sprint(revoke))
 	}
 	must.EqOp(t, mostConfigWait, configWait(mostAge(5*time.Second)))
+	const slowAnswer = 200 * time.Millisecond // a store that takes fifty times as long
+	must.LessEq(t, denyAge, 2*(configWait(denyAge)+slowAnswer), must.Sprint("who isn't known is denied, not put off"))
 }
 
 // storeAnswer is what a sound store takes for an answer.
--- a/deps/following.go
+++ b/deps/following.go
@@ -31,8 +31,8 @@
 // the holder itself, and to find others.
 var (
 	configPace = pace{
-		aloneHold: mostConfigWait, relayingHold: 700 * time.Millisecond, relayedHold: 700 * time.Millisecond,
-		mostAge: 1600 * time.Millisecond,
+		aloneHold: mostConfigWait, relayingHold: 600 * time.Millisecond, relayedHold: 600 * time.Millisecond,
+		mostAge: 1400 * time.Millisecond,
 	}
 	workersPace = pace{
 		aloneHold: 4 * time.Second, relayingHold: time.Second, relayedHold: time.Second,
@@ -48,10 +48,11 @@
 
 const (
 	// leastConfigWait and mostConfigWait bound how long the store holds a question
-	// for a newer configuration, and configSlack is what an answer may take.
+	// for a newer configuration, and configSlack is what two answers may take beyond
+	// that: 200 ms and more each at a store that takes fifty times as long as usual.
 	leastConfigWait = 150 * time.Millisecond
 	mostConfigWait  = 1500 * time.Millisecond
-	configSlack     = 400 * time.Millisecond
+	configSlack     = 600 * time.Millisecond
 	// holderGather is how long changes of workers gather where orders are given, since
 	// each step of a group's forming waits for the one before to show: far below the
 	// bounds on leaving workers, and long enough that a group's orders show in one
@@ -146,7 +147,7 @@
 	p := paceOf(table)
 	most := p.aloneHold
 	if table == platform.ConfigTable {
-		most = configWait(mostAge(f.edge.settings.Bounds().Revoke))
+		most = configWait(min(mostAge(f.edge.settings.Bounds().Revoke), denyAge))
 	}
 	switch {
 	case !f.reader.Direct():
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -289,6 +289,13 @@
 	must.Eq(t, []string{"first"}, a.calls)
 }
 
+// TestDirectPause_LeavesTimeToBeInTouch: a daemon that the store serves again has to be
+// in touch within three seconds at the sites known, a call included.
+func TestDirectPause_LeavesTimeToBeInTouch(t *testing.T) {
+	const inTouch, call = 3 * time.Second, 700 * time.Millisecond
+	must.Less(t, inTouch, 3*directPause/2+call)
+}
+
 // TestReader_AsksTheStoreThatOnlyRelaysLost is served by the store itself, each time and
 // at once: whom it serves has to know what it says.
 func TestReader_AsksTheStoreThatOnlyRelaysLost(t *testing.T) {
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -61,6 +61,15 @@
 // errStalled is why an attempt at a target that sends nothing ends.
 var errStalled = errors.New("the target has sent nothing for too long")
 
+// serve runs an admitted request, as one of those under way for its model.
+func (e *exchange) serve(ctx context.Context) *fault {
+	if f := e.enter(); f != nil {
+		return f
+	}
+	defer e.leave()
+	return e.run(ctx)
+}
+
 // run sends the request until it has an answer or may not be sent again.
 func (e *exchange) run(ctx context.Context) *fault {
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline.Add(-deadlineSlack), context.DeadlineExceeded)
--- a/serving/server.go
+++ b/serving/server.go
@@ -82,11 +82,7 @@
 	e := &exchange{server: s, w: w, req: req, arrived: s.opts.Now(), lastEvent: req.LastEvent}
 	fault := e.admit(count)
 	if fault == nil {
-		fault = e.enter()
-	}
-	if fault == nil {
-		fault = e.run(r.Context())
-		e.leave()
+		fault = e.serve(r.Context())
 	}
 	e.finish(r.Context(), fault)
 }
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -146,6 +146,16 @@
 	LooseRevoke bool
 	// Fenced tells that workers refuse orders with an old fencing token.
 	Fenced bool
+	// Door is where the daemon reaches the store, nil for the usual one.
+	Door *Door
+}
+
+// storeAddr returns where the daemon reaches a store.
+func (s Setup) storeAddr(store *Store) string {
+	if s.Door != nil {
+		return s.Door.Addr()
+	}
+	return store.Addr()
 }
 
 // Start starts a daemon of a name, and returns it with a function that kills it.
@@ -159,7 +169,7 @@
 		*addr = free
 	}
 	file := filepath.Join(dir, name+".jsonc")
-	text := fmt.Sprintf(settings, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, store.Addr(), !setup.LooseRevoke, setup.Fenced)
+	text := fmt.Sprintf(settings, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store), !setup.LooseRevoke, setup.Fenced)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
 	}
--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -408,40 +408,6 @@
 	})
 }
 
-// TestKeys_KnownOnesAreServedOnOldEvidence: where nobody asks for strict revocation,
-// known keys are served while the store is away, in each way that it can be, and
-// what isn't known is refused for now and not for good. Once the store is back what
-// changed meanwhile counts.
-func TestKeys_KnownOnesAreServedOnOldEvidence(t *testing.T) {
-	for _, trouble := range []Trouble{Silent, Busy, Lossy} {
-		s := newStage(t, 0)
-		d := s.startAs(Setup{FirstStart: true, LooseRevoke: true})
-		s.store.SetTrouble(trouble)
-		stranger := s.ask(http.MethodPost, "/post/x")
-		stranger.Key = "key-3"
-		var r Reply
-		eventually(t, "strangers are put off", func() bool {
-			r = d.Send(t.Context(), stranger)
-			return r.Status == http.StatusServiceUnavailable
-		})
-		must.NotEq(t, "", r.Header.Get("Retry-After"))
-		must.EqOp(t, http.StatusServiceUnavailable, d.Send(t.Context(), s.ask(http.MethodGet, "/new/x")).Status)
-		beyond := time.Now().Add(5 * time.Second) // the bound of strict revocation
-		for time.Now().Before(beyond) {
-			must.EqOp(t, http.StatusOK, d.Send(t.Context(), s.ask(http.MethodPost, "/post/x")).Status)
-		}
-		s.config.Version = 6
-		s.config.Tenants[0].Keys = []string{"key-2", "key-3"}
-		s.store.Apply(s.config)
-		s.store.SetTrouble(Sound)
-		eventually(t, "the withdrawn key is refused", func() bool {
-			return d.Send(t.Context(), s.ask(http.MethodPost, "/post/x")).Status == http.StatusUnauthorized
-		})
-		must.EqOp(t, http.StatusOK, d.Send(t.Context(), stranger).Status)
-		must.StrContains(t, d.Metrics(), `pointpass_old_evidence_verdicts_total{verdict="admit"}`)
-	}
-}
-
 // TestDenied_NothingIsDeniedBeforeAConfiguration: DENIED.
 func TestDenied_NothingIsDeniedBeforeAConfiguration(t *testing.T) {
 	s := newStage(t, 0)
--- a/testbed/standin/store.go
+++ b/testbed/standin/store.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -24,32 +23,18 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-// Trouble is how the store misbehaves.
-type Trouble int
-
-const (
-	// Sound is no trouble.
-	Sound Trouble = iota
-	// Busy answers 503 and does nothing.
-	Busy
-	// Silent answers nothing until the trouble ends.
-	Silent
-	// Lossy does what it is asked and closes the connection without an answer.
-	Lossy
-)
-
 // Store is the metadata store.
 type Store struct {
-	server *httptest.Server
-	begun  time.Time
+	begun time.Time
+	own   *Door
 
 	mu      sync.Mutex
+	doors   []*Door
 	changed chan struct{} // closed at each change
 	version uint64
 	rows    map[string]Row
 	history []Row
 	floor   uint64 // history up to here is gone
-	trouble Trouble
 	calls   map[string]int
 	judge   *Judge
 }
@@ -57,31 +42,31 @@
 // NewStore starts a store, and returns it with a function that stops it.
 func NewStore() (*Store, func()) {
 	s := &Store{begun: time.Now(), changed: make(chan struct{}), rows: map[string]Row{}, calls: map[string]int{}, judge: newJudge()}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /rows-get", s.faulty("rows-get", s.serveRows))
-	mux.HandleFunc("GET /rows-feed", s.faulty("rows-feed", s.serveFeed))
-	mux.HandleFunc("POST /rows-tx", s.faulty("rows-tx", s.serveTxn))
-	s.server = httptest.NewServer(mux)
+	s.own = s.NewDoor()
 	return s, s.stop
 }
 
 func (s *Store) stop() {
 	s.SetTrouble(Busy) // frees what waits
-	s.server.CloseClientConnections()
-	s.server.Close()
+	for _, d := range s.doors {
+		d.server.CloseClientConnections()
+		d.server.Close()
+	}
 }
 
 // Addr returns where the store listens.
-func (s *Store) Addr() string { return s.server.Listener.Addr().String() }
+func (s *Store) Addr() string { return s.own.Addr() }
 
 // Judge returns who watches the rules about groups.
 func (s *Store) Judge() *Judge { return s.judge }
 
-// SetTrouble begins or ends a trouble.
+// SetTrouble begins or ends a trouble of the whole store.
 func (s *Store) SetTrouble(t Trouble) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.trouble = t
+	for _, d := range s.doors {
+		d.trouble = t
+	}
 	s.wake()
 }
 
@@ -165,28 +150,6 @@
 	return answer{Rows: rows, Version: s.version, NowMs: time.Since(s.begun).Milliseconds()}
 }
 
-// faulty lets calls through, or not, as the trouble of the moment has it.
-func (s *Store) faulty(name string, next http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		s.calls[name]++
-		trouble := s.trouble
-		s.mu.Unlock()
-		switch trouble {
-		case Busy:
-			w.WriteHeader(http.StatusServiceUnavailable)
-		case Silent:
-			s.await(r, func() bool { return s.trouble != Silent })
-			panic(http.ErrAbortHandler)
-		case Lossy:
-			next(httptest.NewRecorder(), r)
-			panic(http.ErrAbortHandler)
-		default:
-			next(w, r)
-		}
-	}
-}
-
 // await waits until a condition holds, the caller leaves or the time is over.
 func (s *Store) await(r *http.Request, holds func() bool) {
 	for {
@@ -214,7 +177,8 @@
 	json.NewEncoder(w).Encode(s.answer(rows))
 }
 
-func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
+// serveFeed answers a question for changes at a door, held until there are some.
+func (s *Store) serveFeed(d *Door, w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	since, _ := strconv.ParseUint(query.Get("sinceRev"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
@@ -226,7 +190,7 @@
 		gone := since < s.floor
 		reply := s.answer(rows)
 		changed := s.changed
-		sound := s.trouble == Sound
+		sound := d.trouble.answers()
 		s.mu.Unlock()
 		switch {
 		case !sound:
