testbed: Split the two largest test files by what they test

Ruled out that anything got lost: the sorted lines of all functions and all assertions are the same before and after.

Conclusion: one job each.

--- /dev/null
+++ b/replica/planner_test.go
@@ -0,0 +1,302 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// TestPlanner_Histories plays random crashes, drains, lost, late and doubled
+// orders, holders that change, and holders that pause and go on giving orders.
+func TestPlanner_Histories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &play{t: t, w: newWorld(rapid.IntRange(1, 2).Draw(t, "domains"), 8), idle: true}
+		p.newHolder()
+		steps := rapid.IntRange(50, 400).Draw(t, "steps")
+		trouble := rapid.IntRange(0, 30).Draw(t, "trouble")
+		for range steps {
+			p.w.step()
+			p.trouble(trouble)
+			for _, h := range p.holders {
+				p.act(h)
+			}
+			p.requests()
+			must.SliceEmpty(t, p.w.broken, must.Sprint(p.w.broken))
+		}
+	})
+}
+
+// TestPlanner_ReachesItsShares forms all groups in a calm world.
+func TestPlanner_ReachesItsShares(t *testing.T) {
+	w := newWorld(3, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	open := map[string]int{}
+	for _, g := range w.view.Groups() {
+		if head, ok := g.Head(); ok && g.Whole && head.Membership.State == workers.Open {
+			open[g.ID.Model()]++
+		}
+	}
+	must.Eq(t, map[string]int{"m.large": 4, "small": 4}, open)
+}
+
+// TestPlanner_ReplacesLostMembers loses members of two groups of the large model,
+// in domains that also have groups of the small one. Soon after their rows went
+// at most one group is missing, which the small model's share allows, and nobody
+// waited for a load.
+func TestPlanner_ReplacesLostMembers(t *testing.T) {
+	w := newWorld(6, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	loads := w.joinLoads
+	before := whole(w, "m.large")
+	must.EqOp(t, 8, before)
+	small := map[string]bool{}
+	for _, g := range w.view.Groups() {
+		small[g.Members[0].Domain] = small[g.Members[0].Domain] || g.ID.Model() == "small"
+	}
+	killed := 0
+	for _, g := range w.view.Groups() {
+		if g.ID.Model() == "m.large" && small[g.Members[0].Domain] && killed < 2 {
+			killed++
+			w.engines[g.Members[2].ID].dead = w.now
+		}
+	}
+	calm(w, h, worldSilence+5*time.Second, false)
+	must.GreaterEq(t, before-1, whole(w, "m.large"))
+	must.EqOp(t, loads, w.joinLoads)
+}
+
+// TestPlanner_ReplacesADeadMemberBeforeItsEntryGoes finds the other members out of
+// their group before the entry of the dead one is gone.
+func TestPlanner_ReplacesADeadMemberBeforeItsEntryGoes(t *testing.T) {
+	w := newWorld(6, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	g := w.view.Groups()[0]
+	dead := g.Members[1]
+	w.engines[dead.ID].dead = w.now
+	calm(w, h, time.Second, false)
+	must.EqOp(t, g.ID, w.engines[g.Members[0].ID].worker.Membership.Group, must.Sprint("nothing shows it yet"))
+	h.planner.Unreachable(w.now, dead.ID)
+	calm(w, h, time.Second, false)
+	_, listed := w.view.Worker(dead.ID)
+	must.True(t, listed)
+	must.NotEq(t, g.ID, w.engines[g.Members[0].ID].worker.Membership.Group)
+	for _, other := range w.view.Groups() {
+		for _, member := range other.Members {
+			must.True(t, member.ID != dead.ID || other.ID == g.ID, must.Sprint("it joins nothing"))
+		}
+	}
+}
+
+// TestPlanner_EveryDomainKeepsALargeGroupStaged looks at what the hosts of each
+// domain would have if all its workers restarted.
+func TestPlanner_EveryDomainKeepsALargeGroupStaged(t *testing.T) {
+	w := newWorld(6, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, time.Minute, true)
+	staged := map[string]int{}
+	for _, e := range w.engines {
+		if len(e.worker.Staged) == 1 && e.worker.Staged[0] == "m.large" {
+			staged[e.worker.Domain]++
+		}
+	}
+	must.MapLen(t, 6, staged)
+	for domain, n := range staged {
+		must.GreaterEq(t, 4, n, must.Sprint(domain))
+	}
+}
+
+// TestPlanner_KeepsTheLoadCeiling adds many empty workers at once.
+func TestPlanner_KeepsTheLoadCeiling(t *testing.T) {
+	w := newWorld(6, 8)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, time.Minute, false)
+	for i, from := range w.loads {
+		within := 0
+		for _, at := range w.loads[i:] {
+			if at.Sub(from) <= testCeiling.Window {
+				within++
+			}
+		}
+		must.True(t, within <= 22, must.Sprint(fmt.Sprint(within, " loads within 5 s")))
+	}
+}
+
+// newUnevenWorld has domains whose workers don't all fit into groups.
+func newUnevenWorld(domains int) *world {
+	w := newWorld(domains, 19)
+	w.service.Runtime.Models[0].Size = 8
+	w.service.Runtime.Models[0].Share = 0.5
+	w.service.Runtime.Models[1].Size = 4
+	w.service.Runtime.Models[1].Share = 0.5
+	return w
+}
+
+// TestPlanner_SparesReplaceLostMembersWithoutLoads loses a member of a large and
+// one of a small group in each domain. The three spare workers of the domain were
+// prepared while nobody was served, so that all groups are back soon.
+func TestPlanner_SparesReplaceLostMembersWithoutLoads(t *testing.T) {
+	w := newUnevenWorld(4)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	large, small := whole(w, "m.large"), whole(w, "small")
+	must.EqOp(t, 4, large)
+	must.EqOp(t, 8, small)
+	loads := len(w.loads)
+	killed := map[string]bool{}
+	for _, g := range w.view.Groups() {
+		once := g.ID.Model() + g.Members[0].Domain
+		if !killed[once] {
+			killed[once] = true
+			w.engines[g.Members[1].ID].dead = w.now
+		}
+	}
+	calm(w, h, worldSilence+4*time.Second, false)
+	must.EqOp(t, large, whole(w, "m.large"))
+	must.EqOp(t, small, whole(w, "small"))
+	must.EqOp(t, loads, len(w.loads))
+}
+
+// TestPlanner_PreparesWorkersThatComeLate has empty workers come while others are
+// served. Each is prepared for a model, too few though they are for a group.
+func TestPlanner_PreparesWorkersThatComeLate(t *testing.T) {
+	w := newUnevenWorld(2)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	w.add("d0", 0)
+	w.add("d1", 0)
+	calm(w, h, 20*time.Second, false)
+	for _, e := range w.engines {
+		must.SliceNotEmpty(t, e.worker.Staged, must.Sprint(e.worker.ID))
+	}
+}
+
+// TestPlanner_FinishedLoadsLeaveRoom has hosts load a model and lose it again to
+// that of a group which their workers join. Loads that are over must not keep
+// others from beginning.
+func TestPlanner_FinishedLoadsLeaveRoom(t *testing.T) {
+	w := newUnevenWorld(1)
+	p := NewPlanner(1, testCeiling)
+	situation := func() Situation {
+		return Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Failing: w.failing}
+	}
+	atOnce := w.service.Runtime.LoadsAtOnce
+	w.step()
+	first := stages(p.Plan(situation()))
+	must.Len(t, atOnce, first)
+	finish := func(orders []Order, model string) {
+		for _, o := range orders {
+			e := w.engines[o.Worker.ID]
+			e.worker.Staged = []string{model}
+			w.tell(e, 0)
+			p.Result(w.now, o, Begun)
+		}
+		w.now = w.now.Add(6 * time.Second)
+		w.step()
+	}
+	finish(first, first[0].Model)
+	second := stages(p.Plan(situation()))
+	must.SliceNotEmpty(t, second)
+	finish(first, "another")
+	finish(second, second[0].Model)
+	must.SliceNotEmpty(t, stages(p.Plan(situation())))
+}
+
+// TestPlanner_UnansweredOrdersDelayLittle has a member of each large group die while
+// a third of the orders gets no answer, and is carried out late.
+func TestPlanner_UnansweredOrdersDelayLittle(t *testing.T) {
+	w := newUnevenWorld(4)
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	calm(w, h, 30*time.Second, true)
+	for _, g := range w.view.Groups() {
+		if g.ID.Model() == "m.large" {
+			w.engines[g.Members[1].ID].dead = w.now
+			h.planner.Unreachable(w.now, g.Members[1].ID)
+		}
+	}
+	orders := 0
+	h.fate = func(o Order) fate {
+		orders++
+		if orders%3 == 0 {
+			return fateLate
+		}
+		return fateTaken
+	}
+	calm(w, h, 8*time.Second, false)
+	must.EqOp(t, 4, whole(w, "m.large"))
+	must.SliceEmpty(t, w.broken)
+}
+
+// TestPlanner_WaitsForTheListToBeComplete lists the workers one after the other. The
+// groups formed are those that the shares call for, and none is given up again.
+func TestPlanner_WaitsForTheListToBeComplete(t *testing.T) {
+	w := newUnevenWorld(0)
+	for i := range 4 * 19 {
+		w.add(fmt.Sprint("d", i%4), time.Duration(i)*50*time.Millisecond)
+	}
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	left := 0
+	h.fate = func(o Order) fate {
+		if o.Op == Leave || o.Op == Close {
+			left++
+		}
+		return fateTaken
+	}
+	calm(w, h, 30*time.Second, true)
+	must.EqOp(t, 4, whole(w, "m.large"))
+	must.EqOp(t, 8, whole(w, "small"))
+	must.EqOp(t, 0, left)
+}
+
+// TestPlanner_EntriesMissingAfterAnOutageAreGone has the entry of a member go, though
+// its group serves. Without an outage the member counts as cut off from the store;
+// 2.5 s after the store's return it counts as gone.
+func TestPlanner_EntriesMissingAfterAnOutageAreGone(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprint("outage ", outage), func(t *testing.T) {
+			w := newUnevenWorld(2)
+			h := &holder{planner: NewPlanner(1, testCeiling)}
+			calm(w, h, 30*time.Second, true)
+			g := w.view.Groups()[0]
+			head := w.engines[g.Members[0].ID]
+			if outage {
+				h.storeBack = w.now
+			}
+			w.reg.Apply(nil, []string{g.Members[1].ID}, false)
+			calm(w, h, 2*time.Second, false)
+			must.EqOp(t, g.ID, head.worker.Membership.Group)
+			calm(w, h, 2*time.Second, false)
+			must.EqOp(t, !outage, head.worker.Membership.Group == g.ID)
+		})
+	}
+}
+
+func whole(w *world, model string) int {
+	n := 0
+	for _, g := range w.view.Groups() {
+		head, ok := g.Head()
+		if ok && g.Whole && head.Membership.State == workers.Open && g.ID.Model() == model && len(g.Members) == w.model(model).Size {
+			n++
+		}
+	}
+	return n
+}
+
+// calm lets a planner work for a while with all orders answered.
+func calm(w *world, h *holder, d time.Duration, idle bool) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.step()
+		h.takeResults(w.now)
+		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle, Failing: w.failing, StoreBack: h.storeBack}) {
+			h.pending = append(h.pending, h.order(w, o))
+		}
+	}
+}
--- /dev/null
+++ b/testbed/standin/stage_test.go
@@ -0,0 +1,173 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// program is pointpassd, built once for all tests.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(runAll(m))
+}
+
+func runAll(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "pointpassd")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program, err = Build(context.Background(), dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// patience bounds waiting for a condition.
+const patience = 20 * time.Second
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(patience), wait.Gap(10*time.Millisecond)), must.Sprint(what))
+}
+
+// stage is a store, workers and daemons.
+type stage struct {
+	t       *testing.T
+	store   *Store
+	config  Config
+	workers map[string]*Worker
+	daemons []*Daemon
+	ids     int
+}
+
+const (
+	host = "games.example"
+	key  = "key-1"
+)
+
+// newStage starts a store with a configuration, two plain workers and one model
+// whose groups have two workers.
+func newStage(t *testing.T, models int) *stage {
+	s := &stage{t: t, workers: map[string]*Worker{}}
+	store, stopStore := NewStore()
+	t.Cleanup(stopStore)
+	t.Cleanup(func() { must.SliceEmpty(t, store.Judge().Broken()) })
+	s.store = store
+	s.config = Config{
+		Version: 5,
+		Limits:  Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
+		Services: []Service{
+			{Name: "app"},
+			{Name: "llm", Runtime: &Runtime{Slots: 4, LoadsPerS: 100, LoadsAtOnce: 100, FormMs: 1, Models: []Model{
+				{Name: "m1", Size: 2, Share: 1, Pace: 1, LoadS: 1, WarmupS: 0.1},
+			}}},
+		},
+		Routes: []Route{
+			{Name: "post", Host: host, Prefix: "/post/", Type: "non_idempotent", TimeoutMs: 2000, GoalMs: 300, Service: "app", Attempts: 2},
+			{Name: "get", Host: host, Prefix: "/get/", Type: "idempotent", TimeoutMs: 2000, GoalMs: 300, Service: "app", Attempts: 2},
+			{Name: "ask", Host: host, Prefix: "/ask/", Type: "streaming", TimeoutMs: 6000, GoalMs: 500, GapMs: 300, Service: "llm", Attempts: 2, Resumable: true},
+			{Name: "open", Host: host, Prefix: "/open/", Type: "idempotent", TimeoutMs: 2000, GoalMs: 300, Service: "app", Attempts: 2, Public: true},
+		},
+		Tenants: []Tenant{{Name: "desk", Keys: []string{key, "key-2"}}},
+	}
+	s.store.Apply(s.config)
+	for i := range 2 {
+		s.addWorker(fmt.Sprint("a", i), "app", "")
+	}
+	for i := range models {
+		s.addWorker(fmt.Sprint("m", i), "llm", "d"+strconv.Itoa(i/4))
+	}
+	return s
+}
+
+func (s *stage) addWorker(id, service, domain string) *Worker {
+	w, kill := NewWorker(s.store, id, service, domain)
+	s.t.Cleanup(kill)
+	s.workers[id] = w
+	return w
+}
+
+func (s *stage) start(firstStart bool) *Daemon { return s.startAs(Setup{FirstStart: firstStart}) }
+
+func (s *stage) startAs(setup Setup) *Daemon {
+	d, kill, err := Start(program, s.t.TempDir(), fmt.Sprint("edge-", len(s.daemons)), s.store, setup)
+	must.NoError(s.t, err)
+	s.t.Cleanup(func() {
+		kill()
+		if s.t.Failed() {
+			s.t.Log(d.Log())
+		}
+	})
+	s.daemons = append(s.daemons, d)
+	eventually(s.t, "a daemon gets ready", d.Ready)
+	return d
+}
+
+// open returns the workers that head an open group.
+func (s *stage) open() []*Worker {
+	var heads []*Worker
+	for _, w := range s.workers {
+		if w.GroupState() == "open" {
+			heads = append(heads, w)
+		}
+	}
+	return heads
+}
+
+func (s *stage) awaitGroups(n int) {
+	s.t.Helper()
+	eventually(s.t, "groups open", func() bool { return len(s.open()) == n })
+}
+
+func (s *stage) ask(method, path string) Ask {
+	s.ids++
+	return Ask{ID: fmt.Sprintf("%016x", s.ids), Method: method, Host: host, Path: path, Key: key, Body: "question", Wait: 5 * time.Second}
+}
+
+func (s *stage) stream() Ask {
+	a := s.ask(http.MethodPost, "/ask/q")
+	a.Header = http.Header{"X-Pointpass-Model": {"m1"}, "X-Pointpass-Token-Usage": {"100,40"}, "X-Pointpass-Prefix-Hash": {"5c1e:100"}}
+	return a
+}
+
+// runs returns all runs of a request.
+func (s *stage) runs(id string) []Run {
+	var runs []Run
+	for _, w := range s.workers {
+		for _, r := range w.Runs() {
+			if r.ID == id {
+				runs = append(runs, r)
+			}
+		}
+	}
+	return runs
+}
+
+func (s *stage) setFaults(f Fault, ids ...string) {
+	for _, id := range ids {
+		s.workers[id].SetFault(f)
+	}
+}
+
+// wholeStream tells whether a reply holds all events of a request, each once.
+func wholeStream(id string, r Reply) bool {
+	var want strings.Builder
+	for i := 1; i <= events; i++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %s-%d\n\n", i, id, i)
+	}
+	return r.Err == nil && r.Status == http.StatusOK && r.Body == want.String()
+}
