replica: Prepare no workers of other groups once callers are served

Cause: ablation. Loads that put the lacking model on hosts whose worker runs another one were believed to help the next retirement.

Change: such loads are begun only while nobody is served, when they cost a tenth and count for nothing.

Conclusion: worth nothing, removed.

--- a/replica/stage.go
+++ b/replica/stage.go
@@ -15,10 +15,9 @@
 
 // stage has hosts load models that their workers could not run soon. While nobody
 // is served all hosts load what their worker doesn't run. Later, when a load
-// takes long and few fit beside each other, workers in no group come first, where
-// the fewest loads make a further group possible; some room is left for those
-// that are still to come. Only the rest prepares workers of other groups for the
-// model that lacks most.
+// takes long and few fit beside each other, only workers in no group are prepared,
+// first where the fewest loads make a further group possible. Loads for workers of
+// groups that run another model were worth nothing then (docs/MEASURES.md).
 func (r *round) stage() {
 	left := min(r.loadsLeft(), r.stagesLeft())
 	if left <= 0 || !r.settled() {
@@ -31,18 +30,18 @@
 		left = r.stageIdle(p, models, left)
 	}
 	left = r.stageSpares(p, left)
-	if !r.idle {
-		left -= r.service.Runtime.LoadsAtOnce / 2
-		models = models[:min(1, len(models))]
+	if r.idle {
+		r.stageMembers(models, left)
 	}
+}
+
+// stageMembers has the hosts of workers that run a model load another beside it.
+func (r *round) stageMembers(models []catalog.Model, left int) {
 	for _, m := range models {
 		for _, w := range r.stageOrder(m) {
 			if left <= 0 {
 				return
 			}
-			if r.idle && w.Membership.Group.Name == "" {
-				continue // about to join a group, or a spare
-			}
 			if !r.robsDomain(w, m) && r.stageAt(w, m) {
 				left--
 			}
@@ -157,31 +156,27 @@
 	return false
 }
 
-// stageOrder returns the workers that don't run a model, those of the domain first
-// that lacks the fewest for another group, and workers in no group before others.
+// stageOrder returns the workers that run another model, those of the domain first
+// that lacks the fewest for another group.
 func (r *round) stageOrder(m catalog.Model) []workers.Worker {
 	var list []workers.Worker
 	spare := map[string]int{}
 	for _, w := range r.view.Of(r.service.Name) {
-		if r.membership(w).Group.Model() == m.Name {
+		group := r.membership(w).Group
+		if group.Model() == m.Name {
 			continue
 		}
-		list = append(list, w)
 		if preparationOf(w, m.Name) != fromStore {
 			spare[w.Domain]++
 		}
-	}
-	rank := func(w workers.Worker) int {
-		if r.membership(w).Group.Name == "" {
-			return 0
+		if group.Name != "" {
+			list = append(list, w)
 		}
-		return 1
 	}
 	slices.SortStableFunc(list, func(a, b workers.Worker) int {
 		return cmp.Or(
 			cmp.Compare(m.Size-spare[a.Domain]%m.Size, m.Size-spare[b.Domain]%m.Size),
 			cmp.Compare(a.Domain, b.Domain),
-			cmp.Compare(rank(a), rank(b)),
 		)
 	})
 	return list
