relay: Read anew at once where the store forgot its history

Cause: read in review. A store that answers that history is lost counted as one that did not answer, so that a daemon whose relay lost the store left it alone for up to 2.1 s before it read all rows, over the shortest bound on a configuration.

Ruled out: that the relay would tell in time: it has lost the store.

Change: only no answer counts. The new test was red on the old condition.

--- a/deps/following.go
+++ b/deps/following.go
@@ -26,8 +26,8 @@
 }
 
 // The paces of the tables. What a configuration changes has to be in force everywhere
-// within two seconds at the least, so that a daemon has to notice before that that one
-// that relays lost the store. Workers have four seconds. The lease's table is used by
+// within two seconds at the least; before that a daemon has to notice that the one that
+// relays to it lost the store. Workers have four seconds. The lease's table is used by
 // the holder itself, and to find others.
 var (
 	configPace = pace{
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -46,7 +46,8 @@
 
 	mu      sync.Mutex
 	avoided map[string]avoidance
-	newest  map[string]uint64 // the newest version read, by table
+	// newest is the newest version read, by table.
+	newest map[string]uint64
 	// stale are the tables that daemons pass on too late.
 	stale map[relayed]bool
 	// nextDirect is until when the store is left alone while relays have not heard from
@@ -68,15 +69,14 @@
 // be.
 func NewReader(direct store.Reader, peers Peers, upstreams func() []Member, mostAge func(table string) time.Duration, now func() time.Time, logger *log.Logger) *Reader {
 	return &Reader{
-		direct:    direct,
-		peers:     peers,
-		upstreams: upstreams,
-		mostAge:   mostAge,
-		now:       now,
-		log:       logger,
-		avoided:   map[string]avoidance{},
-		newest:    map[string]uint64{},
-
+		direct:     direct,
+		peers:      peers,
+		upstreams:  upstreams,
+		mostAge:    mostAge,
+		now:        now,
+		log:        logger,
+		avoided:    map[string]avoidance{},
+		newest:     map[string]uint64{},
 		stale:      map[relayed]bool{},
 		nextDirect: map[string]time.Time{},
 	}
@@ -171,16 +171,17 @@
 	}
 }
 
-// askStore asks the store. A failure is kept in mind for a while.
+// askStore asks the store. That it did not answer is kept in mind for a while.
 func (r *Reader) askStore(ctx context.Context, table string, since uint64, wait time.Duration) (s store.Snapshot, err error) {
 	if since == 0 {
 		s, err = r.direct.Rows(ctx, table)
 	} else {
 		s, err = r.direct.Changes(ctx, table, since, wait)
 	}
+	var lost *store.HistoryLostError
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err != nil {
+	if err != nil && !errors.As(err, &lost) {
 		r.nextDirect[table] = r.now().Add(directPause/2 + rand.N(directPause))
 	} else {
 		delete(r.nextDirect, table)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -355,6 +355,20 @@
 	must.False(t, r.Direct())
 }
 
+// TestReader_ReadsAnewAtOnceWhereHistoryIsLost: a store that forgot its history has
+// answered, and is asked for all rows without a pause.
+func TestReader_ReadsAnewAtOnceWhereHistoryIsLost(t *testing.T) {
+	lost := func() (store.Snapshot, error) { return store.Snapshot{}, &store.HistoryLostError{Table: "t"} }
+	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": stale, "second": stale, "store": lost})
+	var want *store.HistoryLostError
+	_, err := r.Changes(t.Context(), "t", 5, time.Second)
+	must.True(t, errors.As(err, &want))
+	a.answers["store"] = young(60)
+	s, err := r.Rows(t.Context(), "t")
+	must.NoError(t, err)
+	must.EqOp(t, 60, s.Version)
+}
+
 func TestUpstreams(t *testing.T) {
 	var all []Member
 	for i := range 20 {
