--- a/testbed/experiment/render.go
+++ b/testbed/experiment/render.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"image/color"
 	"io"
 	"maps"
 	"slices"
@@ -11,6 +12,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 )
 
 // WriteTable writes summaries as a table of Markdown.
@@ -49,78 +51,87 @@
 	return err
 }
 
-// Size of a plot, and the width of one bar.
+// Size of a plot, of a point in it, and how far the points of two sites stand apart, in
+// versions.
 const (
 	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 12 * vg.Centimeter
-	barWidth   = vg.Length(12)
+	pointSize  = vg.Length(4)
+	siteStep   = 0.12
 )
 
-// bars are the differences of one site, for a plot.
-type bars struct {
-	plotter.Values
+// points are the differences of one site, for a plot.
+type points struct {
+	plotter.XYs
 	plotter.YErrors
-	offset float64
 }
 
-// XY returns where an error bar stands. It implements plotter.XYer.
-func (b bars) XY(i int) (x, y float64) { return float64(i) + b.offset, b.Values[i] }
-
 // WritePlot writes the differences of all versions but the first, with twice their
 // standard error, to a file whose ending says the format: .svg or .png.
 func WritePlot(file string, summaries []Summary) error {
+	names, bySite := differences(summaries)
+	if len(names) == 0 {
+		return &EmptyPlotError{file: file}
+	}
 	p := plot.New()
 	p.Title.Text = "Worth against " + summaries[0].Version
 	p.Y.Label.Text = "difference in worth, with twice its standard error"
 	p.Add(plotter.NewGrid())
-	var names []string
-	bySite := map[string]*bars{}
+	for i, site := range slices.Sorted(maps.Keys(bySite)) {
+		shift := siteStep * (float64(i) - float64(len(bySite)-1)/2)
+		if err := addPoints(p, site, plotutil.Color(i), shift, bySite[site]); err != nil {
+			return err
+		}
+	}
+	p.NominalX(names...)
+	p.X.Min = -0.5
+	p.X.Max = float64(len(names)) - 0.5
+	p.Legend.Top = true
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+// differences returns the names of all versions but the first and the differences of
+// each site, by version.
+func differences(summaries []Summary) (names []string, bySite map[string]*points) {
+	bySite = map[string]*points{}
 	for _, s := range summaries {
 		if s.Version == summaries[0].Version {
 			continue
 		}
-		if !slices.Contains(names, s.Version) {
+		i := slices.Index(names, s.Version)
+		if i < 0 {
+			i = len(names)
 			names = append(names, s.Version)
 		}
-		b, known := bySite[s.Site]
-		if !known {
-			b = &bars{}
-			bySite[s.Site] = b
+		if bySite[s.Site] == nil {
+			bySite[s.Site] = &points{}
 		}
-		b.Values = append(b.Values, s.Difference)
+		b := bySite[s.Site]
+		b.XYs = append(b.XYs, plotter.XY{X: float64(i), Y: s.Difference})
 		b.YErrors = append(b.YErrors, struct{ Low, High float64 }{2 * s.Error, 2 * s.Error})
 	}
-	if len(names) == 0 {
-		return &EmptyPlotError{file: file}
-	}
-	for i, site := range slices.Sorted(maps.Keys(bySite)) {
-		if err := addBars(p, site, i, len(bySite), bySite[site]); err != nil {
-			return err
-		}
-	}
-	p.NominalX(names...)
-	p.Legend.Top = true
-	return p.Save(plotWidth, plotHeight, file)
+	return names, bySite
 }
 
-// addBars adds the bars of one site, beside those of the others.
-func addBars(p *plot.Plot, site string, index, sites int, b *bars) error {
-	chart, err := plotter.NewBarChart(b.Values, barWidth)
+// addPoints adds the points of one site beside those of the others.
+func addPoints(p *plot.Plot, site string, c color.Color, shift float64, b *points) error {
+	for i := range b.XYs {
+		b.XYs[i].X += shift
+	}
+	scatter, err := plotter.NewScatter(b.XYs)
 	if err != nil {
 		return err
 	}
-	shift := float64(index) - float64(sites-1)/2
-	chart.Offset = vg.Length(shift) * barWidth
-	chart.Color = plotutil.Color(index)
-	// An error bar stands where the bar does: a bar's offset is a length, its own is
-	// in units of the axis.
-	b.offset = shift * float64(barWidth) * float64(len(b.Values)) / float64(plotWidth)
+	scatter.Color = c
+	scatter.Radius = pointSize
+	scatter.Shape = draw.CircleGlyph{}
 	spread, err := plotter.NewYErrorBars(b)
 	if err != nil {
 		return err
 	}
-	p.Add(chart, spread)
-	p.Legend.Add(site, chart)
+	spread.Color = c
+	p.Add(spread, scatter)
+	p.Legend.Add(site, scatter)
 	return nil
 }
 
