deps: Name the ages of tables apart from the age of credentials

Cause: read as a newcomer, a local function had the name of another of the package. Ruled out: nothing. Change: a name. Conclusion: reads better.

--- a/deps/following.go
+++ b/deps/following.go
@@ -99,8 +99,8 @@
 	}
 	f.control.Store(&controlView{})
 	upstreams := func() []relay.Member { return f.control.Load().upstreams }
-	mostAge := func(table string) time.Duration { return paceOf(table).mostAge }
-	f.reader = relay.NewReader(client, peers, upstreams, mostAge, time.Now, e.Log)
+	ages := func(table string) time.Duration { return paceOf(table).mostAge }
+	f.reader = relay.NewReader(client, peers, upstreams, ages, time.Now, e.Log)
 	return f
 }
 
