health: Tell all daemons of groups that fall silent; wait for those that are slow

Cause: a daemon of hundreds finds a dead group by a request of its own that waits 0.9 s there, though the streams of about ten daemons fall silent 0.3 s after a death.

Change: the holder of the lease gathers reports of streams that fell silent and of groups that can't be reached. Two daemons' word has all leave the group alone for 1.5 s, passed on by held questions along the relays, in 10 to 100 ms. Who has just heard from the group objects, within 40 ms, before waiting requests are moved. A daemon that is told waits 2 s for a first event, not 0.9. A timer that runs late shows that the daemon itself stood still.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -12,6 +12,7 @@
 
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/common/tcp"
+	"github.com/pointpass/pointpass/health"
 	"github.com/pointpass/pointpass/node"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/relay"
@@ -47,6 +48,8 @@
 	Ingress    http.Handler
 	Lease      *replica.Lease
 	Controller *replica.Controller
+	// Warnings gathers what daemons report about groups, at the holder of the lease.
+	Warnings *health.Publisher
 	// Peers serves other daemons.
 	Peers http.Handler
 
@@ -83,6 +86,7 @@
 		Now:        time.Now,
 		Log:        logger,
 	})
+	e.Warnings = health.NewPublisher(e.following.caches[health.Table], time.Now)
 	e.reporter = newReporter(e, peers)
 	e.wireServing(upstream)
 	e.wireControl(orders)
@@ -111,6 +115,7 @@
 		Evidence:     evidencePolicy(e.settings.Bounds()),
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
+		Informed:     e.following.informed,
 		FirstUse:     e.firstUse,
 		MostRequests: mostRequests,
 		Now:          time.Now,
@@ -276,7 +281,12 @@
 type reports struct{ *Edge }
 
 // Suspect takes in that a group fails requests at another daemon.
-func (r reports) Suspect(group, reporter string) { r.Controller.Suspect(group, reporter) }
+func (r reports) Suspect(about relay.Report) {
+	if about.Sign != relay.Alive {
+		r.Controller.Suspect(about.Group, about.Reporter)
+	}
+	r.noteReport(about)
+}
 
 // Begun takes in that callers are being served.
 func (r reports) Begun() { r.begun.Store(true) }
--- a/deps/following.go
+++ b/deps/following.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pointpass/pointpass/health"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
@@ -88,6 +89,10 @@
 	reader  *relay.Reader
 	caches  map[string]*relay.Cache
 	control atomic.Pointer[controlView]
+	// warnings are read from other daemons alone, warningsRead is when that last
+	// went well.
+	warnings     *relay.Reader
+	warningsRead atomic.Pointer[time.Time]
 	// learned is closed once it is known who the other daemons are.
 	learned   chan struct{}
 	learnOnce sync.Once
@@ -109,6 +114,7 @@
 	for _, table := range []string{platform.ConfigTable, platform.WorkersTable, replica.LeaseTable} {
 		f.caches[table] = relay.NewCache(table, paceOf(table).mostAge, time.Now)
 	}
+	f.caches[health.Table] = relay.NewCache(health.Table, health.MostAge, time.Now)
 	f.control.Store(&controlView{})
 	f.reader = relay.NewReader(relay.ReaderOptions{
 		Direct:    calls,
@@ -119,6 +125,14 @@
 		Now:       time.Now,
 		Log:       e.Log,
 	})
+	f.warnings = relay.NewReader(relay.ReaderOptions{
+		Direct:    nowhere{},
+		Peers:     peers,
+		Upstreams: f.warners,
+		MostAge:   func(string) time.Duration { return health.MostAge },
+		Now:       time.Now,
+		Log:       e.Log,
+	})
 	return f
 }
 
@@ -145,6 +159,7 @@
 	}
 	running.Go(func() { f.follower(platform.ConfigTable, f.edge.applyConfig).Run(ctx) })
 	running.Go(func() { f.follower(platform.WorkersTable, f.edge.applyWorkers).Run(ctx) })
+	running.Go(func() { f.followWarnings(ctx) })
 	running.Wait()
 }
 
@@ -222,6 +237,9 @@
 	view.upstreams = relay.Upstreams(self, members)
 	view.relays = relay.Relays(self, members)
 	f.control.Store(view)
+	if f.isHolder() {
+		f.edge.Warnings.Begin(f.edge.Lease.Term())
+	}
 	f.learnOnce.Do(func() { close(f.learned) })
 }
 
--- a/deps/reporter.go
+++ b/deps/reporter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/relay"
+	"github.com/pointpass/pointpass/serving"
 )
 
 // reportPause is how long a daemon waits before it reports the same group again.
@@ -23,38 +24,62 @@
 type reporter struct {
 	edge  *Edge
 	peers *relay.Client
-	queue chan string
+	queue chan relay.Report
 	begun chan struct{}
 
 	mu   sync.Mutex
-	last map[string]time.Time
+	last map[reportKey]time.Time
+}
+
+// reportKey is a group and what was seen of it.
+type reportKey struct {
+	group string
+	sign  relay.Sign
 }
 
 func newReporter(e *Edge, peers *relay.Client) *reporter {
-	return &reporter{edge: e, peers: peers, queue: make(chan string, mostReports), begun: make(chan struct{}, 1), last: map[string]time.Time{}}
+	return &reporter{edge: e, peers: peers, queue: make(chan relay.Report, mostReports), begun: make(chan struct{}, 1), last: map[reportKey]time.Time{}}
 }
 
 // report has a failing group reported soon. It never waits.
-func (r *reporter) report(group string) {
-	if !r.due(group, time.Now()) {
+func (r *reporter) report(group string, failure serving.Failure) {
+	sign := signOf(failure)
+	if !r.due(reportKey{group: group, sign: sign}, time.Now()) {
 		return
 	}
 	select {
-	case r.queue <- group:
+	case r.queue <- relay.Report{Group: group, Reporter: r.edge.settings.Name(), Sign: sign}:
 	default:
 	}
 }
 
-func (r *reporter) due(group string, now time.Time) bool {
+// signOf returns how other daemons are told of a failure.
+func signOf(f serving.Failure) relay.Sign {
+	if f == serving.FellSilent {
+		return relay.Silent
+	}
+	return relay.Lost
+}
+
+// object has it told that a group which others found failing has sent something here
+// just now. It never waits.
+func (r *reporter) object(group string) {
+	select {
+	case r.queue <- relay.Report{Group: group, Reporter: r.edge.settings.Name(), Sign: relay.Alive}:
+	default:
+	}
+}
+
+func (r *reporter) due(key reportKey, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.last[group]) < reportPause {
+	if now.Sub(r.last[key]) < reportPause {
 		return false
 	}
 	if len(r.last) >= mostReported {
 		clear(r.last)
 	}
-	r.last[group] = now
+	r.last[key] = now
 	return true
 }
 
@@ -64,8 +89,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case group := <-r.queue:
-			r.send(ctx, group)
+		case report := <-r.queue:
+			r.send(ctx, report)
 		case <-r.begun:
 			r.sendBegun(ctx)
 		}
@@ -91,16 +116,16 @@
 	}
 }
 
-func (r *reporter) send(ctx context.Context, group string) {
-	if _, held := r.edge.Lease.Held(); held {
-		r.edge.Controller.Suspect(group, r.edge.settings.Name())
+func (r *reporter) send(ctx context.Context, report relay.Report) {
+	if r.edge.following.isHolder() {
+		reports{r.edge}.Suspect(report)
 		return
 	}
 	holder, known := r.edge.following.holder()
-	if !known || holder.Name == r.edge.settings.Name() {
+	if !known {
 		return
 	}
-	if err := r.peers.Suspect(ctx, holder.Addr, group, r.edge.settings.Name()); err != nil {
-		r.edge.Log.Warn().Str("event", "report_failed").Str("group", group).Str("holder", holder.Name).Err(err).Msg("")
+	if err := r.peers.Suspect(ctx, holder.Addr, report); err != nil {
+		r.edge.Log.Warn().Str("event", "report_failed").Str("group", report.Group).Str("holder", holder.Name).Err(err).Msg("")
 	}
 }
--- /dev/null
+++ b/deps/warnings.go
@@ -0,0 +1,118 @@
+package deps
+
+import (
+	"context"
+	"time"
+
+	"github.com/pointpass/pointpass/health"
+	"github.com/pointpass/pointpass/relay"
+	"github.com/pointpass/pointpass/store"
+)
+
+// warningHold is how long a question for warnings is held: they come by the answer to
+// it, so that a longer hold costs nothing but a connection.
+const warningHold = 1500 * time.Millisecond
+
+// mostUninformed is how long after the last answer a daemon counts on warnings: a held
+// question and a call that fails.
+const mostUninformed = warningHold + time.Second
+
+// followWarnings follows the warnings about failing groups until ctx ends. They go from
+// the holder of the lease to the daemons that relay, and from these to the others of
+// their hall.
+func (f *following) followWarnings(ctx context.Context) {
+	follower := &store.Follower{
+		Reader: f.warnings,
+		Table:  health.Table,
+		Wait:   func() time.Duration { return warningHold },
+		Apply:  f.applyWarnings,
+		Health: func(string, error) {}, // there is none until the first group fails
+		Now:    time.Now,
+	}
+	follower.Run(ctx)
+}
+
+// warners returns the daemons to ask for warnings, best first.
+func (f *following) warners() []relay.Member {
+	view := f.control.Load()
+	holder, known := f.holder()
+	if f.isHolder() {
+		return nil
+	}
+	var sources []relay.Member
+	if !view.relays {
+		for _, m := range view.upstreams {
+			if m.Hall == f.edge.settings.Hall() {
+				sources = append(sources, m)
+			}
+		}
+	}
+	if known && len(sources) == 0 {
+		sources = append(sources, relay.Member(holder))
+	}
+	return sources
+}
+
+// isHolder tells whether this daemon was the last to hold the lease, as far as it
+// knows. It gathers reports also while the store is away and the lease has lapsed.
+func (f *following) isHolder() bool { return f.control.Load().Holder == f.edge.settings.Name() }
+
+// applyWarnings takes in what another daemon passes on.
+func (f *following) applyWarnings(u store.Update) {
+	now := time.Now()
+	f.warningsRead.Store(&now)
+	f.caches[health.Table].Apply(u)
+	if u.Full {
+		return // warnings of before, which were heeded then or are over
+	}
+	for _, r := range u.Rows {
+		if r.Deleted {
+			f.edge.Server.TakeBackWarning(r.Key)
+		} else {
+			f.edge.warned(health.ParseWarning(r))
+		}
+	}
+}
+
+// informed tells whether warnings come in: a question for them was answered lately, or
+// this daemon gives them.
+func (f *following) informed() bool {
+	at := f.warningsRead.Load()
+	return f.isHolder() || at != nil && time.Since(*at) < mostUninformed
+}
+
+// warned has a group left alone that other daemons found silent, or objects.
+func (e *Edge) warned(w health.Warning) {
+	if !e.Server.Warn(w.Group, w.Names(), health.Avoided) {
+		e.reporter.object(w.Group)
+	}
+}
+
+// nowhere is a store.Reader of a table that is in no store.
+type nowhere struct{}
+
+// Rows returns *relay.EmptyError.
+func (nowhere) Rows(_ context.Context, table string) (store.Snapshot, error) {
+	return store.Snapshot{}, &relay.EmptyError{Table: table}
+}
+
+// Changes returns *relay.EmptyError.
+func (nowhere) Changes(_ context.Context, table string, _ uint64, _ time.Duration) (store.Snapshot, error) {
+	return store.Snapshot{}, &relay.EmptyError{Table: table}
+}
+
+// noteReport takes in what a daemon found of a group, where this one gathers that.
+func (e *Edge) noteReport(r relay.Report) {
+	switch {
+	case !e.following.isHolder():
+	case r.Sign == relay.Alive:
+		if e.Warnings.Object(r.Group) {
+			e.Log.Info().Str("event", "warning_withdrawn").Str("group", r.Group).Str("heard_by", r.Reporter).Msg("")
+			e.Server.TakeBackWarning(r.Group)
+		}
+	case r.Sign == relay.Silent:
+		if w, warn := e.Warnings.Report(r.Group, r.Reporter, len(e.Workers.View().Groups()), e.Lease.Nodes()); warn {
+			e.warned(w)
+		}
+	}
+}
--- /dev/null
+++ b/health/board_test.go
@@ -0,0 +1,142 @@
+package health
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var noon = time.Unix(1_000_000, 0)
+
+// The deployment of most tests.
+const (
+	groups  = 40
+	daemons = 100
+)
+
+func TestBoard_OneReporterIsNotBelieved(t *testing.T) {
+	b := NewBoard()
+	for i := range 10 {
+		_, warn := b.Report("g", "e1", groups, daemons, noon.Add(time.Duration(i)*100*time.Millisecond))
+		must.False(t, warn)
+	}
+	w, warn := b.Report("g", "e2", groups, daemons, noon.Add(time.Second))
+	must.True(t, warn)
+	must.Eq(t, Warning{Group: "g", Reporters: []string{"e1", "e2"}}, w)
+	must.EqOp(t, "e1 e2", w.Names())
+	must.Eq(t, []string{"g"}, b.Warned(noon.Add(time.Second)))
+}
+
+func TestBoard_ReportsAndWarningsEnd(t *testing.T) {
+	b := NewBoard()
+	b.Report("g", "e1", groups, daemons, noon)
+	_, warn := b.Report("g", "e2", groups, daemons, noon.Add(reportLife+time.Millisecond))
+	must.False(t, warn, must.Sprint("the first report no longer counts"))
+	now := noon.Add(reportLife + 2*time.Millisecond)
+	_, warn = b.Report("g", "e3", groups, daemons, now)
+	must.True(t, warn)
+	must.SliceEmpty(t, b.Warned(now.Add(Avoided+time.Millisecond)))
+}
+
+func TestBoard_LastsWhileReportsGoOn(t *testing.T) {
+	b := NewBoard()
+	warnings := 0
+	for i := range 40 {
+		now := noon.Add(time.Duration(i) * 100 * time.Millisecond)
+		if _, warn := b.Report("g", fmt.Sprint("e", i%3), groups, daemons, now); warn {
+			warnings++
+		}
+		if i > 0 {
+			must.Eq(t, []string{"g"}, b.Warned(now), must.Sprint(i))
+		}
+	}
+	must.Between(t, 4, warnings, 6)
+}
+
+func TestBoard_WhoHeardTheGroupEndsTheWarning(t *testing.T) {
+	b := NewBoard()
+	must.False(t, b.Object("g", noon), must.Sprint("nobody was warned"))
+	b.Report("g", "e1", groups, daemons, noon)
+	b.Report("g", "e2", groups, daemons, noon)
+	must.True(t, b.Object("g", noon))
+	must.SliceEmpty(t, b.Warned(noon))
+	for i := range 5 {
+		_, warn := b.Report("g", fmt.Sprint("e", i), groups, daemons, noon.Add(soundLife/2))
+		must.False(t, warn, must.Sprint("it was heard just now"))
+	}
+	later := noon.Add(soundLife + time.Millisecond)
+	b.Report("g", "e1", groups, daemons, later)
+	_, warn := b.Report("g", "e2", groups, daemons, later)
+	must.True(t, warn)
+}
+
+// TestBoard_FewGroupsAtATime: where many fail at once, leaving them all alone would put
+// their load on the others.
+func TestBoard_FewGroupsAtATime(t *testing.T) {
+	b := NewBoard()
+	for i := range groups {
+		for _, reporter := range []string{"e1", "e2"} {
+			b.Report(fmt.Sprint("g", i), reporter, groups, daemons, noon)
+		}
+	}
+	must.Len(t, int(mostShare*groups), b.Warned(noon))
+}
+
+func TestBoard_SmallDeployments(t *testing.T) {
+	for n, reporters := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2} {
+		b := NewBoard()
+		needed := 0
+		for warned := false; !warned; needed++ {
+			_, warned = b.Report("g", fmt.Sprint("e", needed), 3, n, noon)
+		}
+		must.EqOp(t, reporters, needed, must.Sprint(n))
+	}
+}
+
+// TestBoard_Histories plays reports, objections and pauses: nobody is left alone on one
+// daemon's word, for longer than told, beside too many others, or just after it was
+// heard.
+func TestBoard_Histories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBoard()
+		now := noon
+		reported := map[string]map[string]time.Time{}
+		heard := map[string]time.Time{}
+		warned := map[string]time.Time{}
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			group := fmt.Sprint("g", rapid.IntRange(0, 9).Draw(t, "group"))
+			if rapid.IntRange(0, 5).Draw(t, "what") == 0 {
+				if b.Object(group, now) {
+					heard[group] = now
+					delete(reported, group)
+				}
+				continue
+			}
+			reporter := fmt.Sprint("e", rapid.IntRange(0, 3).Draw(t, "reporter"))
+			if reported[group] == nil {
+				reported[group] = map[string]time.Time{}
+			}
+			reported[group][reporter] = now
+			if _, warn := b.Report(group, reporter, 10, daemons, now); warn {
+				warned[group] = now
+				others := 0
+				for _, at := range reported[group] {
+					if now.Sub(at) <= reportLife {
+						others++
+					}
+				}
+				must.GreaterEq(t, quorum, others)
+				must.True(t, heard[group].IsZero() || now.Sub(heard[group]) > soundLife)
+			}
+			left := b.Warned(now)
+			must.LessEq(t, 1, len(left)) // 0.15 of ten
+			for _, g := range left {
+				must.LessEq(t, Avoided, now.Sub(warned[g]))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/health/publisher.go
@@ -0,0 +1,112 @@
+package health
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pointpass/pointpass/relay"
+	"github.com/pointpass/pointpass/store"
+)
+
+// Table names the warnings among the tables that daemons pass on. It is in no store:
+// the holder of the lease writes it.
+const Table = "health"
+
+// MostAge is how old a warning's evidence may be to be passed on. How old it was is
+// told by the warning's own time to live.
+const MostAge = 24 * time.Hour
+
+// warningsPerTerm is how many versions a term of the lease has room for.
+const warningsPerTerm = 1 << 24
+
+// Publisher turns reports into rows that daemons follow. It is safe for use by many
+// goroutines.
+type Publisher struct {
+	cache *relay.Cache
+	now   func() time.Time
+
+	mu      sync.Mutex
+	board   *Board
+	term    uint64
+	written uint64
+	listed  map[string]bool
+}
+
+// NewPublisher returns a publisher that writes to a cache.
+func NewPublisher(cache *relay.Cache, now func() time.Time) *Publisher {
+	return &Publisher{cache: cache, now: now, board: NewBoard(), listed: map[string]bool{}}
+}
+
+// Begin has the publisher write under a term of the lease. Versions rise from term to
+// term, so that followers of an earlier holder read anew.
+func (p *Publisher) Begin(term uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if term <= p.term {
+		return
+	}
+	p.term = term
+	p.written = 0
+	p.board = NewBoard()
+	p.listed = map[string]bool{}
+	p.cache.Apply(store.Update{Full: true, Version: p.version(), Evidence: p.now()})
+}
+
+// Report takes in a daemon's report about a group, of that many groups and daemons in
+// all, under the term that was begun. It returns the warning that it led to.
+func (p *Publisher) Report(group, reporter string, groups, daemons int) (Warning, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term == 0 {
+		return Warning{}, false
+	}
+	now := p.now()
+	w, warn := p.board.Report(group, reporter, groups, daemons, now)
+	if warn {
+		p.write(&w, now)
+	}
+	return w, warn
+}
+
+// Object takes in that a daemon has heard from a group, and tells whether that took
+// back a warning.
+func (p *Publisher) Object(group string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	if p.term == 0 || !p.board.Object(group, now) {
+		return false
+	}
+	p.write(nil, now)
+	return true
+}
+
+// write publishes a warning, if there is one, and takes back those that are over. The
+// caller holds the lock.
+func (p *Publisher) write(w *Warning, now time.Time) {
+	p.written++
+	version := p.version()
+	var rows []store.Row
+	if w != nil {
+		rows = append(rows, store.Row{Key: w.Group, Value: []byte(w.Names()), Version: version})
+	}
+	current := map[string]bool{}
+	for _, group := range p.board.Warned(now) {
+		current[group] = true
+	}
+	for group := range p.listed {
+		if !current[group] {
+			rows = append(rows, store.Row{Key: group, Version: version, Deleted: true})
+		}
+	}
+	p.listed = current
+	p.cache.Apply(store.Update{Rows: rows, Version: version, Evidence: now})
+}
+
+// ParseWarning returns the warning that a row of Table tells.
+func ParseWarning(r store.Row) Warning {
+	return Warning{Group: r.Key, Reporters: strings.Fields(string(r.Value))}
+}
+
+func (p *Publisher) version() uint64 { return p.term*warningsPerTerm + p.written }
--- /dev/null
+++ b/health/publisher_test.go
@@ -0,0 +1,123 @@
+package health
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/relay"
+	"github.com/pointpass/pointpass/rpc"
+	"github.com/pointpass/pointpass/store"
+)
+
+func newPublisher() (*Publisher, *relay.Cache) {
+	cache := relay.NewCache(Table, MostAge, time.Now)
+	return NewPublisher(cache, time.Now), cache
+}
+
+func changes(t *testing.T, c *relay.Cache, since uint64) store.Snapshot {
+	t.Helper()
+	s, err := c.Changes(t.Context(), since, 0)
+	must.NoError(t, err)
+	return s
+}
+
+func TestPublisher_WritesWarningsAndTakesThemBack(t *testing.T) {
+	p, cache := newPublisher()
+	_, warn := p.Report("g", "e1", groups, daemons)
+	must.False(t, warn, must.Sprint("no term has begun"))
+	p.Begin(7)
+	begun, known := cache.Rows()
+	must.True(t, known)
+	p.Report("g", "e1", groups, daemons)
+	_, warn = p.Report("g", "e2", groups, daemons)
+	must.True(t, warn)
+	s := changes(t, cache, begun.Version)
+	must.Len(t, 1, s.Rows)
+	must.Eq(t, Warning{Group: "g", Reporters: []string{"e1", "e2"}}, ParseWarning(s.Rows[0]))
+	must.True(t, p.Object("g"))
+	must.False(t, p.Object("g"))
+	s = changes(t, cache, s.Version)
+	must.Len(t, 1, s.Rows)
+	must.True(t, s.Rows[0].Deleted)
+}
+
+// TestPublisher_TermsRise: who followed an earlier holder reads anew, and a late Begin
+// of an earlier term changes nothing.
+func TestPublisher_TermsRise(t *testing.T) {
+	p, cache := newPublisher()
+	p.Begin(7)
+	p.Report("g", "e1", groups, daemons)
+	p.Report("g", "e2", groups, daemons)
+	old, _ := cache.Rows()
+	p.Begin(9)
+	now, _ := cache.Rows()
+	must.Greater(t, old.Version, now.Version)
+	must.SliceEmpty(t, now.Rows)
+	p.Begin(8)
+	again, _ := cache.Rows()
+	must.EqOp(t, now.Version, again.Version)
+	_, err := cache.Changes(t.Context(), old.Version, 0)
+	must.Error(t, err)
+}
+
+// TestPublisher_WarningsPassThroughARelay follows the holder's warnings from a relay,
+// and the relay's from a daemon behind it, by held questions.
+func TestPublisher_WarningsPassThroughARelay(t *testing.T) {
+	p, cache := newPublisher()
+	p.Begin(7)
+	behind := relay.NewCache(Table, MostAge, time.Now)
+	relayed := make(chan store.Update, 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	follow(ctx, t, cache, behind.Apply)
+	follow(ctx, t, behind, func(u store.Update) { relayed <- u })
+	must.True(t, (<-relayed).Full)
+	p.Report("g", "e1", groups, daemons)
+	p.Report("g", "e2", groups, daemons)
+	for u := range relayed {
+		if len(u.Rows) > 0 {
+			must.EqOp(t, "g", u.Rows[0].Key)
+			return
+		}
+	}
+}
+
+// follow serves a cache and follows it until ctx ends.
+func follow(ctx context.Context, t *testing.T, c *relay.Cache, apply func(store.Update)) {
+	t.Helper()
+	server := httptest.NewServer(rpc.NewRelayServer(relay.NewServer(nil, time.Now, c)))
+	client, closeClient := relay.NewClient(&net.Dialer{}, time.Now)
+	t.Cleanup(func() {
+		closeClient()
+		server.CloseClientConnections()
+	})
+	f := &store.Follower{
+		Reader: &peer{client: client, addr: strings.TrimPrefix(server.URL, "http://")},
+		Table:  Table,
+		Wait:   func() time.Duration { return time.Second },
+		Apply:  apply,
+		Health: func(string, error) {},
+		Now:    time.Now,
+	}
+	go f.Run(ctx)
+}
+
+// peer reads a table from one daemon.
+type peer struct {
+	client *relay.Client
+	addr   string
+}
+
+func (p *peer) Rows(ctx context.Context, table string) (store.Snapshot, error) {
+	return p.client.Changes(ctx, p.addr, table, 0, time.Second)
+}
+
+func (p *peer) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+	return p.client.Changes(ctx, p.addr, table, since, wait)
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -181,7 +181,9 @@
 // reported keeps reports as text.
 type reported chan string
 
-func (r reported) Suspect(group, reporter string) { r <- group + " " + reporter }
+func (r reported) Suspect(about Report) {
+	r <- about.Group + " " + about.Reporter + " " + about.Sign.String()
+}
 
 func (r reported) Begun() { r <- "begun" }
 
@@ -233,12 +235,14 @@
 
 func TestServer_PassesOnReports(t *testing.T) {
 	addr, reports := serve(t, filled(t), time.Now)
-	must.NoError(t, newTestClient(t, time.Now).Suspect(t.Context(), addr, "m.7", "e1"))
-	must.EqOp(t, "m.7 e1", <-reports)
+	for _, sign := range []Sign{Lost, Silent, Alive} {
+		must.NoError(t, newTestClient(t, time.Now).Suspect(t.Context(), addr, Report{Group: "m.7", Reporter: "e1", Sign: sign}))
+		must.EqOp(t, "m.7 e1 "+sign.String(), <-reports)
+	}
 	must.NoError(t, newTestClient(t, time.Now).Begun(t.Context(), addr))
 	must.EqOp(t, "begun", <-reports)
 	var failed *CallError
-	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", "m.7", "e1"), &failed))
+	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", Report{Group: "m.7"}), &failed))
 }
 
 // asked is a store and other daemons that answer by script.
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -35,11 +35,41 @@
 // Reports takes in what other daemons report.
 type Reports interface {
 	// Suspect takes in that a group fails requests at a daemon.
-	Suspect(group, reporter string)
+	Suspect(r Report)
 	// Begun takes in that callers are being served somewhere.
 	Begun()
 }
 
+// Report is what a daemon found of a group that failed a request.
+type Report struct {
+	Group string
+	// Reporter is the daemon's name.
+	Reporter string
+	Sign     Sign
+}
+
+// Sign is what a daemon saw of a group.
+type Sign int
+
+const (
+	// Lost tells that a single answer was lost, which happens to sound groups too.
+	Lost Sign = iota
+	// Silent tells that streams fell silent or that the group can't be reached.
+	Silent
+	// Alive tells that the group has sent something just now, against the word of
+	// others.
+	Alive
+)
+
+// String returns the sign's name in logs.
+func (s Sign) String() string {
+	names := [...]string{"lost", "silent", "alive"}
+	if s < 0 || int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
+
 // NewServer returns a server of some tables that tells reports what others report.
 func NewServer(reports Reports, now func() time.Time, caches ...*Cache) *Server {
 	s := &Server{caches: map[string]*Cache{}, packers: map[string]*packer{}, reports: reports, now: now}
@@ -92,7 +122,7 @@
 
 // Suspect takes in that a group fails requests elsewhere.
 func (s *Server) Suspect(_ context.Context, m *rpc.SuspectRequest) (*rpc.SuspectReply, error) {
-	s.reports.Suspect(m.Group, m.Reporter)
+	s.reports.Suspect(Report{Group: m.Group, Reporter: m.Reporter, Sign: Sign(m.Sign)})
 	return &rpc.SuspectReply{}, nil
 }
 
@@ -174,10 +204,10 @@
 }
 
 // Suspect tells another daemon that a group fails requests.
-func (c *Client) Suspect(ctx context.Context, addr, group, reporter string) error {
+func (c *Client) Suspect(ctx context.Context, addr string, r Report) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	if _, err := c.stub(addr).Suspect(ctx, &rpc.SuspectRequest{Group: group, Reporter: reporter}); err != nil {
+	if _, err := c.stub(addr).Suspect(ctx, &rpc.SuspectRequest{Group: r.Group, Reporter: r.Reporter, Sign: rpc.Sign(r.Sign)}); err != nil {
 		return &CallError{Addr: addr, Err: err}
 	}
 	return nil
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -104,6 +104,12 @@
 	return term, l.opts.Now().Before(until)
 }
 
+// Term returns the last term that this node held, 0 if it held none.
+func (l *Lease) Term() uint64 {
+	term, _ := l.state.held()
+	return term
+}
+
 // Nodes returns how many processes have announced themselves. Before the first
 // read it returns more than there will be, so that what they share isn't spent
 // more than once.
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -60,7 +60,9 @@
 	lastSign time.Time
 	// suspectUntil is until when the target gets no new requests.
 	suspectUntil time.Time
-	failures     int
+	// warnedUntil is the same on the word of other processes.
+	warnedUntil time.Time
+	failures    int
 	// errors counts the answers in a row that told of a failure.
 	errors int
 	// gap is the usual time between events of one stream, first that to a first
@@ -135,7 +137,7 @@
 	score := tieSpread * rand.Float64()
 	if l, ok := b.loads[t.Key]; ok {
 		score += float64(l.inFlight)
-		if now.Before(l.suspectUntil) {
+		if now.Before(l.suspectUntil) || now.Before(l.warnedUntil) {
 			score += suspectPenalty
 		}
 	}
@@ -226,6 +228,37 @@
 	l.failures++
 }
 
+// Warn has a target that other processes found failing get no new requests for d.
+func (b *Balancer) Warn(key string, now time.Time, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(key).warnedUntil = now.Add(d)
+}
+
+// Alive tells whether a target has sent something just now.
+func (b *Balancer) Alive(key string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.of(key).lastSign) < freshSign
+}
+
+// TakeBackWarning has a target chosen again that others heard from after all.
+func (b *Balancer) TakeBackWarning(key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l, ok := b.loads[key]; ok {
+		l.warnedUntil = time.Time{}
+	}
+}
+
+// Warned tells whether a target is left alone on the word of others.
+func (b *Balancer) Warned(key string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.loads[key]
+	return ok && now.Before(l.warnedUntil)
+}
+
 // Error notes that a target answered a request with a failure. A few in a row make
 // it suspect, as many as the service's own errors hardly make.
 func (b *Balancer) Error(key string, inARow int, now time.Time) {
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -195,7 +195,13 @@
 	if ctx.Err() != nil && !stalled {
 		return false, e.expired(ctx)
 	}
-	e.failed(target)
+	if warned := errors.Is(context.Cause(ctx), errWarned); !warned { // others have told
+		failure := AnswerLost
+		if notSent != nil || errors.Is(context.Cause(ctx), errSilent) {
+			failure = FellSilent
+		}
+		e.failed(target, failure)
+	}
 	e.logAttempt(target, err)
 	if notSent != nil {
 		return true, &fault{status: http.StatusServiceUnavailable, reason: "the worker can't be reached", retryAfter: absentRetry}
@@ -203,11 +209,21 @@
 	return e.route.Repeats(), &fault{status: http.StatusBadGateway, reason: "the answer of the worker is lost", aborted: e.begun}
 }
 
+// Failure is how a target failed a request.
+type Failure int
+
+const (
+	// AnswerLost is a single answer that was lost.
+	AnswerLost Failure = iota
+	// FellSilent is a stream without further events, or a target that can't be reached.
+	FellSilent
+)
+
 // failed notes that a target failed at what a sound one does.
-func (e *exchange) failed(target Target) {
+func (e *exchange) failed(target Target, failure Failure) {
 	e.server.opts.Balancer.Fail(target.Key, e.server.opts.Now())
 	if e.service.Runtime != nil {
-		e.server.opts.Suspect(target.Key)
+		e.server.opts.Suspect(target.Key, failure)
 	}
 }
 
@@ -216,7 +232,7 @@
 	e.server.opts.Counters.rejected.Inc()
 	e.logAttempt(target, &rejectedError{status: reply.Status})
 	if reply.Mistaken {
-		e.failed(target)
+		e.failed(target, AnswerLost)
 	}
 	return true, &fault{status: http.StatusServiceUnavailable, reason: "the worker has no room", retryAfter: fullRetry}
 }
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -35,7 +35,7 @@
 		Catalogs: &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Window: time.Second} },
-		Suspect:   func(string) {}, FirstUse: func() {}, MostRequests: 10,
+		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return false }, MostRequests: 10,
 		Now: func() time.Time { return noon }, Log: &log.Logger{Level: log.PanicLevel},
 	})
 	func() {
--- a/serving/record.go
+++ b/serving/record.go
@@ -21,6 +21,8 @@
 	overBudget *metrics.Counter
 	// overload counts the requests refused since their model's groups were fully used.
 	overload *metrics.Counter
+	// warned counts the warnings of other daemons about groups.
+	warned *metrics.Counter
 	// oldEvidence counts the verdicts given while evidence was old.
 	oldEvidence map[catalog.Verdict]*metrics.Counter
 	firstEvent  *metrics.Histogram
@@ -40,6 +42,7 @@
 		resumed:     set.NewCounter("pointpass_streams_resumed_total"),
 		overBudget:  set.NewCounter("pointpass_retries_over_budget_total"),
 		overload:    set.NewCounter("pointpass_refused_overload_total"),
+		warned:      set.NewCounter("pointpass_group_warnings_total"),
 		firstEvent:  set.NewHistogram("pointpass_first_event_seconds"),
 		duration:    set.NewHistogram("pointpass_request_seconds"),
 	}
--- a/serving/server.go
+++ b/serving/server.go
@@ -28,7 +28,9 @@
 	// Allowance returns this process's part of the retries for a service.
 	Allowance func() retry.Allowance
 	// Suspect is told each group that fails a request.
-	Suspect func(group string)
+	Suspect func(group string, failure Failure)
+	// Informed tells whether warnings of other daemons about groups come in.
+	Informed func() bool
 	// FirstUse is told once, when the first request comes.
 	FirstUse func()
 	// MostRequests is how many requests may be under way.
@@ -43,6 +45,7 @@
 	underWay atomic.Int64
 	stopping atomic.Bool
 	used     sync.Once
+	watches  watches
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -7,8 +7,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"sync"
-	"time"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -138,84 +136,3 @@
 	after, err := strconv.ParseInt(next, 10, 64)
 	return err == nil && after == before+1
 }
-
-// watch ends an attempt whose target sends nothing.
-type watch struct {
-	exchange *exchange
-	key      string
-	cancel   context.CancelCauseFunc
-	begun    time.Time
-
-	mu    sync.Mutex
-	timer *time.Timer
-	last  time.Time // of the last sign, zero before the first
-}
-
-// mostAlone is how long one stream may hear nothing while others are served.
-const mostAlone = 1600 * time.Millisecond
-
-// watch starts watching an attempt. Answers that can't be taken up elsewhere are
-// waited for until the deadline.
-func (e *exchange) watch(key string, cancel context.CancelCauseFunc) *watch {
-	now := e.server.opts.Now()
-	w := &watch{exchange: e, key: key, cancel: cancel, begun: now}
-	if !e.route.Resumable {
-		return w
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	start, _ := e.server.opts.Balancer.Patience(key)
-	w.timer = time.AfterFunc(start, w.check)
-	return w
-}
-
-func (w *watch) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
-
-// sign notes that the target has sent an event.
-func (w *watch) sign() {
-	now := w.exchange.server.opts.Now()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	first := w.last.IsZero()
-	since := w.last
-	if first {
-		since = w.begun
-	}
-	w.last = now
-	balancer := w.exchange.server.opts.Balancer
-	balancer.Sign(w.key, now, now.Sub(since), first)
-	if first {
-		w.exchange.noteFirstEvent(now)
-	}
-	if w.timer != nil {
-		_, between := balancer.Patience(w.key)
-		w.timer.Reset(between)
-	}
-}
-
-// check runs when this request has heard nothing for a while. The target is
-// given up if nobody hears anything of it, or if this request has waited long.
-func (w *watch) check() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	balancer := w.exchange.server.opts.Balancer
-	now := w.exchange.server.opts.Now()
-	limit, between := balancer.Patience(w.key)
-	alone := time.Duration(0)
-	if !w.last.IsZero() {
-		limit = between
-		alone = now.Sub(w.last)
-	}
-	silence := balancer.Silence(w.key, w.begun, now)
-	if silence >= limit || alone >= mostAlone {
-		w.cancel(errStalled)
-		return
-	}
-	w.timer.Reset(limit - silence)
-}
--- /dev/null
+++ b/serving/watch_test.go
@@ -0,0 +1,154 @@
+package serving
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/retry"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// halfDead is an upstream whose first request gets no answer.
+type halfDead struct {
+	silent chan string // the worker that the first request is at
+	cause  chan error  // why its attempt ended
+}
+
+func (h *halfDead) Send(ctx context.Context, a Attempt) (*Reply, error) {
+	select {
+	case h.silent <- a.Worker.ID:
+		<-ctx.Done()
+		h.cause <- context.Cause(ctx)
+		return nil, &LostError{Err: ctx.Err()}
+	default:
+	}
+	body := io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: body, Length: -1}, nil
+}
+
+// newStreamServer returns a server of one model with two groups.
+func newStreamServer(t *testing.T, upstream Upstream) *Server {
+	t.Helper()
+	service := catalog.Service{Name: "llm", Runtime: &catalog.Runtime{Models: []catalog.Model{{Name: "m", Size: 2}}}}
+	route := catalog.Route{Name: "ask", Host: "a.example", Prefix: "/", Kind: catalog.Stream, Resumable: true, Attempts: 2, Public: true, Shares: []catalog.Share{{Service: "llm", Weight: 1}}}
+	var catalogs catalog.Holder
+	catalogs.Accept(catalog.New(1, catalog.Limits{}, []catalog.Route{route}, []catalog.Service{service}, nil), time.Now())
+	registry := workers.NewRegistry(func(*workers.View) {})
+	registry.Apply(append(group("m", 1, workers.Open, 2), group("m", 2, workers.Open, 2)...), nil, true)
+	return NewServer(Options{
+		Catalogs: &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
+		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
+		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 10, Window: time.Second} },
+		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return true }, MostRequests: 10,
+		Now: time.Now, Log: &log.Logger{Level: log.PanicLevel},
+	})
+}
+
+func ask(s *Server) <-chan *httptest.ResponseRecorder {
+	answered := make(chan *httptest.ResponseRecorder, 1)
+	go func() {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodPost, "http://a.example/x", nil)
+		s.Serve(w, r, &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Model: "m"})
+		answered <- w
+	}()
+	return answered
+}
+
+// targetOf returns the group whose head a worker is.
+func targetOf(t *testing.T, s *Server, worker string) string {
+	t.Helper()
+	w, found := s.opts.Workers().Worker(worker)
+	must.True(t, found)
+	return w.Membership.Group.Name
+}
+
+// TestWarn_MovesWhoWaits: a request that waits at a group which other daemons found
+// silent is answered by another group, long before its own patience ends.
+func TestWarn_MovesWhoWaits(t *testing.T) {
+	upstream := &halfDead{silent: make(chan string, 1), cause: make(chan error, 1)}
+	s := newStreamServer(t, upstream)
+	answered := ask(s)
+	var key string
+	for key == "" {
+		for _, g := range s.opts.Workers().Groups() {
+			if len(s.watches.at(g.ID.Name)) > 0 {
+				key = g.ID.Name
+			}
+		}
+	}
+	must.True(t, s.Warn(key, "e1 e2", time.Minute))
+	must.ErrorIs(t, <-upstream.cause, errWarned)
+	w := <-answered
+	must.EqOp(t, http.StatusOK, w.Code)
+	must.EqOp(t, key, targetOf(t, s, <-upstream.silent))
+	must.True(t, s.opts.Balancer.Warned(key, time.Now()))
+	must.SliceEmpty(t, s.watches.at(key), must.Sprint("nothing is kept of a request that has ended"))
+}
+
+// TestWarn_IsNotHeededWhereTheGroupIsHeard: a group that answers somebody is alive.
+func TestWarn_IsNotHeededWhereTheGroupIsHeard(t *testing.T) {
+	s := newStreamServer(t, aborting{})
+	s.opts.Balancer.Sign("m.1", time.Now(), time.Millisecond, false)
+	must.False(t, s.Warn("m.1", "e1 e2", time.Minute))
+	must.False(t, s.opts.Balancer.Warned("m.1", time.Now()))
+	must.True(t, s.Warn("m.2", "e1 e2", time.Minute))
+}
+
+// TestWarn_IsTakenBack: once somebody has objected nobody is moved, and the group gets
+// requests again.
+func TestWarn_IsTakenBack(t *testing.T) {
+	s := newStreamServer(t, aborting{})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	e := &exchange{server: s, route: &catalog.Route{Resumable: true}}
+	w := e.watch("m.1", cancel)
+	defer w.stop()
+	s.opts.Balancer.Warn("m.1", time.Now(), time.Minute)
+	s.TakeBackWarning("m.1")
+	s.moveFrom("m.1")
+	must.NoError(t, ctx.Err())
+	must.False(t, s.opts.Balancer.Warned("m.1", time.Now()))
+	s.opts.Balancer.Warn("m.1", time.Now(), time.Minute)
+	s.moveFrom("m.1")
+	must.ErrorIs(t, context.Cause(ctx), errWarned)
+}
+
+// TestWatch_AStandstillOfItsOwnTellsNothing: a process that was frozen finds all its
+// streams silent. It looks again before it gives up targets.
+func TestWatch_AStandstillOfItsOwnTellsNothing(t *testing.T) {
+	s := newStreamServer(t, aborting{})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	e := &exchange{server: s, route: &catalog.Route{Resumable: true}}
+	w := e.watch("m.1", cancel)
+	defer w.stop()
+	frozen := 10 * time.Second
+	w.begun = w.begun.Add(-frozen)
+	w.due = time.Now().Add(-frozen)
+	w.check()
+	must.NoError(t, ctx.Err())
+	w.due = time.Now()
+	w.check()
+	must.ErrorIs(t, context.Cause(ctx), errStalled)
+}
+
+// TestPatience_IsLongWhereOthersWarn: who hears of dead groups from others waits for
+// slow ones; who doesn't has to find them alone.
+func TestPatience_IsLongWhereOthersWarn(t *testing.T) {
+	s := newStreamServer(t, aborting{})
+	start, between := s.patience("m.1")
+	must.EqOp(t, sharedStart, start)
+	s.opts.Informed = func() bool { return false }
+	alone, same := s.patience("m.1")
+	must.EqOp(t, leastStart, alone)
+	must.EqOp(t, between, same)
+}
