replica: Begin the turns for a free lease anew once the store is back

All nodes see the lease free all that time, so that at its return the first to write takes it: a VM with 0.19 of a core, which then asked members of groups too slowly and found 109 sound workers unreachable within a second.

Ruled out: a death of those workers (three crashes of six come in that time).

Change: while the table isn't known, since when the lease is free is forgotten.

Test: TestLease_TurnsBeginAnewAfterAnOutage, red before.

--- a/replica/lease.go
+++ b/replica/lease.go
@@ -193,6 +193,10 @@
 		return
 	}
 	if err != nil {
+		// Once the table is known again the nodes take turns anew. Otherwise all would
+		// try at once after an outage, and the first to write may be a small one, which
+		// is too slow to give orders to a thousand workers.
+		l.state.forgetFree()
 		return
 	}
 	row, version := leaseIn(snapshot.Rows)
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -197,6 +197,34 @@
 	must.Eq(t, first.idle, next.told)
 }
 
+// TestLease_TurnsBeginAnewAfterAnOutage: the holder is gone and the store was away for
+// long. The node with the most processor time takes the lease, whoever looks first.
+func TestLease_TurnsBeginAnewAfterAnOutage(t *testing.T) {
+	table, leases := newLeases(3)
+	ctx := t.Context()
+	for i, l := range leases {
+		l.opts.Self.Cores = 0.2
+		if i == 2 {
+			l.opts.Self.Cores = 0.8
+		}
+		l.announce(ctx)
+	}
+	leases[0].round(ctx)
+	table.now = table.now.Add(2 * rankPause)
+	leases[0].round(ctx)
+	must.Len(t, 1, holders(leases[:1]))
+	table.now = table.now.Add(leaseLength + time.Second)
+	leases[1].round(ctx) // it sees the lease free, and waits for its turn
+	table.out = true
+	table.now = table.now.Add(10 * time.Second)
+	leases[1].round(ctx)
+	table.out = false
+	leases[1].round(ctx)
+	must.Len(t, 0, holders(leases))
+	leases[2].round(ctx)
+	must.Len(t, 1, holders(leases[2:]))
+}
+
 // TestLease_Histories plays outages, lost and late writes, and pauses: no two
 // hold the lease at one moment, and terms rise.
 func TestLease_Histories(t *testing.T) {
--- a/replica/leasestate.go
+++ b/replica/leasestate.go
@@ -83,6 +83,13 @@
 	return s.free
 }
 
+// forgetFree forgets since when the lease was seen free.
+func (s *leaseState) forgetFree() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.free = time.Time{}
+}
+
 func (s *leaseState) renewed(row leaseRow, snapshot store.Snapshot, sent, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
