relay: Ask only the first relay while the store is left alone

Change: in the pauses between looks at the store the first relay alone is asked.

Test: TestReader_SparesAStoreThatNobodyHeardFrom tells whom it asks.

--- a/relay/reader.go
+++ b/relay/reader.go
@@ -127,6 +127,9 @@
 		if r.avoids(m.Addr) {
 			continue
 		}
+		if stale != nil && r.sparing() {
+			break // all were asked lately; asking them again and again only keeps them busy
+		}
 		s, err := r.ask(ctx, m, table, since, hold)
 		var lost *store.HistoryLostError
 		switch {
@@ -225,6 +228,13 @@
 	return true
 }
 
+// sparing tells whether the store is left alone.
+func (r *Reader) sparing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opts.Now().Before(r.away.until)
+}
+
 func (r *Reader) isServed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -347,6 +347,9 @@
 		must.Error(t, err)
 		if len(a.calls) > 2 {
 			asked = append(asked, a.now)
+			must.Eq(t, []string{"first", "second", "store"}, a.calls)
+		} else {
+			must.Eq(t, []string{"first"}, a.calls, must.Sprint("others were asked lately"))
 		}
 		a.now = a.now.Add(100 * time.Millisecond)
 	}
