--- a/deps/warnings.go
+++ b/deps/warnings.go
@@ -83,7 +83,10 @@
 
 // noteDead has all daemons told that a member of a group was found dead here.
 func (e *Edge) noteDead(group string) {
-	if w, warn := e.Warnings.Dead(group, e.settings.Name()); warn && e.following.isHolder() {
+	if !e.following.isHolder() {
+		return
+	}
+	if w, warn := e.Warnings.Dead(group, e.settings.Name()); warn {
 		e.warned(w)
 	}
 }
