serving: Wait 1.5 s for a first event, not 2 s, and only where enough daemons warn

Cause: callers give up after 2 s without an event, so that a request moved then came to nobody; a daemon that is alone, or one of three, has nobody to warn it and waited 2 s too.

Ruled out: that warnings find all dead groups: a group without a stream in progress has nobody who hears it fall silent.

Change: 1.5 s, and 0.9 s as before where there are three daemons or fewer.

--- a/deps/warnings.go
+++ b/deps/warnings.go
@@ -74,9 +74,12 @@
 	}
 }
 
-// informed tells whether warnings come in: a question for them was answered lately, or
-// this daemon gives them.
+// informed tells whether warnings come in: there are enough daemons to give them, and a
+// question for them was answered lately, or this daemon passes them on itself.
 func (f *following) informed() bool {
+	if !health.Enough(f.edge.Lease.Nodes()) {
+		return false
+	}
 	at := f.warningsRead.Load()
 	return f.isHolder() || at != nil && time.Since(*at) < mostUninformed
 }
--- a/health/board.go
+++ b/health/board.go
@@ -31,6 +31,10 @@
 	mostShare = 0.15
 )
 
+// Enough tells whether that many daemons notice a dead group together. Fewer can't
+// outvote one of them that is cut off.
+func Enough(daemons int) bool { return daemons > quorum }
+
 // Board gathers the reports of daemons about groups. It is a state machine that reads
 // no clock; its state is bounded by the groups and daemons there are.
 type Board struct {
--- a/health/board_test.go
+++ b/health/board_test.go
@@ -107,6 +107,7 @@
 			_, warned = b.Report("g", fmt.Sprint("e", needed), 3, n, noon)
 		}
 		must.EqOp(t, reporters, needed, must.Sprint(n))
+		must.EqOp(t, n > 3, Enough(n))
 	}
 }
 
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -191,9 +191,10 @@
 
 // sharedStart is how long a request waits for its first event at a target that nobody
 // finds silent. Warnings tell of dead groups within half a second, so that what is left
-// is slow: going elsewhere would have the prompt read again, while all are slow. Alone,
-// a daemon waits leastStart.
-const sharedStart = 2 * time.Second
+// is slow: going elsewhere would have the prompt read again, while all are slow. It
+// leaves half a second until callers give up, two seconds at the earliest at the sites
+// known. Alone, a daemon waits leastStart.
+const sharedStart = 1500 * time.Millisecond
 
 // patience returns how long a target may send nothing: before a request's first event,
 // and between its events.
