--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -184,6 +184,47 @@
 	eventually(t, "the worker hears of it", func() bool { return s.runs(a.ID)[0].Cancelled })
 }
 
+// TestGone_AtGroups: GONE, while a request waits for its first event, in the middle of
+// its stream, and after it has moved to another group.
+func TestGone_AtGroups(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault Fault
+		runs  int
+	}{
+		{"waits", Stalls, 1},
+		{"in a stream", FallsSilent, 1},
+		{"moved", Stalls, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStage(t, 4)
+			d := s.start(true)
+			s.awaitGroups(2)
+			eventually(t, "a stream is served", func() bool { return d.Send(t.Context(), s.stream()).Status == http.StatusOK })
+			s.setFaults(c.fault, "m0", "m1", "m2", "m3")
+			a := s.stream()
+			ctx, cancel := context.WithCancel(t.Context())
+			left := make(chan struct{})
+			go func() {
+				defer close(left)
+				d.Send(ctx, a)
+			}()
+			eventually(t, "it runs", func() bool { return len(s.runs(a.ID)) == c.runs })
+			cancel()
+			<-left
+			eventually(t, "all workers hear of it", func() bool {
+				for _, r := range s.runs(a.ID) {
+					if !r.Cancelled {
+						return false
+					}
+				}
+				return true
+			})
+			must.Len(t, c.runs, s.runs(a.ID), must.Sprint("nothing is sent after the caller has left"))
+		})
+	}
+}
+
 // TestConfig_TimeoutIsKept: CONFIG. A request is answered at its route's timeout.
 func TestConfig_TimeoutIsKept(t *testing.T) {
 	s := newStage(t, 0)
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -37,6 +37,8 @@
 	Stalls
 	// CutsEvents breaks off in the middle of the third event.
 	CutsEvents
+	// FallsSilent sends the first two events of a stream and nothing more.
+	FallsSilent
 	// OtherID answers with the id of another request.
 	OtherID
 	// LiesBusy answers 503 without saying that the request did not run.
@@ -321,7 +323,6 @@
 	rw.Header().Set(headerID, id)
 	w.mu.Lock()
 	fault := w.fault
-	released := w.released
 	head := w.group != nil && w.group.State == "open"
 	grouped := w.group != nil
 	group, model, members := w.group, w.model, w.members
@@ -346,11 +347,7 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Stalls:
-		select {
-		case <-r.Context().Done():
-			w.cancelled(run)
-		case <-released:
-		}
+		w.awaitEnd(r, run)
 		panic(http.ErrAbortHandler)
 	case OtherID:
 		rw.Header().Set(headerID, "ffffffffffffffff")
@@ -387,6 +384,15 @@
 	return run
 }
 
+// awaitEnd waits until the caller has left or the worker is killed.
+func (w *Worker) awaitEnd(r *http.Request, run *Run) {
+	select {
+	case <-r.Context().Done():
+		w.cancelled(run)
+	case <-w.released:
+	}
+}
+
 func (w *Worker) cancelled(run *Run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -405,6 +411,10 @@
 			w.cancelled(run)
 			return
 		}
+		if fault == FallsSilent && i == last+3 {
+			w.awaitEnd(r, run)
+			panic(http.ErrAbortHandler)
+		}
 		if fault == CutsEvents && i == last+3 {
 			fmt.Fprintf(rw, "id: %d\nda", i)
 			http.NewResponseController(rw).Flush()
