testbed: The daemon that is warned doesn't gather the reports itself

Ruled out by a mutation: without following warnings the test passed, since the idle daemon was the holder of the lease. Now red there, green here.

--- a/testbed/standin/warning_test.go
+++ b/testbed/standin/warning_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -14,7 +15,15 @@
 	s := newStage(t, 4)
 	_, others := relaying(t, s)
 	s.awaitGroups(2)
-	idle, busy := others[0], others[1:]
+	var idle *Daemon // nor does it gather the reports
+	var busy []*Daemon
+	for _, d := range others {
+		if idle == nil && !strings.Contains(d.Log(), `"event":"lease_taken"`) {
+			idle = d
+		} else {
+			busy = append(busy, d)
+		}
+	}
 	silent := s.open()[0]
 	silent.SetFault(FallsSilent)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -28,7 +37,7 @@
 				a := s.stream()
 				mu.Unlock()
 				r := d.Send(ctx, a)
-				if ctx.Err() == nil && r.Err == nil && r.Status == 200 && !wholeStream(a.ID, r) {
+				if ctx.Err() == nil && r.Err == nil && r.Status == http.StatusOK && !wholeStream(a.ID, r) {
 					select {
 					case broken <- r.Body:
 					default:
