serving: Don't cut a silent stream that can't move; leave slow starts to callers

Change: a stream in progress ends for silence only where an attempt, a retry and another group are left. A first event is awaited for 2 s again where daemons warn each other: callers give up then, so that a move at 1.5 s reads a prompt for nobody.

Tests: TestWatch_AStreamThatCantMoveIsNotCut, red before.

--- a/retry/window.go
+++ b/retry/window.go
@@ -46,6 +46,22 @@
 func (w *Window) Spend(now time.Time, a Allowance) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.room(now, a) {
+		return false
+	}
+	w.slot(now).retries++
+	return true
+}
+
+// Room tells whether the allowance of the moment has room for a retry.
+func (w *Window) Room(now time.Time, a Allowance) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.room(now, a)
+}
+
+// room is Room with the lock held.
+func (w *Window) room(now time.Time, a Allowance) bool {
 	current := w.slot(now)
 	requests, retries := 0, 0
 	for _, s := range w.slots {
@@ -54,11 +70,7 @@
 			retries += s.retries
 		}
 	}
-	if float64(retries+1) > a.Ratio*float64(requests)+a.Extra {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= a.Ratio*float64(requests)+a.Extra
 }
 
 // slot returns the current part of the window, emptied of what it held a window
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -15,10 +15,12 @@
 	for range 3 {
 		must.True(t, w.Spend(now, a))
 	}
+	must.False(t, w.Room(now, a))
 	must.False(t, w.Spend(now, a))
 	for range 5 {
 		w.Request(now)
 	}
+	must.True(t, w.Room(now, a))
 	must.True(t, w.Spend(now, a))
 	must.False(t, w.Spend(now, a))
 	must.True(t, w.Spend(now.Add(11*time.Second), a), must.Sprint("what was spent is over"))
--- a/serving/server.go
+++ b/serving/server.go
@@ -112,6 +112,11 @@
 	return s.budget(service).Spend(now, s.opts.Allowance())
 }
 
+// hasRetry tells whether there is room for a retry for a service.
+func (s *Server) hasRetry(service string, now time.Time) bool {
+	return s.budget(service).Room(now, s.opts.Allowance())
+}
+
 // fault is an answer of our own.
 type fault struct {
 	status int
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -123,11 +124,15 @@
 		w.arm(now, catchUp) // it was silent here, which tells nothing of the target
 		return
 	}
+	limit, between := w.exchange.server.patience(w.key)
+	if !w.last.IsZero() && !w.exchange.mayMove(now) {
+		w.arm(now, between) // cutting it would only lose what may still come
+		return
+	}
 	if w.warned {
 		w.cancel(errWarned)
 		return
 	}
-	limit, between := w.exchange.server.patience(w.key)
 	alone := time.Duration(0)
 	if !w.last.IsZero() {
 		limit = between
@@ -141,6 +146,15 @@
 	w.arm(now, limit-silence)
 }
 
+// mayMove tells whether a stream that an attempt has begun may be taken up elsewhere.
+func (e *exchange) mayMove(now time.Time) bool {
+	if e.sent >= e.route.Attempts || !e.server.hasRetry(e.service.Name, now) {
+		return false
+	}
+	targets := Targets(e.server.opts.Workers(), e.service, e.req.Model)
+	return slices.ContainsFunc(targets, func(t Target) bool { return !contains(e.tried, t.Key) })
+}
+
 // stalled returns why an attempt ends that has heard nothing for too long. A group that
 // lets its queue wait may be slow; one whose streams fall silent is taken for dead.
 func (w *watch) stalled() error {
@@ -191,10 +205,10 @@
 
 // sharedStart is how long a request waits for its first event at a target that nobody
 // finds silent. Warnings tell of dead groups within half a second, so that what is left
-// is slow: going elsewhere would have the prompt read again, while all are slow. It
-// leaves half a second until callers give up, two seconds at the earliest at the sites
-// known. Alone, a daemon waits leastStart.
-const sharedStart = 1500 * time.Millisecond
+// is slow: going elsewhere would have the prompt read again, while all are slow. Callers
+// give up after two seconds at the earliest at the sites known and come again: a move
+// shortly before has a prompt read for nobody. Alone, a daemon waits leastStart.
+const sharedStart = 2 * time.Second
 
 // patience returns how long a target may send nothing: before a request's first event,
 // and between its events.
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -140,6 +140,49 @@
 	must.ErrorIs(t, context.Cause(ctx), errStalled)
 }
 
+// TestWatch_AStreamThatCantMoveIsNotCut: a group's silence is no reason to end an answer
+// that has begun where no attempt is left, or no retry: what may still come would be
+// lost.
+func TestWatch_AStreamThatCantMoveIsNotCut(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		sent    int
+		retries float64
+		warned  bool
+		tried   []string
+		cut     error
+	}{
+		{"it may move", 1, 10, false, []string{"m.1"}, errSilent},
+		{"no attempt is left", 2, 10, false, []string{"m.1"}, nil},
+		{"no retry is left", 1, 0, false, []string{"m.1"}, nil},
+		{"no other group is left", 1, 10, false, []string{"m.2", "m.1"}, nil},
+		{"its group is dead", 1, 10, true, []string{"m.1"}, errWarned},
+		{"its group is dead, no retry is left", 1, 0, true, []string{"m.1"}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStreamServer(t, aborting{})
+			s.opts.Allowance = func() retry.Allowance { return retry.Allowance{Extra: c.retries, Window: time.Second} }
+			ctx, cancel := context.WithCancelCause(t.Context())
+			e := &exchange{server: s, req: &Request{Model: "m"}, sent: c.sent, tried: c.tried, route: &catalog.Route{Resumable: true, Attempts: 2}}
+			e.service, _ = s.opts.Catalogs.Current().Catalog.Service("llm")
+			w := e.watch("m.1", cancel)
+			defer w.stop()
+			w.sign()
+			w.last = w.last.Add(-time.Minute)
+			w.begun = w.last
+			s.opts.Balancer.loads["m.1"].lastSign = w.last
+			w.warned = c.warned
+			w.due = time.Now()
+			w.check()
+			if c.cut == nil {
+				must.NoError(t, ctx.Err())
+				return
+			}
+			must.ErrorIs(t, context.Cause(ctx), c.cut)
+		})
+	}
+}
+
 // TestPatience_IsLongWhereOthersWarn: who hears of dead groups from others waits for
 // slow ones; who doesn't has to find them alone.
 func TestPatience_IsLongWhereOthersWarn(t *testing.T) {
