--- a/health/board_test.go
+++ b/health/board_test.go
@@ -135,7 +135,9 @@
 			if reported[group] == nil {
 				reported[group] = map[string]time.Time{}
 			}
-			reported[group][reporter] = now
+			if now.Sub(heard[group]) > soundLife { // before that nobody is believed
+				reported[group][reporter] = now
+			}
 			if _, warn := b.Report(group, reporter, 10, daemons, now); warn {
 				warned[group] = now
 				others := 0
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -123,9 +123,10 @@
 }
 
 func TestLease_ReleaseNeedsNoWait(t *testing.T) {
-	_, leases := newLeases(2)
+	table, leases := newLeases(2)
 	ctx := t.Context()
 	leases[0].announce(ctx)
+	must.MapContainsKey(t, table.rows, nodePrefix+"n0")
 	leases[0].round(ctx)
 	must.NoError(t, leases[0].Release(ctx))
 	must.Len(t, 0, holders(leases))
