load: Sum up at the holder what callers ask of each model

Cause: the planner divides workers by the shares that the settings say of the start. On the shifted site they say half and half, while 315 of 363 requests a second run on the model of six workers. Nobody knew: each daemon of 89 sees four requests a second.

Change: the runtime's times are decoded and give the time of one group that a request takes, with the usual length of answers; each daemon averages over a second and tells a relay of its hall once a second, which tells the holder the hall's sum. No decision uses it yet.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -71,40 +71,6 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// Model is one model of a service and the groups of workers that run it.
-type Model struct {
-	Name string
-	// Size is the workers of a group.
-	Size int
-	// Share is the model's part of the service's work.
-	Share float64
-	// Pace multiplies all times of the model.
-	Pace float64
-	// Load and Warmup are the times to load the model from the weight store and
-	// from the worker's host.
-	Load, Warmup time.Duration
-}
-
-// Runtime says how a service's workers run models.
-type Runtime struct {
-	Slots  int
-	Models []Model
-	// LoadsPerSecond is how many loads from the weight store may begin.
-	LoadsPerSecond float64
-	LoadsAtOnce    int
-	// Form is how long an open group takes to serve.
-	Form time.Duration
-}
-
-// Model returns a model by name.
-func (r *Runtime) Model(name string) (Model, bool) {
-	i := slices.IndexFunc(r.Models, func(m Model) bool { return m.Name == name })
-	if i < 0 {
-		return Model{}, false
-	}
-	return r.Models[i], true
-}
-
 // Service is a set of workers that serve alike.
 type Service struct {
 	Name           string
--- /dev/null
+++ b/catalog/runtime_test.go
@@ -0,0 +1,24 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestWork_IsTheGroupsTime works out by hand what a request of 674 tokens and an answer
+// of 150 takes at a group that runs 48 requests at once, 1.67 times as fast as usual.
+func TestWork_IsTheGroupsTime(t *testing.T) {
+	r := Runtime{
+		Slots: 48, Step: 6450 * time.Microsecond, PerRequest: 96700, PerThousand: 2930,
+		PerToken: 17825, PerMillionPairs: 309 * time.Microsecond,
+	}
+	m := Model{Name: "m", Pace: 0.6}
+	// 12.0 ms to read, 150 times 0.1344 + 0.0967 + 0.0022 ms to write, 0.1 ms of pairs
+	must.Between(t, 28*time.Millisecond, r.Work(m, 674, 150), 29*time.Millisecond)
+	r.UsualAnswer = 150
+	must.EqOp(t, r.Work(m, 674, 150), r.Work(m, 674, 370)) // callers allow for long answers
+	must.Less(t, r.Work(m, 674, 150), r.Work(m, 674, 20))
+	must.EqOp(t, 0, (&Runtime{}).Work(m, 674, 150))
+}
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -13,6 +13,7 @@
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/common/tcp"
 	"github.com/pointpass/pointpass/health"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/node"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/relay"
@@ -56,6 +57,7 @@
 	settings    *node.Settings
 	following   *following
 	reporter    *reporter
+	loads       *loads
 	workersRead atomic.Bool
 	// begun tells that callers are being served, here or elsewhere.
 	begun     atomic.Bool
@@ -88,6 +90,7 @@
 	})
 	e.Warnings = health.NewPublisher(e.following.caches[health.Table], time.Now)
 	e.reporter = newReporter(e, peers)
+	e.loads = newLoads(e, peers)
 	e.wireServing(upstream)
 	e.wireControl(orders)
 	e.Peers = e.following.handler(reports{e})
@@ -115,6 +118,7 @@
 		Evidence:     evidencePolicy(e.settings.Bounds()),
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
+		Asked:        e.loads.ask,
 		Informed:     e.following.informed,
 		FirstUse:     e.firstUse,
 		MostRequests: mostRequests,
@@ -193,6 +197,7 @@
 	e.Metrics.NewGauge("pointpass_store_direct", func() float64 { return asNumber(e.following.reader.Direct()) })
 	e.Metrics.NewGauge("pointpass_workers", func() float64 { return float64(e.Workers.View().Len()) })
 	e.Metrics.NewGauge("pointpass_requests_under_way", func() float64 { return float64(e.Server.UnderWay()) })
+	e.Metrics.NewGauge("pointpass_load_daemons", func() float64 { return float64(e.loads.Total().Daemons) })
 	e.Metrics.NewGauge("pointpass_lease_held", func() float64 {
 		_, held := e.Lease.Held()
 		return asNumber(held)
@@ -209,7 +214,7 @@
 // Run follows the store and forms groups until ctx ends.
 func (e *Edge) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run} {
+	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run} {
 		running.Go(func() { run(ctx) })
 	}
 	running.Wait()
@@ -303,6 +308,9 @@
 // Begun takes in that callers are being served.
 func (r reports) Begun() { r.begun.Store(true) }
 
+// Load takes in what callers ask for at other daemons.
+func (r reports) Load(reporter string, s load.Sum) { r.loads.take(reporter, s) }
+
 // lastBack returns when the workers' table could be read again after it could not.
 func (e *Edge) lastBack() time.Time {
 	if at := e.storeBack.Load(); at != nil {
--- a/deps/warnings.go
+++ b/deps/warnings.go
@@ -41,11 +41,7 @@
 	}
 	var sources []relay.Member
 	if !view.relays {
-		for _, m := range view.upstreams {
-			if m.Hall == f.edge.settings.Hall() {
-				sources = append(sources, m)
-			}
-		}
+		sources = f.hallRelays(view)
 	}
 	if known && len(sources) == 0 {
 		sources = append(sources, relay.Member(holder))
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,54 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var (
+	noon = time.Unix(43200, 0)
+	chat = Model{Service: "llm", Name: "chat"}
+)
+
+// TestMeter_FindsTheRate asks for 30 ms of work ten times a second.
+func TestMeter_FindsTheRate(t *testing.T) {
+	m := NewMeter()
+	now := noon
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		m.Ask(now, chat, 30*time.Millisecond)
+	}
+	must.Between(t, 0.28, m.Offered(now)[chat], 0.33)
+	must.Between(t, 0.10, m.Offered(now.Add(memory))[chat], 0.12) // 0.37 of it
+}
+
+func TestMeter_IsBounded(t *testing.T) {
+	m := NewMeter()
+	for i := range 10 * mostModels {
+		m.Ask(noon, Model{Service: "llm", Name: string(rune('a' + i))}, time.Second)
+	}
+	must.MapLen(t, mostModels, m.Offered(noon))
+}
+
+// TestGatherer_AddsUpWhatCounts: a daemon that stopped telling no longer counts.
+func TestGatherer_AddsUpWhatCounts(t *testing.T) {
+	g := NewGatherer()
+	g.Take("a", Sum{Offered: Offered{chat: 1}, Daemons: 1, At: noon})
+	g.Take("b", Sum{Offered: Offered{chat: 5}, Daemons: 29, At: noon.Add(2 * time.Second)})
+	g.Take("b", Sum{Offered: Offered{chat: 6}, Daemons: 30, At: noon.Add(2 * time.Second)})
+	s := g.Total(noon.Add(reportLife), Offered{chat: 0.5})
+	must.EqOp(t, 7.5, s.Offered[chat])
+	must.EqOp(t, 32, s.Daemons)
+	s = g.Total(noon.Add(reportLife+time.Second), Offered{chat: 0.5})
+	must.EqOp(t, 6.5, s.Offered[chat])
+	must.EqOp(t, 31, s.Daemons)
+}
+
+func TestSum_Fresh(t *testing.T) {
+	must.False(t, Sum{}.Fresh(noon))
+	s := Sum{Daemons: 1, At: noon}
+	must.True(t, s.Fresh(noon.Add(reportLife)))
+	must.False(t, s.Fresh(noon.Add(reportLife+1)))
+}
--- /dev/null
+++ b/load/sums.go
@@ -0,0 +1,60 @@
+package load
+
+import (
+	"sync"
+	"time"
+)
+
+// reportLife is how long what a daemon reported counts: three reports. A daemon that
+// stopped no longer counts then; its callers are at others meanwhile.
+const reportLife = 3 * ReportPause
+
+// ReportPause is how often daemons report what they are asked for. The sum of all is
+// two reports old at the most, half of what a meter remembers.
+const ReportPause = time.Second
+
+// Sum is the work that many daemons are asked for.
+type Sum struct {
+	Offered Offered
+	// Daemons is how many of them told.
+	Daemons int
+	// At is when the sum was made, by the clock here.
+	At time.Time
+}
+
+// Fresh tells whether a sum is young enough to decide on.
+func (s Sum) Fresh(now time.Time) bool { return s.Daemons > 0 && now.Sub(s.At) <= reportLife }
+
+// Gatherer adds up what daemons report. Its state is bounded by the daemons there are.
+// It is safe for use by many goroutines.
+type Gatherer struct {
+	mu      sync.Mutex
+	reports map[string]Sum
+}
+
+// NewGatherer returns a gatherer without reports.
+func NewGatherer() *Gatherer { return &Gatherer{reports: map[string]Sum{}} }
+
+// Take takes in what a daemon reports, for itself or for those that report to it.
+func (g *Gatherer) Take(reporter string, s Sum) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.reports[reporter] = s
+}
+
+// Total returns the sum of the reports that still count and of what is asked for here.
+func (g *Gatherer) Total(now time.Time, here Offered) Sum {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	total := Sum{Offered: Offered{}, Daemons: 1, At: now}
+	total.Offered.add(here)
+	for reporter, s := range g.reports {
+		if now.Sub(s.At) > reportLife {
+			delete(g.reports, reporter)
+			continue
+		}
+		total.Offered.add(s.Offered)
+		total.Daemons += s.Daemons
+	}
+	return total
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http/httptest"
 	"strconv"
@@ -14,6 +15,7 @@
 	"github.com/phuslu/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/rpc"
 	"github.com/pointpass/pointpass/store"
 )
@@ -186,6 +188,10 @@
 
 func (r reported) Begun() { r <- "begun" }
 
+func (r reported) Load(reporter string, s load.Sum) {
+	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons, " ", s.Offered)
+}
+
 // serve serves a cache as a daemon would, whose clock is ahead of the caller's.
 func serve(t *testing.T, c *Cache, now func() time.Time) (addr string, reports reported) {
 	t.Helper()
@@ -240,6 +246,10 @@
 	}
 	must.NoError(t, newTestClient(t, time.Now).Begun(t.Context(), addr))
 	must.EqOp(t, "begun", <-reports)
+	told := load.Sum{Offered: load.Offered{{Service: "llm", Name: "m"}: 2.5}, Daemons: 7, At: time.Now()}
+	must.NoError(t, newTestClient(t, time.Now).Load(t.Context(), addr, "e1", told))
+	must.EqOp(t, "load of e1 7 map[{llm m}:2.5]", <-reports)
 	var failed *CallError
+	must.True(t, errors.As(newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told), &failed))
 	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", Report{Group: "m.7"}), &failed))
 }
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -11,6 +11,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/rpc"
 	"github.com/pointpass/pointpass/store"
 )
@@ -38,6 +39,8 @@
 	Suspect(r Report)
 	// Begun takes in that callers are being served somewhere.
 	Begun()
+	// Load takes in what callers ask for at a daemon and at those that tell it.
+	Load(reporter string, s load.Sum)
 }
 
 // Report is what a daemon found of a group that failed a request.
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -53,8 +53,8 @@
 	return targets
 }
 
-// load is what this process knows of a target from its own requests.
-type load struct {
+// targetState is what this process knows of a target from its own requests.
+type targetState struct {
 	inFlight int
 	// lastSign is when the target last sent anything to any of our requests.
 	lastSign time.Time
@@ -91,11 +91,13 @@
 type Balancer struct {
 	mu    sync.Mutex
 	hall  string
-	loads map[string]*load
+	loads map[string]*targetState
 }
 
 // NewBalancer returns a balancer for a process in a hall.
-func NewBalancer(hall string) *Balancer { return &Balancer{hall: hall, loads: map[string]*load{}} }
+func NewBalancer(hall string) *Balancer {
+	return &Balancer{hall: hall, loads: map[string]*targetState{}}
+}
 
 // Choose returns the target with the least work among those that aren't excluded,
 // and counts a request there. Suspect targets are chosen only where all are
@@ -147,10 +149,10 @@
 	return score
 }
 
-func (b *Balancer) of(key string) *load {
+func (b *Balancer) of(key string) *targetState {
 	l, ok := b.loads[key]
 	if !ok {
-		l = &load{gap: usualGap, first: usualFirst}
+		l = &targetState{gap: usualGap, first: usualFirst}
 		b.loads[key] = l
 	}
 	return l
--- a/serving/overload.go
+++ b/serving/overload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/admission"
+	"github.com/pointpass/pointpass/load"
 )
 
 // A refusal for want of room names a wait between these parts of the slack that
@@ -17,7 +18,7 @@
 )
 
 // window returns the window of a model's requests.
-func (s *Server) window(key modelKey) *admission.Window {
+func (s *Server) window(key load.Model) *admission.Window {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, ok := s.windows[key]
@@ -36,10 +37,13 @@
 	if e.service.Runtime == nil {
 		return nil
 	}
-	if _, known := e.service.Runtime.Model(e.req.Model); !known {
+	model, known := e.service.Runtime.Model(e.req.Model)
+	if !known {
 		return nil
 	}
-	w := e.server.window(modelKey{service: e.service.Name, model: e.req.Model})
+	key := load.Model{Service: e.service.Name, Name: model.Name}
+	e.server.opts.Asked(key, e.service.Runtime.Work(model, e.req.Prompt, e.req.Answer))
+	w := e.server.window(key)
 	e.place = w.Enter(e.arrived, e.route.Goal, rand.Float64())
 	if e.place == nil {
 		e.server.opts.Counters.overload.Inc()
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -35,6 +36,7 @@
 		Catalogs: &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Window: time.Second} },
+		Asked:     func(load.Model, time.Duration) {},
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return false }, MostRequests: 10,
 		Now: func() time.Time { return noon }, Log: &log.Logger{Level: log.PanicLevel},
 	})
@@ -43,6 +45,6 @@
 		r := httptest.NewRequest(http.MethodPost, "http://a.example/x", nil)
 		s.Serve(httptest.NewRecorder(), r, &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Model: "m"})
 	}()
-	_, underWay := s.window(modelKey{service: "llm", model: "m"}).Limit()
+	_, underWay := s.window(load.Model{Service: "llm", Name: "m"}).Limit()
 	must.EqOp(t, 0, underWay)
 }
--- a/serving/record.go
+++ b/serving/record.go
@@ -11,6 +11,7 @@
 
 	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
 )
 
 // Counters count what became of requests.
@@ -49,8 +50,8 @@
 }
 
 // gaugeWindow shows how many requests a model's window lets be under way.
-func (c *Counters) gaugeWindow(key modelKey, w *admission.Window) {
-	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q}`, key.service, key.model)
+func (c *Counters) gaugeWindow(key load.Model, w *admission.Window) {
+	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q}`, key.Service, key.Name)
 	c.set.GetOrCreateGauge(name, func() float64 {
 		limit, _ := w.Limit()
 		return min(limit, math.MaxInt32) // no bound shows as a large number
@@ -77,6 +78,9 @@
 	if e.service != nil {
 		entry = entry.Str("service", e.service.Name)
 	}
+	if e.req.Model != "" {
+		entry = entry.Str("model", e.req.Model).Int("prompt", e.req.Prompt).Int("answer", e.req.Answer)
+	}
 	if e.customer != nil {
 		entry = entry.Str("customer", e.customer.Name)
 	}
--- a/serving/server.go
+++ b/serving/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -29,6 +30,8 @@
 	Allowance func() retry.Allowance
 	// Suspect is told each group that fails a request.
 	Suspect func(group string, failure Failure)
+	// Asked is told the work that each request asks of a model, also if it is refused.
+	Asked func(m load.Model, work time.Duration)
 	// Informed tells whether warnings of other daemons about groups come in.
 	Informed func() bool
 	// FirstUse is told once, when the first request comes.
@@ -49,15 +52,12 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
-	windows map[modelKey]*admission.Window
+	windows map[load.Model]*admission.Window
 }
 
-// modelKey names a model of a service.
-type modelKey struct{ service, model string }
-
 // NewServer returns a server.
 func NewServer(opts Options) *Server {
-	return &Server{opts: opts, budgets: map[string]*retry.Window{}, windows: map[modelKey]*admission.Window{}}
+	return &Server{opts: opts, budgets: map[string]*retry.Window{}, windows: map[load.Model]*admission.Window{}}
 }
 
 // Stop makes the server ask callers to leave after their present request.
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -49,6 +50,7 @@
 		Catalogs: &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 10, Window: time.Second} },
+		Asked:     func(load.Model, time.Duration) {},
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return true }, MostRequests: 10,
 		Now: time.Now, Log: &log.Logger{Level: log.PanicLevel},
 	})
--- a/testbed/timeline/record.go
+++ b/testbed/timeline/record.go
@@ -30,6 +30,9 @@
 	// Of an order.
 	Op    string `json:"op"`
 	Model string `json:"model"`
+	// Of a group that is dissolved.
+	Reason  string `json:"reason"`
+	Serving bool   `json:"serving"`
 	// Of a request.
 	Status     int     `json:"status"`
 	FirstEvent float64 `json:"first_event"` // ms
--- a/testbed/timeline/timeline.go
+++ b/testbed/timeline/timeline.go
@@ -22,6 +22,9 @@
 	IdleIn map[string]map[string]int
 	// Loads are the loads that began in the span, by model.
 	Loads map[string]int
+	// Dissolved are the groups that were given up in the span, by reason; those that
+	// could still be sent requests have "serving, " before it.
+	Dissolved map[string]int
 	// Ended are the requests that ended in the span, by status, and Resumed how many of
 	// them moved to another group in the middle.
 	Ended   map[int]int
@@ -95,7 +98,7 @@
 func (f *fleet) row(at time.Duration, s *span) Row {
 	row := Row{
 		At: at, Workers: len(f.workers), Open: map[string]int{}, Forming: map[string]int{}, Idle: map[string]int{}, IdleIn: map[string]map[string]int{},
-		Loads: s.loads, Ended: s.ended, Resumed: s.resumed, FirstEvent: s.median(), Started: s.started,
+		Loads: s.loads, Dissolved: s.dissolved, Ended: s.ended, Resumed: s.resumed, FirstEvent: s.median(), Started: s.started,
 	}
 	members := map[string][]record{}
 	for _, w := range f.workers {
@@ -134,14 +137,17 @@
 
 // span is what happened in a span of time.
 type span struct {
-	loads   map[string]int
-	ended   map[int]int
-	resumed int
-	firsts  []float64 // ms
-	started int
+	loads     map[string]int
+	dissolved map[string]int
+	ended     map[int]int
+	resumed   int
+	firsts    []float64 // ms
+	started   int
 }
 
-func newSpan() *span { return &span{loads: map[string]int{}, ended: map[int]int{}} }
+func newSpan() *span {
+	return &span{loads: map[string]int{}, dissolved: map[string]int{}, ended: map[int]int{}}
+}
 
 func (s *span) take(rec record) {
 	switch rec.Event {
@@ -149,6 +155,12 @@
 		if rec.Op == "stage" {
 			s.loads[rec.Model]++
 		}
+	case "group_dissolved":
+		reason := rec.Reason
+		if rec.Serving {
+			reason = "serving, " + reason
+		}
+		s.dissolved[reason]++
 	case "request":
 		s.ended[rec.Status]++
 		if rec.Resumed > 0 {
--- a/testbed/timeline/timeline_test.go
+++ b/testbed/timeline/timeline_test.go
@@ -22,6 +22,7 @@
    2.10 e1 {"event":"order","op":"stage","model":"m.large","worker":"c"}
    2.20 e1 {"event":"worker_gone","worker":"b","store_version":7}
    2.30 e1 {"event":"worker","worker":"a","service":"llm","group":"","state":"","staged":["m.large"],"domain":"d0","store_version":8}
+   2.25 e1 {"event":"group_dissolved","group":"m.large.1","reason":"a member doesn't answer","serving":true}
    2.40 e2 {"event":"worker","worker":"a","service":"llm","group":"m.large.1","state":"open","staged":["m.large"],"domain":"d0","store_version":3}
 `
 
@@ -43,6 +44,7 @@
 	must.Eq(t, map[string]int{"m.large": 1, "none": 1}, second.Idle)
 	must.Eq(t, map[string]map[string]int{"d0": {"m.large": 1}, "d1": {"none": 1}}, second.IdleIn)
 	must.Eq(t, map[string]int{"m.large": 1}, second.Loads)
+	must.Eq(t, map[string]int{"serving, a member doesn't answer": 1}, second.Dissolved)
 	must.MapEmpty(t, second.Ended)
 }
 
@@ -68,7 +70,7 @@
 	must.NoError(t, err)
 	var b strings.Builder
 	must.NoError(t, Write(&b, rows, true))
-	for _, want := range []string{"open groups", "m.large:1", "200:2 503:1", "351ms", "d1"} {
+	for _, want := range []string{"open groups", "m.large:1", "200:2 503:1", "351ms", "d1", "groups given up: 1, serving, a member doesn't answer"} {
 		must.StrContains(t, b.String(), want)
 	}
 }
--- a/testbed/timeline/write.go
+++ b/testbed/timeline/write.go
@@ -24,7 +24,26 @@
 			fmt.Fprintf(t, "\t\t\t%s\t%s\n", domain, counts(r.IdleIn[domain]))
 		}
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return writeCauses(w, rows)
+}
+
+// writeCauses writes why groups were given up, over all rows.
+func writeCauses(w io.Writer, rows []Row) error {
+	causes := map[string]int{}
+	for _, r := range rows {
+		for reason, n := range r.Dissolved {
+			causes[reason] += n
+		}
+	}
+	for _, reason := range slices.Sorted(maps.Keys(causes)) {
+		if _, err := fmt.Fprintf(w, "groups given up: %d, %s\n", causes[reason], reason); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // counts writes counts in order of their keys, "-" if there are none.
