replica: Keep groups whose lost members answer; tell why groups are dissolved

Nearly each group loses a member's entry. Nothing in the log said why.

Ruled out: a longer patience alone (lostPatience is 15 s already); going by silence alone (a member that died after its entry went would be found by its callers only).

Change: members whose entries are gone are asked along with the others when a group fails requests. While they answer, the group stays; who doesn't answer is replaced at once; where nobody asked, the group is dissolved after 0.9 s. Lost members count as their model's workers, so that a cut doesn't make one model look short of them. A line group_dissolved tells the reason, and whether the group could still serve.

--- a/replica/controller.go
+++ b/replica/controller.go
@@ -45,9 +45,9 @@
 	lost    *metrics.Counter
 	probes  *metrics.Counter
 
-	unreachable chan unreachable
-	probed      map[workers.GroupID]time.Time
-	suspects    suspects
+	probeAnswers chan probeAnswer
+	probed       map[workers.GroupID]time.Time
+	suspects     suspects
 }
 
 type result struct {
@@ -75,8 +75,8 @@
 		lost:    opts.Metrics.NewCounter("pointpass_orders_unanswered_total"),
 		probes:  opts.Metrics.NewCounter("pointpass_probes_total"),
 
-		unreachable: make(chan unreachable, mostResults),
-		probed:      map[workers.GroupID]time.Time{},
+		probeAnswers: make(chan probeAnswer, mostResults),
+		probed:       map[workers.GroupID]time.Time{},
 	}
 }
 
@@ -100,10 +100,8 @@
 		case <-timer.C:
 		case r := <-c.results:
 			c.take(r)
-		case u := <-c.unreachable:
-			if c.planner != nil && c.planner.Term() == u.term {
-				c.planner.Unreachable(c.opts.Now(), u.worker)
-			}
+		case a := <-c.probeAnswers:
+			c.takeAnswer(a)
 		}
 		c.takeAll()
 		timer.Reset(c.step(ctx))
@@ -121,6 +119,17 @@
 	}
 }
 
+// takeAnswer takes in whether a worker answered when it was asked.
+func (c *Controller) takeAnswer(a probeAnswer) {
+	switch {
+	case c.planner == nil || c.planner.Term() != a.term:
+	case a.heard:
+		c.planner.Heard(c.opts.Now(), a.worker)
+	default:
+		c.planner.Unreachable(c.opts.Now(), a.worker)
+	}
+}
+
 func (c *Controller) take(r result) {
 	if outranked(r.order, r.outcome, c.opts.Fenced) {
 		c.opts.Lease.Outranked(r.term)
@@ -157,7 +166,7 @@
 	now := c.opts.Now()
 	view := c.opts.Workers()
 	c.probeFailing(ctx, term, view, now)
-	return c.planner.Plan(Situation{
+	orders := c.planner.Plan(Situation{
 		Now:       now,
 		View:      view,
 		Services:  current.Services(),
@@ -165,6 +174,16 @@
 		Failing:   c.failing,
 		StoreBack: c.opts.StoreBack(),
 	})
+	c.logPlan(term)
+	return orders
+}
+
+// logPlan tells why groups are dissolved.
+func (c *Controller) logPlan(term uint64) {
+	for _, e := range c.planner.Endings() {
+		c.opts.Log.Info().Str("event", "group_dissolved").Str("group", e.Group.Name).Str("reason", string(e.Reason)).
+			Int("members", e.Members).Int("lost", e.Lost).Bool("serving", e.Serving).Uint64("term", term).Msg("")
+	}
 }
 
 // give gives one order, unless the lease has ended in the meantime.
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -126,11 +126,11 @@
 		c.probe(t.Context(), 1, &workers.Group{ID: workers.GroupID{Name: "m.1"}, Members: members})
 		if silent == 0 || silent > 2 {
 			must.SliceEmpty(t, dead, must.Sprint(silent))
-			must.EqOp(t, 0, len(c.unreachable), must.Sprint(silent))
+			must.EqOp(t, 0, len(c.probeAnswers), must.Sprint(silent))
 			continue
 		}
 		must.Eq(t, []string{"m.1"}, dead)
-		must.EqOp(t, silent, len(c.unreachable), must.Sprint(silent))
+		must.EqOp(t, silent, len(c.probeAnswers), must.Sprint(silent))
 	}
 }
 
--- a/replica/form.go
+++ b/replica/form.go
@@ -40,7 +40,7 @@
 	for _, w := range members {
 		f.members = append(f.members, w.ID)
 		if preparationOf(w, model.Name) == fromStore {
-			r.loads = append(r.loads, load{worker: w.ID, model: model.Name, begun: r.now, length: model.Load})
+			r.loads = append(r.loads, weightLoad{worker: w.ID, model: model.Name, begun: r.now, length: model.Load})
 		}
 	}
 	r.forming[id] = f
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -33,6 +33,9 @@
 	// first groups are formed, and mostSettling how long that is waited for.
 	settlePause  = 500 * time.Millisecond
 	mostSettling = 5 * time.Second
+	// probeWait is how long the members of a failing group may take to be asked: two
+	// tries of 300 ms, and as long as a report takes.
+	probeWait = 900 * time.Millisecond
 	// refusalPause is how long a worker that refused an order is left alone.
 	refusalPause = 3 * time.Second
 	// unreachablePause is how long a worker that did not answer is left out.
@@ -69,14 +72,20 @@
 	records map[string]*record
 	seen    map[workers.GroupID]time.Time // when a group was first seen unfinished
 	closing map[workers.GroupID]time.Time // when a group was first seen with a leaving member
-	loads   []load
+	loads   []weightLoad
 	// retiring are whole groups that give their workers to another model, with
 	// the time since when.
 	retiring map[workers.GroupID]time.Time
+	// failingFrom is since when groups with lost members fail requests.
+	failingFrom map[workers.GroupID]time.Time
+	// dissolving are the groups told to be dissolved, with the time since when, and
+	// endings those that are still to be logged.
+	dissolving map[workers.GroupID]time.Time
+	endings    []Ending
 }
 
-// load is a load of weights that this planner began.
-type load struct {
+// weightLoad is a load of weights that this planner began.
+type weightLoad struct {
 	worker string
 	model  string
 	begun  time.Time
@@ -125,6 +134,8 @@
 	// unreachableUntil is until when the worker counts as dead, since it did not
 	// answer while its group failed requests.
 	unreachableUntil time.Time
+	// heardAt is when the worker last answered when it was asked.
+	heardAt time.Time
 	// staged is the model that the host was last asked to load, and when.
 	staged   string
 	stagedAt time.Time
@@ -142,6 +153,9 @@
 		closing: map[workers.GroupID]time.Time{},
 
 		retiring: map[workers.GroupID]time.Time{},
+
+		failingFrom: map[workers.GroupID]time.Time{},
+		dissolving:  map[workers.GroupID]time.Time{},
 	}
 }
 
@@ -154,6 +168,7 @@
 	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack}
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
+	p.forgetEndings(s.Now)
 	r.noteLoads()
 	p.noteGrowth(s.View, s.Now)
 	for _, service := range s.Services {
@@ -212,6 +227,9 @@
 	p.record(id).unreachableUntil = now.Add(unreachablePause)
 }
 
+// Heard notes that a worker answered when it was asked.
+func (p *Planner) Heard(now time.Time, id string) { p.record(id).heardAt = now }
+
 // abandon gives up a group that is being formed. Members that have joined are
 // then dealt with as those of any unfinished group.
 func (p *Planner) abandon(id workers.GroupID) {
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -57,11 +57,11 @@
 		if g.Service != r.service.Name || forming || !g.Whole {
 			continue
 		}
-		p.total += len(g.Members)
+		p.total += g.Size()
 		if r.retired(g.ID) {
 			continue
 		}
-		p.counts[g.ID.Model()] += len(g.Members)
+		p.counts[g.ID.Model()] += g.Size()
 		p.whole[g.Members[0].Domain] = append(p.whole[g.Members[0].Domain], g)
 	}
 	return p
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,12 +37,14 @@
 	}
 }
 
-// probe asks all members of a group, and reports those that never answer. Where most
-// don't it is this process that can't reach them: a member dies alone, or with a few.
+// probe asks all members of a group, also those whose entries are gone, and reports
+// those that never answer. Where most don't it is this process that can't reach them: a
+// member dies alone, or with a few.
 func (c *Controller) probe(ctx context.Context, term uint64, g *workers.Group) {
-	silent := c.silentOf(ctx, g.Members)
-	if 2*len(silent) > len(g.Members) {
-		c.opts.Log.Warn().Str("event", "probe_doubted").Str("group", g.ID.Name).Int("silent", len(silent)).Int("members", len(g.Members)).Msg("most members don't answer, so that the fault is taken to be here")
+	members := append(slices.Clone(g.Members), g.Lost...)
+	silent := c.silentOf(ctx, members)
+	if 2*len(silent) > len(members) {
+		c.opts.Log.Warn().Str("event", "probe_doubted").Str("group", g.ID.Name).Int("silent", len(silent)).Int("members", len(members)).Msg("most members don't answer, so that the fault is taken to be here")
 		return
 	}
 	if len(silent) > 0 {
@@ -49,13 +52,22 @@
 	}
 	for _, w := range silent {
 		c.opts.Log.Warn().Str("event", "worker_unreachable").Str("worker", w.ID).Str("group", g.ID.Name).Int("tries", probeTries).Msg("")
-		select {
-		case c.unreachable <- unreachable{term: term, worker: w.ID}:
-		case <-ctx.Done():
+		c.tell(ctx, probeAnswer{term: term, worker: w.ID})
+	}
+	for _, w := range g.Lost {
+		if !slices.ContainsFunc(silent, func(s workers.Worker) bool { return s.ID == w.ID }) {
+			c.tell(ctx, probeAnswer{term: term, worker: w.ID, heard: true})
 		}
 	}
 }
 
+func (c *Controller) tell(ctx context.Context, a probeAnswer) {
+	select {
+	case c.probeAnswers <- a:
+	case <-ctx.Done():
+	}
+}
+
 // silentOf asks workers side by side and returns those that never answer.
 func (c *Controller) silentOf(ctx context.Context, members []workers.Worker) []workers.Worker {
 	answered := make([]bool, len(members))
@@ -84,8 +96,9 @@
 	return c.opts.Prober.Answers(ctx, w)
 }
 
-// unreachable tells that a worker did not answer.
-type unreachable struct {
+// probeAnswer tells whether a worker answered when it was asked.
+type probeAnswer struct {
 	term   uint64
 	worker string
+	heard  bool
 }
--- a/replica/retire.go
+++ b/replica/retire.go
@@ -33,7 +33,7 @@
 	}
 	for _, g := range retired {
 		r.retiring[g.ID] = r.now
-		p.counts[g.ID.Model()] -= len(g.Members)
+		p.counts[g.ID.Model()] -= g.Size()
 		p.drop(g)
 	}
 	return m, members, members != nil
@@ -79,7 +79,7 @@
 func gains(m catalog.Model, models []catalog.Model, p *pool, retired []*workers.Group) bool {
 	after := map[string]int{m.Name: m.Size}
 	for _, g := range retired {
-		after[g.ID.Model()] -= len(g.Members)
+		after[g.ID.Model()] -= g.Size()
 	}
 	before := retireGain * p.fill(m, 0)
 	for _, other := range models {
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -135,7 +135,7 @@
 	}
 	rec.staged = m.Name
 	rec.stagedAt = r.now
-	r.loads = append(r.loads, load{worker: w.ID, model: m.Name, begun: r.now, length: m.Load})
+	r.loads = append(r.loads, weightLoad{worker: w.ID, model: m.Name, begun: r.now, length: m.Load})
 	r.give(Order{Worker: w, Op: Stage, Model: m.Name})
 	return true
 }
@@ -213,7 +213,7 @@
 	if r.idle || rate <= 0 {
 		return len(r.view.Of(r.service.Name))
 	}
-	r.loads = slices.DeleteFunc(r.loads, func(l load) bool {
+	r.loads = slices.DeleteFunc(r.loads, func(l weightLoad) bool {
 		return r.now.Sub(l.begun) > max(r.ceiling.Window, 2*l.length)
 	})
 	begun := 0
--- a/replica/tend.go
+++ b/replica/tend.go
@@ -24,7 +24,7 @@
 	complete := known && r.complete(g, model.Size)
 	switch {
 	case complete && r.dead(g) && r.failing(g.ID.Name):
-		r.dissolve(g)
+		r.dissolve(g, memberDead)
 	case known && len(g.Lost) > 0:
 		r.tendLost(g, model.Size)
 	case complete && r.leaving(g), complete && g.Whole && r.retired(g.ID):
@@ -37,8 +37,10 @@
 		}
 	case complete && !broken(g) && !r.late(g.ID, 2*model.Load+formSlack):
 		// still joining, ordered by an earlier holder of the lease
+	case broken(g):
+		r.dissolve(g, headBroken)
 	default:
-		r.dissolve(g)
+		r.dissolve(g, unfinished)
 	}
 }
 
@@ -52,9 +54,46 @@
 	}
 	serves := g.Whole && g.Size() == size && !r.retired(g.ID) && (!found || head.Membership.State == workers.Open)
 	late := r.late(g.ID, patience)
-	if !serves || late || r.failing(g.ID.Name) || r.missingAfterOutage(g.ID) {
-		r.dissolve(g)
+	switch {
+	case !serves:
+		r.dissolve(g, unfinished)
+	case late && found:
+		r.dissolve(g, entryGone)
+	case late:
+		r.dissolve(g, headGone)
+	case r.missingAfterOutage(g.ID):
+		r.dissolve(g, missing)
+	case r.dead(g):
+		r.dissolve(g, memberDead)
+	case r.failsUnasked(g):
+		r.dissolve(g, failing)
+	}
+}
+
+// failsUnasked tells whether a group fails requests and its lost members did not answer
+// when they were asked. An answer to a caller that is lost doesn't show that a member
+// died whose entry went: while workers are cut off from the store all groups may have
+// lost members, and each of them loses an answer now and then.
+func (r *round) failsUnasked(g *workers.Group) bool {
+	if !r.failing(g.ID.Name) {
+		delete(r.failingFrom, g.ID)
+		return false
+	}
+	since, known := r.failingFrom[g.ID]
+	if !known {
+		since = r.now
+		r.failingFrom[g.ID] = since
+	}
+	if !slices.ContainsFunc(g.Lost, func(w workers.Worker) bool { return !r.answeredLately(w.ID) }) {
+		return false
 	}
+	return r.now.Sub(since) > probeWait
+}
+
+// answeredLately tells whether a worker answered when it was asked.
+func (r *round) answeredLately(id string) bool {
+	at := r.record(id).heardAt
+	return !at.IsZero() && r.now.Sub(at) < probePause+probeWait
 }
 
 // missingAfterOutage tells whether a group's entries went while the store was away,
@@ -97,7 +136,8 @@
 
 // dead tells whether a member of a group did not answer lately.
 func (r *round) dead(g *workers.Group) bool {
-	return slices.ContainsFunc(g.Members, func(w workers.Worker) bool { return r.unreachable(w.ID) })
+	silent := func(w workers.Worker) bool { return r.unreachable(w.ID) }
+	return slices.ContainsFunc(g.Members, silent) || slices.ContainsFunc(g.Lost, silent)
 }
 
 func (r *round) unreachable(id string) bool {
@@ -122,7 +162,7 @@
 		r.closing[g.ID] = since
 	}
 	if !serving || r.now.Sub(since) > drainPatience {
-		r.dissolve(g)
+		r.dissolve(g, closed)
 		return
 	}
 	if head.Membership.State == workers.Open && !r.gaveLately(head.ID, Close, g.ID, openAgain) {
@@ -132,7 +172,12 @@
 
 // dissolve has all members leave. A member is free once its own leave is
 // confirmed.
-func (r *round) dissolve(g *workers.Group) {
+func (r *round) dissolve(g *workers.Group, reason Reason) {
+	if _, told := r.dissolving[g.ID]; !told {
+		r.dissolving[g.ID] = r.now
+		head, _ := g.Head()
+		r.endings = append(r.endings, Ending{Group: g.ID, Reason: reason, Members: len(g.Members), Lost: len(g.Lost), Serving: head.Membership.State == workers.Open})
+	}
 	for _, w := range g.Members {
 		if r.record(w.ID).left != g.ID && !r.gaveLately(w.ID, Leave, g.ID, rowLag) {
 			r.give(Order{Worker: w, Op: Leave, Group: g.ID})
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -26,6 +26,8 @@
 	readyAt   time.Time
 	openAt    time.Time // when an open head serves
 	dead      time.Time
+	cut       time.Time // since when it can't reach the store
+	lapsed    bool      // its row went since it is cut
 	written   time.Time // when its last row arrives
 	staging   string
 	stagedAt  time.Time
@@ -139,6 +141,10 @@
 		}
 		return
 	}
+	if !e.cut.IsZero() && !e.lapsed && w.now.Sub(e.cut) > worldSilence {
+		e.lapsed = true
+		w.rows = append(w.rows, delayedRow{at: w.now, worker: e.worker, gone: true})
+	}
 	m := &e.worker.Membership
 	if e.staging != "" && !w.now.Before(e.stagedAt) {
 		e.worker.Staged = []string{e.staging}
