replica: Have the models' shares of the workers follow their work, in steps

Cause: the settings' shares are of the work at the start.

Ways: the settings' shares (stood); work asked for, followed at each plan; the same, in steps of a quarter. Each model gets the groups that its work keeps busy and a part of the rest that grows with the square root of that (square-root staffing).

Change: replica/demand.go; averages of 5 s, a floor of two groups, steps of 0.25; the settings' shares until 2 s are known. A line model_shares tells each change.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -141,6 +141,7 @@
 		Failing:   e.Balancer.Failing,
 		Dead:      e.noteDead,
 		StoreBack: e.lastBack,
+		Load:      e.loads.Known,
 		Idle:      func() bool { return e.settings.FirstStart() && !e.begun.Load() },
 		Metrics:   e.Metrics,
 		Now:       time.Now,
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -30,9 +31,11 @@
 	Dead func(group string)
 	// StoreBack returns when the store last answered again after it had not.
 	StoreBack func() time.Time
-	Metrics   *metrics.Set
-	Now       func() time.Time
-	Log       *log.Logger
+	// Load returns what callers ask for, as far as it is known.
+	Load    func() load.Sum
+	Metrics *metrics.Set
+	Now     func() time.Time
+	Log     *log.Logger
 }
 
 // Controller gives the orders that a planner decides on while the lease is held.
@@ -173,17 +176,22 @@
 		Idle:      c.opts.Idle(),
 		Failing:   c.failing,
 		StoreBack: c.opts.StoreBack(),
+		Load:      c.opts.Load(),
 	})
 	c.logPlan(term)
 	return orders
 }
 
-// logPlan tells why groups are dissolved.
+// logPlan tells why groups are dissolved and what the models are to have.
 func (c *Controller) logPlan(term uint64) {
 	for _, e := range c.planner.Endings() {
 		c.opts.Log.Info().Str("event", "group_dissolved").Str("group", e.Group.Name).Str("reason", string(e.Reason)).
 			Int("members", e.Members).Int("lost", e.Lost).Bool("serving", e.Serving).Uint64("term", term).Msg("")
 	}
+	for _, s := range c.planner.ShareChanges() {
+		c.opts.Log.Info().Str("event", "model_shares").Str("service", s.Service).Any("shares", s.Shares).Any("asked", s.Asked).
+			Bool("measured", s.Measured).Uint64("term", term).Msg("")
+	}
 }
 
 // give gives one order, unless the lease has ended in the meantime.
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -63,6 +64,7 @@
 		Failing:   func(string) bool { return false },
 		Dead:      func(string) {},
 		StoreBack: func() time.Time { return time.Time{} },
+		Load:      func() load.Sum { return load.Sum{} },
 		Metrics:   metrics.NewSet(),
 		Now:       func() time.Time { return table.now },
 		Log:       &log.Logger{Level: log.PanicLevel},
--- /dev/null
+++ b/replica/demand.go
@@ -0,0 +1,175 @@
+package replica
+
+import (
+	"math"
+	"time"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
+)
+
+// How the shares of models follow what callers ask for.
+const (
+	// demandMemory is the time constant of the average. A group takes 12 to 16 s to
+	// load and 1 to 2 s to take from a host: a surge of 3 s moves the average by less
+	// than half, and is over before a group that it asks for serves.
+	demandMemory = 5 * time.Second
+	// demandKnown is for how long callers must have been seen before they count.
+	demandKnown = 2 * time.Second
+	// leastGroups is how many groups a model keeps however little it is asked for, as
+	// far as its share of the settings allows: the last one may die.
+	leastGroups = 2
+	// shareStep is by how much a model's share must be off what its work asks for, as a
+	// part of it, before the shares follow. A group that gives up its workers is gone
+	// for two to three seconds; shares that followed each swing left 15 to 27 in 100
+	// more VM-seconds that served nobody.
+	shareStep = 0.25
+	// leastShare keeps shares above 0.
+	leastShare = 0.001
+)
+
+// demand is what callers ask of the models, averaged. Until that is known the shares of
+// the settings count.
+type demand struct {
+	average map[load.Model]float64
+	// since is when the first sum came, and last when the newest did.
+	since, last time.Time
+	// inForce are the shares that were followed last, by service.
+	inForce map[string]map[string]float64
+	// changes are those that are still to be logged.
+	changes []ShareChange
+}
+
+// ShareChange tells that the models of a service are to have other parts of its workers.
+type ShareChange struct {
+	Service string
+	// Shares are the new parts, and Asked the work that callers ask for, in seconds of one
+	// group a second, by model.
+	Shares, Asked map[string]float64
+	// Measured tells that the shares follow the work; the settings tell them otherwise.
+	Measured bool
+}
+
+// ShareChanges returns the changes since the last call.
+func (p *Planner) ShareChanges() []ShareChange {
+	list := p.demand.changes
+	p.demand.changes = nil
+	return list
+}
+
+func newDemand() *demand {
+	return &demand{average: map[load.Model]float64{}, inForce: map[string]map[string]float64{}}
+}
+
+// note takes in a sum. One that is too old says nothing: the average stays.
+func (d *demand) note(now time.Time, s load.Sum) {
+	if !s.Fresh(now) || len(s.Offered) == 0 {
+		return
+	}
+	if d.since.IsZero() {
+		d.since = now
+	}
+	weight := 1.0
+	if !d.last.IsZero() {
+		weight = 1 - math.Exp(-now.Sub(d.last).Seconds()/demandMemory.Seconds())
+	}
+	for m := range d.average {
+		if _, asked := s.Offered[m]; !asked {
+			d.average[m] -= weight * d.average[m]
+		}
+	}
+	for m, work := range s.Offered {
+		d.average[m] += weight * (work - d.average[m])
+	}
+	d.last = now
+}
+
+// known tells whether callers were seen for long enough.
+func (d *demand) known() bool { return d.last.Sub(d.since) >= demandKnown }
+
+// shares returns the part of a service's workers that each model should have. They stay
+// until the work asks for others that differ much.
+func (d *demand) shares(service *catalog.Service, workers int) map[string]float64 {
+	current := d.inForce[service.Name]
+	wanted := d.wanted(service, workers)
+	for name, share := range wanted {
+		if off := math.Abs(share - current[name]); off > shareStep*min(share, current[name]) {
+			d.inForce[service.Name] = wanted
+			d.changes = append(d.changes, ShareChange{Service: service.Name, Shares: wanted, Asked: d.asked(service), Measured: d.known()})
+			return wanted
+		}
+	}
+	return current
+}
+
+// asked returns the work that callers ask for, by model.
+func (d *demand) asked(service *catalog.Service) map[string]float64 {
+	work := map[string]float64{}
+	for _, m := range service.Runtime.Models {
+		work[m.Name] = d.average[load.Model{Service: service.Name, Name: m.Name}]
+	}
+	return work
+}
+
+// wanted returns the shares that the work asks for. Each model gets the groups that its
+// work keeps busy, and of what is left a part that grows with the square root of that:
+// so many more make waiting equally rare (square-root staffing, Halfin and Whitt, 1981).
+// Where the work is more than all can do, each gets its part of it.
+func (d *demand) wanted(service *catalog.Service, workers int) map[string]float64 {
+	models := service.Runtime.Models
+	needs := map[string]float64{}
+	busy, spread := 0.0, 0.0
+	for _, m := range models {
+		groups := d.average[load.Model{Service: service.Name, Name: m.Name}]
+		busy += groups * float64(m.Size)
+		spread += math.Sqrt(groups) * float64(m.Size)
+	}
+	if !d.known() || busy <= 0 {
+		for _, m := range models {
+			needs[m.Name] = m.Share
+		}
+		return normalized(needs)
+	}
+	slack := max((float64(workers)-busy)/spread, 0)
+	for _, m := range models {
+		groups := d.average[load.Model{Service: service.Name, Name: m.Name}]
+		needs[m.Name] = (groups + slack*math.Sqrt(groups)) * float64(m.Size)
+	}
+	return withFloors(models, normalized(needs), workers)
+}
+
+// withFloors raises shares below what leastGroups take, at the cost of the others.
+func withFloors(models []catalog.Model, shares map[string]float64, workers int) map[string]float64 {
+	floors, others := 0.0, 0.0
+	raised := map[string]float64{}
+	for _, m := range models {
+		floor := min(leastGroups*float64(m.Size)/float64(workers), m.Share)
+		if shares[m.Name] < floor {
+			raised[m.Name] = floor
+			floors += floor
+			continue
+		}
+		others += shares[m.Name]
+	}
+	for name, share := range shares {
+		if floor, low := raised[name]; low {
+			shares[name] = floor
+		} else {
+			shares[name] = share * (1 - floors) / others
+		}
+	}
+	return shares
+}
+
+// normalized returns parts that add up to one.
+func normalized(needs map[string]float64) map[string]float64 {
+	sum := 0.0
+	for _, need := range needs {
+		sum += need
+	}
+	shares := map[string]float64{}
+	for name, need := range needs {
+		shares[name] = need / max(sum, leastShare)
+	}
+	return shares
+}
--- a/replica/form.go
+++ b/replica/form.go
@@ -55,7 +55,7 @@
 func (r *round) nextGroup(p *pool) (catalog.Model, []workers.Worker, bool) {
 	models := slices.Clone(r.service.Runtime.Models)
 	slices.SortStableFunc(models, func(a, b catalog.Model) int {
-		return cmp.Or(cmp.Compare(p.fill(a, 0), p.fill(b, 0)), cmp.Compare(b.Share, a.Share))
+		return cmp.Or(cmp.Compare(p.fill(a, 0), p.fill(b, 0)), cmp.Compare(p.shares[b.Name], p.shares[a.Name]))
 	})
 	for i, m := range models {
 		if i > 0 && p.aboveShare(m) {
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -76,6 +77,7 @@
 	// retiring are whole groups that give their workers to another model, with
 	// the time since when.
 	retiring map[workers.GroupID]time.Time
+	demand   *demand
 	// failingFrom is since when groups with lost members fail requests.
 	failingFrom map[workers.GroupID]time.Time
 	// dissolving are the groups told to be dissolved, with the time since when, and
@@ -108,6 +110,8 @@
 	// StoreBack is when the store last answered again after it had not, the zero
 	// time if it always has.
 	StoreBack time.Time
+	// Load is what callers ask for, the zero value if that isn't known.
+	Load load.Sum
 }
 
 // formation is a group that the planner is forming.
@@ -153,6 +157,7 @@
 		closing: map[workers.GroupID]time.Time{},
 
 		retiring: map[workers.GroupID]time.Time{},
+		demand:   newDemand(),
 
 		failingFrom: map[workers.GroupID]time.Time{},
 		dissolving:  map[workers.GroupID]time.Time{},
@@ -171,6 +176,7 @@
 	p.forgetEndings(s.Now)
 	r.noteLoads()
 	p.noteGrowth(s.View, s.Now)
+	p.demand.note(s.Now, s.Load)
 	for _, service := range s.Services {
 		r.service = service
 		r.advanceFormations()
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -14,6 +14,8 @@
 	// counts are the workers in whole groups and in those being formed, by model.
 	counts map[string]int
 	total  int
+	// shares are the parts of the workers that the models should have.
+	shares map[string]float64
 	// whole are the groups that serve or could, by domain.
 	whole map[string][]*workers.Group
 	// leaving are the workers that were told to leave a group and will soon be free,
@@ -31,14 +33,14 @@
 
 // fill tells how well a model is supplied: its workers for its share.
 func (p *pool) fill(m catalog.Model, more int) float64 {
-	return float64(p.counts[m.Name]+more) / max(m.Share, 0.001)
+	return float64(p.counts[m.Name]+more) / max(p.shares[m.Name], leastShare)
 }
 
 // aboveShare tells whether a model would have too much of the workers with another
 // group.
 func (p *pool) aboveShare(m catalog.Model) bool {
 	wouldHave := float64(p.counts[m.Name] + m.Size)
-	return wouldHave > mostAboveShare*m.Share*float64(p.total)
+	return wouldHave > mostAboveShare*p.shares[m.Name]*float64(p.total)
 }
 
 func (r *round) newPool() *pool {
@@ -64,6 +66,7 @@
 		p.counts[g.ID.Model()] += g.Size()
 		p.whole[g.Members[0].Domain] = append(p.whole[g.Members[0].Domain], g)
 	}
+	p.shares = r.demand.shares(r.service, p.total)
 	return p
 }
 
