replica: Load a host again once its first load is done

Cause: a host that was asked to load was not asked again for twice the load's time and 10 s, 34 to 42 s, also once its row told that it has the model.

Ruled out: the ceiling of loads (20 at once, hardly any under way), hosts that keep another model (a worker whose host has what it ran last may load another).

Change: what the row tells counts as done. Test red without it.

--- a/replica/lost_test.go
+++ b/replica/lost_test.go
@@ -62,3 +62,20 @@
 		})
 	}
 }
+
+// TestPlanner_LoadsAgainOnceTheFirstLoadIsDone has all hosts staged by the load before
+// traffic. Soon after that a worker in no group, whose host has what it ran last, is
+// prepared for the model that lacks a group.
+func TestPlanner_LoadsAgainOnceTheFirstLoadIsDone(t *testing.T) {
+	r := &round{Planner: NewPlanner(1, testCeiling), now: time.Unix(1000, 0)}
+	small := catalog.Model{Name: "small", Size: 2, Load: 12 * time.Second}
+	w := workers.Worker{ID: "i1", Staged: []string{"small"}, Last: "small"}
+	rec := r.record(w.ID)
+	rec.staged = "small"
+	rec.stagedAt = r.now.Add(-13 * time.Second)
+	must.False(t, r.staging(w, small), must.Sprint("the host has it"))
+	must.True(t, r.stageAt(w, catalog.Model{Name: "m.large", Size: 4, Load: 12 * time.Second}))
+	w.Staged = nil
+	rec.staged = "small"
+	must.True(t, r.staging(w, small), must.Sprint("its row may be late"))
+}
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -140,9 +140,13 @@
 	return true
 }
 
-// staging tells whether a worker's host was asked to load a model lately.
+// staging tells whether a worker's host was asked to load a model lately and isn't known
+// to have it yet.
 func (r *round) staging(w workers.Worker, m catalog.Model) bool {
 	rec := r.record(w.ID)
+	if slices.Contains(w.Staged, m.Name) {
+		return false
+	}
 	return rec.staged != "" && rec.staged == m.Name && r.now.Sub(rec.stagedAt) < 2*m.Load+stageAgain
 }
 
