replica: Remember whether a lost member answered for a minute

Whether a lost member answered was forgotten before it counted, and its group dissolved. Groups that failed requests once stayed in a map for good.

Change: answers count as the last that was heard of a worker; both maps are forgotten after a minute. Test: the world runs for 90 s before the cut; 0 of 8 groups were kept without the change.

--- a/replica/ending.go
+++ b/replica/ending.go
@@ -51,11 +51,13 @@
 	return list
 }
 
-// forgetEndings forgets groups that were dissolved long ago.
+// forgetEndings forgets groups that were dissolved, or failed requests, long ago.
 func (p *Planner) forgetEndings(now time.Time) {
-	for id, at := range p.dissolving {
-		if now.Sub(at) > endingMemory {
-			delete(p.dissolving, id)
+	for _, since := range []map[workers.GroupID]time.Time{p.dissolving, p.failingFrom} {
+		for id, at := range since {
+			if now.Sub(at) > endingMemory {
+				delete(since, id)
+			}
 		}
 	}
 }
--- a/replica/lost_test.go
+++ b/replica/lost_test.go
@@ -28,7 +28,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(3, 8)
 			h := &holder{planner: NewPlanner(1, testCeiling)}
-			calm(w, h, 30*time.Second, true)
+			calm(w, h, 90*time.Second, true) // the orders that formed the groups are forgotten
 			ids := map[workers.GroupID]bool{}
 			var cut []string
 			for _, g := range w.view.Groups() {
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -246,15 +246,30 @@
 	p.seen[id] = time.Time{}
 }
 
+// recordLife is how long what is known of a worker that isn't listed is kept after the
+// last order or answer.
+const recordLife = time.Minute
+
 // forget drops what is known of workers that are gone.
 func (p *Planner) forget(view *workers.View, now time.Time) {
 	for id, rec := range p.records {
-		if _, listed := view.Worker(id); !listed && !rec.inFlight && now.Sub(rec.lastAt) > time.Minute {
+		if _, listed := view.Worker(id); !listed && !rec.inFlight && now.Sub(rec.latest()) > recordLife {
 			delete(p.records, id)
 		}
 	}
 }
 
+// latest returns when the worker was last given an order or asked whether it is there.
+func (rec *record) latest() time.Time {
+	latest := rec.lastAt
+	for _, at := range []time.Time{rec.heardAt, rec.unreachableUntil} {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 // forgetRetired drops retired groups that are gone.
 func (p *Planner) forgetRetired(view *workers.View) {
 	for id := range p.retiring {
