load: Put the guards of the sum into the package that sums

Cause: whether a sum covers enough daemons, and that two daemons that each take the other for the holder don't count each other without end, was decided in deps, where no test reached it. Change: Sum.Covers and Gatherer.Take decide; tests for both.

--- a/deps/loads.go
+++ b/deps/loads.go
@@ -26,12 +26,9 @@
 // ask notes that a caller asks for work of a model.
 func (l *loads) ask(m load.Model, work time.Duration) { l.meter.Ask(time.Now(), m, work) }
 
-// take takes in what another daemon reports. More daemons than there are would be counted
-// by two daemons that each take the other for the holder, which lasts a moment.
+// take takes in what another daemon reports.
 func (l *loads) take(reporter string, s load.Sum) {
-	if s.Daemons <= l.edge.Lease.Nodes() {
-		l.gatherer.Take(reporter, s)
-	}
+	l.gatherer.Take(reporter, s, l.edge.Lease.Nodes())
 }
 
 // Total returns what callers ask for here and at the daemons that report here: at all of
@@ -41,15 +38,11 @@
 	return l.gatherer.Total(now, l.meter.Offered(now))
 }
 
-// leastTold is the part of all daemons that must have told what callers ask of them for
-// the sum to count. A new holder has heard of none, and in the first second of a few.
-const leastTold = 0.6
-
 // Known returns the sum over all daemons at the holder of the lease, the zero value while
 // too few have told.
 func (l *loads) Known() load.Sum {
 	s := l.Total()
-	if float64(s.Daemons) < leastTold*float64(l.edge.Lease.Nodes()) {
+	if !s.Covers(l.edge.Lease.Nodes()) {
 		return load.Sum{}
 	}
 	return s
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -35,9 +35,9 @@
 // TestGatherer_AddsUpWhatCounts: a daemon that stopped telling no longer counts.
 func TestGatherer_AddsUpWhatCounts(t *testing.T) {
 	g := NewGatherer()
-	g.Take("a", Sum{Offered: Offered{chat: 1}, Daemons: 1, At: noon})
-	g.Take("b", Sum{Offered: Offered{chat: 5}, Daemons: 29, At: noon.Add(2 * time.Second)})
-	g.Take("b", Sum{Offered: Offered{chat: 6}, Daemons: 30, At: noon.Add(2 * time.Second)})
+	g.Take("a", Sum{Offered: Offered{chat: 1}, Daemons: 1, At: noon}, 40)
+	g.Take("b", Sum{Offered: Offered{chat: 5}, Daemons: 29, At: noon.Add(2 * time.Second)}, 40)
+	g.Take("b", Sum{Offered: Offered{chat: 6}, Daemons: 30, At: noon.Add(2 * time.Second)}, 40)
 	s := g.Total(noon.Add(reportLife), Offered{chat: 0.5})
 	must.EqOp(t, 7.5, s.Offered[chat])
 	must.EqOp(t, 32, s.Daemons)
@@ -52,3 +52,23 @@
 	must.True(t, s.Fresh(noon.Add(reportLife)))
 	must.False(t, s.Fresh(noon.Add(reportLife+1)))
 }
+
+// TestGatherer_LeavesOutSumsOverTooMany has two daemons tell each other.
+func TestGatherer_LeavesOutSumsOverTooMany(t *testing.T) {
+	const daemons = 3
+	a, b := NewGatherer(), NewGatherer()
+	here := Offered{chat: 1}
+	for range 20 {
+		b.Take("a", a.Total(noon, here), daemons)
+		a.Take("b", b.Total(noon, here), daemons)
+	}
+	must.LessEq(t, daemons+1, a.Total(noon, here).Daemons)
+	must.LessEq(t, daemons+1, b.Total(noon, here).Daemons)
+}
+
+func TestSum_Covers(t *testing.T) {
+	must.False(t, Sum{Daemons: 1}.Covers(89))
+	must.False(t, Sum{Daemons: 53}.Covers(89))
+	must.True(t, Sum{Daemons: 54}.Covers(89))
+	must.True(t, Sum{Daemons: 1}.Covers(1))
+}
--- a/load/sums.go
+++ b/load/sums.go
@@ -25,6 +25,14 @@
 // Fresh tells whether a sum is young enough to decide on.
 func (s Sum) Fresh(now time.Time) bool { return s.Daemons > 0 && now.Sub(s.At) <= reportLife }
 
+// leastTold is the part of all daemons that must have told what callers ask of them for
+// a sum to count. A new holder of the lease has heard of none, and in the first second of
+// a few.
+const leastTold = 0.6
+
+// Covers tells whether a sum tells of enough of that many daemons.
+func (s Sum) Covers(daemons int) bool { return float64(s.Daemons) >= leastTold*float64(daemons) }
+
 // Gatherer adds up what daemons report. Its state is bounded by the daemons there are.
 // It is safe for use by many goroutines.
 type Gatherer struct {
@@ -35,8 +43,14 @@
 // NewGatherer returns a gatherer without reports.
 func NewGatherer() *Gatherer { return &Gatherer{reports: map[string]Sum{}} }
 
-// Take takes in what a daemon reports, for itself or for those that report to it.
-func (g *Gatherer) Take(reporter string, s Sum) {
+// Take takes in what a daemon reports, for itself or for those that report to it, where
+// there are that many daemons in all. A sum over more is left out: two daemons that each
+// take the other for the one to tell, which lasts a moment, count each other again and
+// again.
+func (g *Gatherer) Take(reporter string, s Sum, daemons int) {
+	if s.Daemons > daemons {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.reports[reporter] = s
