placement: Decide in one place where requests may run; leave closed halls alone

No word of closed halls, cold workers or allowed regions was in the code. Ruled out: a filter for each fact where targets are listed, which streams that move, refusals and plans would each have copied. Change: the package placement holds what is known of halls as one dated, immutable value and decides from it; serving asks it for each target and again right before sending; rows that close halls are read with the configuration; regions of routes and customers and what cold workers bear are decoded. No ramp for cold workers yet, and planning doesn't know of closed halls.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,6 +27,12 @@
 	Weight  float64
 }
 
+// Regions are the regions where requests may run; none bounds nothing.
+type Regions []string
+
+// Allow tells whether a region is allowed.
+func (r Regions) Allow(region string) bool { return len(r) == 0 || slices.Contains(r, region) }
+
 // Route says where requests of one host and path prefix go.
 type Route struct {
 	Name   string
@@ -46,6 +52,8 @@
 	// Public routes need no credential.
 	Public    bool
 	Resumable bool
+	// Regions are where requests of the route may run.
+	Regions Regions
 }
 
 // Repeats tells whether a request of the route may run more than once.
@@ -75,10 +83,21 @@
 type Service struct {
 	Name           string
 	MaxConnections int
+	// Cold is how its workers are to be used when they have just started.
+	Cold Cold
 	// Runtime is nil for services whose workers each serve alone.
 	Runtime *Runtime
 }
 
+// Cold says how workers are to be used that have just started. The zero value means that
+// they need no care.
+type Cold struct {
+	// For is how long a worker stays cold after a start, where nothing tells otherwise.
+	For time.Duration
+	// PerSecond is how many requests a second a cold worker bears from all daemons.
+	PerSecond float64
+}
+
 // NoPriority is the priority of a customer that leaves it to the route.
 const NoPriority = -1
 
@@ -89,6 +108,8 @@
 	// most urgent.
 	Priority int
 	Keys     []string
+	// Regions are where the customer's requests may run.
+	Regions Regions
 }
 
 // Limits bound what callers may send and how long they may take.
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -15,6 +15,7 @@
 	"github.com/pointpass/pointpass/health"
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/node"
+	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
@@ -40,11 +41,13 @@
 
 // Edge holds the parts of a daemon on the users' platform.
 type Edge struct {
-	Log        *log.Logger
-	Metrics    *metrics.Set
-	Catalogs   *catalog.Holder
-	Workers    *workers.Registry
-	Balancer   *serving.Balancer
+	Log      *log.Logger
+	Metrics  *metrics.Set
+	Catalogs *catalog.Holder
+	Workers  *workers.Registry
+	Balancer *serving.Balancer
+	// Placement decides where requests may run.
+	Placement  *placement.Decider
 	Server     *serving.Server
 	Ingress    http.Handler
 	Lease      *replica.Lease
@@ -74,6 +77,7 @@
 		Balancer: serving.NewBalancer(settings.Hall()),
 		settings: settings,
 	}
+	e.Placement = placement.NewDecider(settings.HallRegions(), placement.NoRamp{}, time.Now)
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
@@ -114,6 +118,7 @@
 		Workers:      e.Workers.View,
 		Upstream:     upstream,
 		Balancer:     e.Balancer,
+		Placement:    e.Placement,
 		Counters:     serving.NewCounters(e.Metrics),
 		Evidence:     evidencePolicy(e.settings.Bounds()),
 		Allowance:    e.allowance,
@@ -197,6 +202,7 @@
 	})
 	e.Metrics.NewGauge("pointpass_store_direct", func() float64 { return asNumber(e.following.reader.Direct()) })
 	e.Metrics.NewGauge("pointpass_workers", func() float64 { return float64(e.Workers.View().Len()) })
+	e.Metrics.NewGauge("pointpass_halls_closed", func() float64 { return float64(len(e.Placement.Facts().Closings())) })
 	e.Metrics.NewGauge("pointpass_requests_under_way", func() float64 { return float64(e.Server.UnderWay()) })
 	e.Metrics.NewGauge("pointpass_load_daemons", func() float64 { return float64(e.loads.Total().Daemons) })
 	e.Metrics.NewGauge("pointpass_lease_held", func() float64 {
@@ -221,7 +227,10 @@
 	running.Wait()
 }
 
+// applyConfig takes in the operator's rows: data halls that are closed, and then the
+// configuration. A daemon is ready once it has one, and must know of closed halls by then.
 func (e *Edge) applyConfig(u store.Update) {
+	e.applyHalls(u)
 	c, err := platform.Catalog(u.Rows)
 	if err != nil {
 		e.Log.Error().Str("event", "config_unreadable").Err(err).Msg("the last configuration stays in force")
--- /dev/null
+++ b/deps/halls.go
@@ -0,0 +1,52 @@
+package deps
+
+import (
+	"time"
+
+	"github.com/pointpass/pointpass/placement"
+	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/store"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// applyHalls takes in which data halls are closed to requests.
+func (e *Edge) applyHalls(u store.Update) {
+	changes, err := platform.Halls(u.Rows)
+	if err != nil {
+		e.Log.Error().Str("event", "hall_unreadable").Err(err).Msg("")
+	}
+	closed, opened := e.Placement.Apply(placement.Update{Changes: changes, Full: u.Full, Version: u.Version, Evidence: u.Evidence})
+	for _, c := range closed {
+		e.Log.Warn().Str("event", "hall_closed").Str("hall", c.Hall).Uint64("store_version", c.Version).
+			Dur("evidence_age", time.Since(u.Evidence)).Int("under_way", e.underWayIn(c.Hall)).Msg("its workers get no further requests")
+	}
+	for _, r := range opened {
+		e.Log.Info().Str("event", "hall_opened").Str("hall", r.Hall).Uint64("store_version", r.Version).
+			Dur("evidence_age", time.Since(u.Evidence)).Msg("")
+	}
+	if len(closed)+len(opened) > 0 {
+		e.Controller.Wake()
+	}
+}
+
+// underWayIn returns how many requests of this daemon run at workers of a hall.
+func (e *Edge) underWayIn(hall string) int {
+	heads := map[string]workers.Worker{}
+	view := e.Workers.View()
+	for _, g := range view.Groups() {
+		if head, found := g.Head(); found {
+			heads[g.ID.Name] = head
+		}
+	}
+	n := 0
+	for key, count := range e.Balancer.UnderWay() {
+		w, found := heads[key]
+		if !found {
+			w, _ = view.Worker(key)
+		}
+		if w.Hall == hall {
+			n += count
+		}
+	}
+	return n
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -4,8 +4,10 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pointpass/pointpass/common/jsonc"
@@ -23,6 +25,7 @@
 	storeAddr     string
 	logLevel      string
 	firstStart    bool
+	hallRegions   map[string]string
 	bounds        Bounds
 }
 
@@ -50,20 +53,28 @@
 	// LoadWindow and LoadOverrun bound how many loads of weights may begin.
 	LoadWindow  time.Duration
 	LoadOverrun float64
+	// ColdOverrun and ColdSlack bound how many requests a cold worker gets within a
+	// second from all daemons: the slack and this many times what it bears.
+	ColdOverrun float64
+	ColdSlack   float64
+	// Evacuate is how long after a data hall was closed requests may still reach it.
+	Evacuate time.Duration
 }
 
 type fileSettings struct {
-	Name          string     `json:"name"`
-	Hall          string     `json:"hall"`
-	CallersAddr   string     `json:"callers_addr"`
-	ReadinessAddr string     `json:"readiness_addr"`
-	MetricsAddr   string     `json:"metrics_addr"`
-	PeersAddr     string     `json:"peers_addr"`
-	Cores         float64    `json:"cores"`
-	StoreAddr     string     `json:"store_addr"`
-	LogLevel      string     `json:"log_level"`
-	FirstStart    bool       `json:"first_start"`
-	Bounds        fileBounds `json:"bounds"`
+	Name          string  `json:"name"`
+	Hall          string  `json:"hall"`
+	CallersAddr   string  `json:"callers_addr"`
+	ReadinessAddr string  `json:"readiness_addr"`
+	MetricsAddr   string  `json:"metrics_addr"`
+	PeersAddr     string  `json:"peers_addr"`
+	Cores         float64 `json:"cores"`
+	StoreAddr     string  `json:"store_addr"`
+	LogLevel      string  `json:"log_level"`
+	FirstStart    bool    `json:"first_start"`
+	// HallRegions is the region of each data hall.
+	HallRegions map[string]string `json:"hall_regions"`
+	Bounds      fileBounds        `json:"bounds"`
 }
 
 type fileBounds struct {
@@ -78,6 +89,9 @@
 	Fenced       *bool    `json:"fenced"`
 	LoadWindowS  *float64 `json:"load_window_s"`
 	LoadOverrun  *float64 `json:"load_overrun"`
+	ColdOverrun  *float64 `json:"cold_overrun"`
+	ColdSlack    *float64 `json:"cold_slack"`
+	EvacuateMs   *float64 `json:"evacuate_ms"`
 }
 
 // Defaults of what the file leaves out: what is safe where nothing is promised.
@@ -94,6 +108,9 @@
 	defaultInTouchMs    = 3000
 	defaultLoadWindowS  = 5
 	defaultLoadOverrun  = 1
+	defaultColdOverrun  = 1
+	defaultColdSlack    = 0
+	defaultEvacuateMs   = 5000
 )
 
 // Load reads a settings file. The error names every mistake with its line and
@@ -128,6 +145,7 @@
 		storeAddr:     c.address("store_addr", f.StoreAddr),
 		logLevel:      f.LogLevel,
 		firstStart:    f.FirstStart,
+		hallRegions:   c.hallRegions(f.HallRegions),
 		bounds:        c.bounds(f.Bounds),
 	}
 	return s, errors.Join(c.mistakes...)
@@ -177,9 +195,22 @@
 		Fenced:       flagOr(f.Fenced, false),
 		LoadWindow:   c.seconds("bounds.load_window_s", f.LoadWindowS, defaultLoadWindowS),
 		LoadOverrun:  c.number("bounds.load_overrun", f.LoadOverrun, defaultLoadOverrun),
+		ColdOverrun:  c.number("bounds.cold_overrun", f.ColdOverrun, defaultColdOverrun),
+		ColdSlack:    c.number("bounds.cold_slack", f.ColdSlack, defaultColdSlack),
+		Evacuate:     c.seconds("bounds.evacuate_ms", f.EvacuateMs, defaultEvacuateMs) / 1000,
 	}
 }
 
+// hallRegions checks that each data hall has a region.
+func (c *checker) hallRegions(regions map[string]string) map[string]string {
+	for _, hall := range slices.Sorted(maps.Keys(regions)) {
+		if hall == "" || regions[hall] == "" {
+			c.mistake("hall_regions", "want the name of a hall and of its region, found %q: %q", hall, regions[hall])
+		}
+	}
+	return regions
+}
+
 func flagOr(written *bool, otherwise bool) bool {
 	if written == nil {
 		return otherwise
@@ -236,5 +267,8 @@
 // nobody can have been served yet.
 func (s *Settings) FirstStart() bool { return s.firstStart }
 
+// HallRegions returns the region of each data hall, as far as the settings tell them.
+func (s *Settings) HallRegions() map[string]string { return maps.Clone(s.hallRegions) }
+
 // Bounds returns what was promised to others.
 func (s *Settings) Bounds() Bounds { return s.bounds }
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -40,6 +40,9 @@
 		{`"grace_s": 8`, `"grace": 8`, "f:8: bounds.grace: unknown field"},
 		{`"grace_s": 8`, `"admit_s": 0`, "f:8: bounds.admit_s: want more than 0, found 0"},
 		{`"grace_s": 8`, `"revoke_strict": 1`, "f:8: bounds.revoke_strict"},
+		{`"hall": "z1"`, `"hall_regions": {"z1": ""}`, `f:3: hall_regions: want the name of a hall and of its region, found "z1": ""`},
+		{`"grace_s": 8`, `"cold_overrun": -1`, "f:8: bounds.cold_overrun: want 0 or more"},
+		{`"grace_s": 8`, `"evacuate_ms": 0`, "f:8: bounds.evacuate_ms: want more than 0"},
 		{`"grace_s": 8`, `"retry_ratio": -1`, "f:8: bounds.retry_ratio: want 0 or more"},
 	} {
 		_, err := Parse("f", []byte(strings.Replace(sample, c.from, c.to, 1)))
@@ -55,7 +58,7 @@
 	section := regexp.MustCompile(`\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
 	inverted := regexp.MustCompile(`\{\{\^([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
 	whole := section.ReplaceAllStringFunc(string(template), func(s string) string {
-		return strings.ReplaceAll(section.FindStringSubmatch(s)[2], "{{.}}", "2")
+		return strings.NewReplacer("{{.}}", "2", "{{@}}", "z1", "{{,}}", "").Replace(section.FindStringSubmatch(s)[2])
 	})
 	whole = inverted.ReplaceAllString(whole, "")
 	bare := inverted.ReplaceAllString(section.ReplaceAllString(string(template), ""), "$2")
@@ -71,6 +74,12 @@
 		must.EqOp(t, text == whole || strings.Contains(text, `"revoke_strict": true`), s.Bounds().RevokeStrict)
 		must.EqOp(t, "10.1.0.4:9102", s.MetricsAddr())
 		must.EqOp(t, text != bare && strings.Contains(text, "first_start"), s.FirstStart())
+		if strings.Contains(text, "first_start") { // the text with all values
+			must.Eq(t, map[string]string{"z1": "2"}, s.HallRegions())
+			must.EqOp(t, 2, s.Bounds().ColdOverrun)
+		} else {
+			must.MapEmpty(t, s.HallRegions())
+		}
 	}
 }
 
--- /dev/null
+++ b/placement/decide.go
@@ -0,0 +1,138 @@
+package placement
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// Request is what a request asks of the place where it runs.
+type Request struct {
+	// Route and Customer are the regions that the request's route and its customer
+	// allow. Both bind.
+	Route, Customer catalog.Regions
+}
+
+// Reason is why a request may not go to a worker.
+type Reason string
+
+// The reasons. The zero value means that it may.
+const (
+	Allowed Reason = ""
+	// HallClosed tells that the operator closed the worker's data hall.
+	HallClosed Reason = "hall_closed"
+	// RegionBarred tells that the request may not run in the worker's region.
+	RegionBarred Reason = "region_barred"
+	// Cold tells that the worker has just started and that there is no room on its ramp.
+	Cold Reason = "cold"
+)
+
+// Verdict says whether a request may go to a worker, and the fact that decided.
+type Verdict struct {
+	Reason Reason
+	// Hall is the worker's data hall, and Region that hall's region.
+	Hall, Region string
+	// Version is the store's version of the fact, 0 where settings tell it, and Known
+	// when this process learned of it.
+	Version uint64
+	Known   time.Time
+}
+
+// Allowed tells whether the request may go there.
+func (v Verdict) Allowed() bool { return v.Reason == Allowed }
+
+// Ramp bounds what workers get that have just started. Implementations are safe for use
+// by many goroutines.
+type Ramp interface {
+	// Room tells whether a worker is cold and, if it is, whether it may get a request
+	// from this process now. It takes nothing.
+	Room(w workers.Worker, now time.Time) (cold, room bool)
+	// Take counts a request that is about to be sent to a worker. It returns false if
+	// the worker is cold and there is no room for it.
+	Take(w workers.Worker, now time.Time) bool
+}
+
+// Decider decides where requests may run. It is safe for use by many goroutines; only
+// one may call Apply.
+type Decider struct {
+	facts atomic.Pointer[Facts]
+	ramp  Ramp
+	now   func() time.Time
+}
+
+// NewDecider returns a decider that knows the regions of data halls and bounds what cold
+// workers get by a ramp.
+func NewDecider(regions map[string]string, ramp Ramp, now func() time.Time) *Decider {
+	d := &Decider{ramp: ramp, now: now}
+	d.facts.Store(NewFacts(regions))
+	return d
+}
+
+// Facts returns what is known now.
+func (d *Decider) Facts() *Facts { return d.facts.Load() }
+
+// Apply takes in what the store tells of halls, and returns those that it closed and
+// opened.
+func (d *Decider) Apply(u Update) (closed []Closing, opened []Reopening) {
+	next, closed, opened := d.Facts().Apply(u, d.now())
+	d.facts.Store(next)
+	return closed, opened
+}
+
+// Open tells whether a hall is open to requests.
+func (d *Decider) Open(hall string) bool {
+	_, closed := d.Facts().Closed(hall)
+	return !closed
+}
+
+// Judge says whether a request may be planned for a worker. Nothing is counted.
+func (d *Decider) Judge(r Request, w workers.Worker) Verdict {
+	v := d.judgeHall(r, w)
+	if !v.Allowed() {
+		return v
+	}
+	if _, room := d.ramp.Room(w, d.now()); !room {
+		v.Reason = Cold
+	}
+	return v
+}
+
+// Send says whether a request may be sent to a worker at this moment, and counts it
+// where the worker is cold.
+func (d *Decider) Send(r Request, w workers.Worker) Verdict {
+	v := d.judgeHall(r, w)
+	if !v.Allowed() {
+		return v
+	}
+	if !d.ramp.Take(w, d.now()) {
+		v.Reason = Cold
+	}
+	return v
+}
+
+// judgeHall decides by the worker's data hall alone.
+func (d *Decider) judgeHall(r Request, w workers.Worker) Verdict {
+	facts := d.Facts()
+	v := Verdict{Hall: w.Hall, Region: facts.Region(w.Hall)}
+	if c, closed := facts.Closed(w.Hall); closed {
+		v.Reason = HallClosed
+		v.Version = c.Version
+		v.Known = c.Known
+		return v
+	}
+	if !r.Route.Allow(v.Region) || !r.Customer.Allow(v.Region) {
+		v.Reason = RegionBarred
+	}
+	return v
+}
+
+// NoRamp is the ramp where workers are never cold.
+type NoRamp struct{}
+
+// Room tells that there is room.
+func (NoRamp) Room(workers.Worker, time.Time) (cold, room bool) { return false, true }
+
+// Take tells that there is room.
+func (NoRamp) Take(workers.Worker, time.Time) bool { return true }
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,97 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+var (
+	noon  = time.Unix(1_000_000, 0)
+	halls = map[string]string{"h1": "north", "h2": "north", "h3": "south"}
+)
+
+func in(hall string) workers.Worker { return workers.Worker{ID: "w", Hall: hall} }
+
+func TestDecider_AClosedHallGetsNothingUntilItIsOpened(t *testing.T) {
+	d := NewDecider(halls, NoRamp{}, func() time.Time { return noon })
+	closed, opened := d.Apply(Update{Changes: []Change{{Hall: "h1", Closed: true, Version: 7}}, Version: 7})
+	must.Eq(t, []Closing{{Hall: "h1", Version: 7, Known: noon}}, closed)
+	must.SliceEmpty(t, opened)
+	must.Eq(t, Verdict{Reason: HallClosed, Hall: "h1", Region: "north", Version: 7, Known: noon}, d.Judge(Request{}, in("h1")))
+	must.EqOp(t, HallClosed, d.Send(Request{}, in("h1")).Reason)
+	must.True(t, d.Send(Request{}, in("h2")).Allowed())
+	must.False(t, d.Open("h1"))
+
+	_, opened = d.Apply(Update{Changes: []Change{{Hall: "h1", Version: 9}}, Version: 9})
+	must.Eq(t, []Reopening{{Hall: "h1", Version: 9, Known: noon}}, opened)
+	must.True(t, d.Send(Request{}, in("h1")).Allowed())
+}
+
+// TestDecider_AFullReadOpensWhatItDoesNotList: history was dropped while the row went.
+func TestDecider_AFullReadOpensWhatItDoesNotList(t *testing.T) {
+	d := NewDecider(halls, NoRamp{}, func() time.Time { return noon })
+	d.Apply(Update{Changes: []Change{{Hall: "h1", Closed: true, Version: 7}, {Hall: "h2", Closed: true, Version: 8}}, Version: 8})
+	closed, opened := d.Apply(Update{Changes: []Change{{Hall: "h2", Closed: true, Version: 8}}, Full: true, Version: 12})
+	must.SliceEmpty(t, closed)
+	must.Eq(t, []Reopening{{Hall: "h1", Version: 12, Known: noon}}, opened)
+	must.True(t, d.Open("h1"))
+	must.False(t, d.Open("h2"))
+}
+
+// TestFacts_AnOpeningCountsWithoutItsClosing: the row came and went between two answers,
+// and the workers there may have turned cold meanwhile.
+func TestFacts_AnOpeningCountsWithoutItsClosing(t *testing.T) {
+	f, _, opened := NewFacts(halls).Apply(Update{Changes: []Change{{Hall: "h1", Version: 9}}, Version: 9}, noon)
+	must.Len(t, 1, opened)
+	r, known := f.Reopened("h1")
+	must.True(t, known)
+	must.EqOp(t, 9, r.Version)
+}
+
+func TestFacts_NeverChange(t *testing.T) {
+	f := NewFacts(halls)
+	next, _, _ := f.Apply(Update{Changes: []Change{{Hall: "h1", Closed: true, Version: 7}}}, noon)
+	next.Apply(Update{Changes: []Change{{Hall: "h1", Version: 8}}}, noon)
+	must.SliceEmpty(t, f.Closings())
+	must.Len(t, 1, next.Closings())
+}
+
+func TestDecider_RouteAndCustomerBothBind(t *testing.T) {
+	d := NewDecider(halls, NoRamp{}, time.Now)
+	for _, c := range []struct {
+		route, customer catalog.Regions
+		hall            string
+		want            Reason
+	}{
+		{nil, nil, "h1", Allowed},
+		{nil, nil, "elsewhere", Allowed},
+		{catalog.Regions{"north"}, nil, "h1", Allowed},
+		{catalog.Regions{"north"}, nil, "h3", RegionBarred},
+		{nil, catalog.Regions{"south"}, "h1", RegionBarred},
+		{catalog.Regions{"north", "south"}, catalog.Regions{"south"}, "h3", Allowed},
+		{catalog.Regions{"north"}, catalog.Regions{"south"}, "h3", RegionBarred},
+		{catalog.Regions{"north"}, nil, "elsewhere", RegionBarred},
+	} {
+		must.EqOp(t, c.want, d.Judge(Request{Route: c.route, Customer: c.customer}, in(c.hall)).Reason)
+	}
+}
+
+// fullRamp is a ramp without room for the worker "w".
+type fullRamp struct{}
+
+func (fullRamp) Room(w workers.Worker, _ time.Time) (cold, room bool) {
+	return w.ID == "w", w.ID != "w"
+}
+func (fullRamp) Take(w workers.Worker, _ time.Time) bool { return w.ID != "w" }
+
+func TestDecider_AColdWorkerGetsWhatItsRampHasRoomFor(t *testing.T) {
+	d := NewDecider(halls, fullRamp{}, time.Now)
+	must.EqOp(t, Cold, d.Judge(Request{}, in("h1")).Reason)
+	must.EqOp(t, Cold, d.Send(Request{}, in("h1")).Reason)
+	must.True(t, d.Send(Request{}, workers.Worker{ID: "other", Hall: "h1"}).Allowed())
+}
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -301,6 +301,19 @@
 	return ok && l.failures > 0
 }
 
+// UnderWay returns how many requests are under way at each target that has any.
+func (b *Balancer) UnderWay() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := map[string]int{}
+	for key, l := range b.loads {
+		if l.inFlight > 0 {
+			counts[key] = l.inFlight
+		}
+	}
+	return counts
+}
+
 // Keep forgets all idle targets but those that keep names.
 func (b *Balancer) Keep(keep func(key string) bool) {
 	b.mu.Lock()
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/placement"
 )
 
 // exchange is one request on its way.
@@ -31,6 +32,8 @@
 	tried []string
 	// mayHaveRun tells that a worker may have run the request, now or later.
 	mayHaveRun bool
+	// barred is why the request may not run where it could, the zero value if it may.
+	barred placement.Verdict
 	// overBudget tells that the request was not sent again for want of budget.
 	overBudget bool
 	// begun tells that the head of an answer went out.
@@ -77,9 +80,9 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline.Add(-deadlineSlack), context.DeadlineExceeded)
 	defer cancel()
 	for {
-		target, ok := e.choose()
-		if !ok {
-			return e.giveUp(absent())
+		target, f := e.choose()
+		if f != nil {
+			return e.giveUp(f)
 		}
 		again, f := e.attempt(ctx, target)
 		if !again {
@@ -99,18 +102,6 @@
 	}
 }
 
-// choose finds the next target. It returns false if there is none.
-func (e *exchange) choose() (Target, bool) {
-	s := e.server
-	targets := Targets(s.opts.Workers(), e.service, e.req.Model)
-	return s.opts.Balancer.Choose(targets, e.tried, s.opts.Now())
-}
-
-// absent is the refusal of a request that no target is left for.
-func absent() *fault {
-	return &fault{status: http.StatusServiceUnavailable, reason: "nothing serves this at present", retryAfter: absentRetry}
-}
-
 // giveUp returns the last answer to a request, nil if it passed on that of a
 // worker that failed. It is a refusal only where it is sure that the request
 // never ran.
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
+	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -33,7 +34,8 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(group("m", 1, workers.Open, 2), nil, true)
 	s := NewServer(Options{
-		Catalogs: &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
+		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now),
+		Catalogs:  &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Window: time.Second} },
 		Asked:     func(load.Model, time.Duration) {},
--- a/serving/record.go
+++ b/serving/record.go
@@ -12,6 +12,7 @@
 	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
+	"github.com/pointpass/pointpass/placement"
 )
 
 // Counters count what became of requests.
@@ -49,6 +50,11 @@
 	}
 }
 
+// barred counts a request that was refused since it may not run where it could.
+func (c *Counters) barred(reason placement.Reason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`pointpass_refused_placement_total{reason=%q}`, string(reason))).Inc()
+}
+
 // gaugeWindow shows how many requests a model's window lets be under way.
 func (c *Counters) gaugeWindow(key load.Model, w *admission.Window) {
 	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q}`, key.Service, key.Name)
@@ -91,6 +97,12 @@
 		counters.firstEvent.Update(e.firstEvent.Sub(e.arrived).Seconds())
 		entry = entry.Dur("first_event", e.firstEvent.Sub(e.arrived)).Int("resumed", e.resumed)
 	}
+	if v := e.barred; !v.Allowed() {
+		entry = entry.Str("barred", string(v.Reason)).Str("hall", v.Hall).Str("region", v.Region).Uint64("fact_version", v.Version)
+		if !v.Known.IsZero() {
+			entry = entry.Dur("fact_age", now.Sub(v.Known))
+		}
+	}
 	if f != nil {
 		entry = entry.Str("reason", reason).Bool("aborted", f.aborted).Bool("caller_gone", ctx.Err() != nil).Bool("over_budget", e.overBudget).Dur("retry_after", f.retryAfter)
 	}
--- a/serving/server.go
+++ b/serving/server.go
@@ -13,6 +13,7 @@
 	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
+	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -23,7 +24,9 @@
 	Workers  func() *workers.View
 	Upstream Upstream
 	Balancer *Balancer
-	Counters *Counters
+	// Placement decides where requests may run.
+	Placement Placement
+	Counters  *Counters
 	// Evidence says what may be decided on how old evidence.
 	Evidence catalog.EvidencePolicy
 	// Allowance returns this process's part of the retries for a service.
@@ -42,6 +45,15 @@
 	Log          *log.Logger
 }
 
+// Placement decides where requests may run.
+type Placement interface {
+	// Judge says whether a request may be planned for a worker.
+	Judge(r placement.Request, w workers.Worker) placement.Verdict
+	// Send says whether a request may be sent to a worker at this moment, and counts it
+	// where what the worker gets is bounded.
+	Send(r placement.Request, w workers.Worker) placement.Verdict
+}
+
 // Server serves requests.
 type Server struct {
 	opts     Options
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -151,7 +151,7 @@
 	if e.sent >= e.route.Attempts || !e.server.hasRetry(e.service.Name, now) {
 		return false
 	}
-	targets := Targets(e.server.opts.Workers(), e.service, e.req.Model)
+	targets, _ := e.permitted()
 	return slices.ContainsFunc(targets, func(t Target) bool { return !contains(e.tried, t.Key) })
 }
 
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
+	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -47,7 +48,8 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(append(group("m", 1, workers.Open, 2), group("m", 2, workers.Open, 2)...), nil, true)
 	return NewServer(Options{
-		Catalogs: &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
+		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now),
+		Catalogs:  &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 10, Window: time.Second} },
 		Asked:     func(load.Model, time.Duration) {},
--- a/workers/worker.go
+++ b/workers/worker.go
@@ -5,6 +5,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // GroupState is how far a worker is in its group.
@@ -35,13 +36,18 @@
 
 // Worker is one start of a worker as its entry in the store tells it.
 type Worker struct {
-	ID       string
+	ID string
+	// Version is the store's version at which the entry last changed.
+	Version  uint64
 	Service  string
 	Address  string
 	Hall     string
 	Domain   string
 	Slots    int
 	Draining bool
+	// ColdLeft is how much longer the worker was to be used with care, since it has just
+	// started, when it wrote its entry.
+	ColdLeft time.Duration
 	// Models are loaded; Staged are on the worker's host.
 	Models, Staged []string
 	Membership     Membership
