serving: Hold every sending to the newest regions of a request

Cause: a request kept the route and customer that it was admitted by, so that a retry, or a stream that moved, went to a region that a newer configuration had taken away. A hall without a region was passed over in silence, and a refusal named whichever worker was judged last. Ruled out: to let both the old and the newest configuration bind, which refuses a request whose regions moved although the newest one says where it may run. Change: regions are looked up in the newest configuration each time a request is sent, or would move. Regions are judged before closed halls, so that a refusal names a closed hall only where the request may run. A hall without a region is logged once and counted for each target left out; the refusal's line has the regions that bound. Conclusion: first sendings, retries, moves and plain services are held to the regions, also while a configuration takes one away.

--- a/placement/decide.go
+++ b/placement/decide.go
@@ -43,6 +43,17 @@
 // Allowed tells whether the request may go there.
 func (v Verdict) Allowed() bool { return v.Reason == Allowed }
 
+// UnknownRegion tells that the worker is out of bounds only since nothing says in which
+// region its data hall is.
+func (v Verdict) UnknownRegion() bool { return v.Reason == RegionBarred && v.Region == "" }
+
+// Telling tells whether a verdict says more than another about why a request runs
+// nowhere: a worker that it may run at but for a closed hall or a cold start says more
+// than one out of its bounds.
+func (v Verdict) Telling(than Verdict) bool {
+	return than.Allowed() || than.Reason == RegionBarred
+}
+
 // Ramp bounds what workers get that have just started. Implementations are safe for use
 // by many goroutines.
 type Ramp interface {
@@ -112,18 +123,19 @@
 	return v
 }
 
-// judgeHall decides by the worker's data hall alone.
+// judgeHall decides by the worker's data hall alone. Regions are looked at first: who is
+// told that a hall is closed may run there once it is open.
 func (d *Decider) judgeHall(r Request, w workers.Worker) Verdict {
 	facts := d.Facts()
 	v := Verdict{Hall: w.Hall, Region: facts.Region(w.Hall)}
+	if !r.Route.Allow(v.Region) || !r.Customer.Allow(v.Region) {
+		v.Reason = RegionBarred
+		return v
+	}
 	if c, closed := facts.Closed(w.Hall); closed {
 		v.Reason = HallClosed
 		v.Version = c.Version
 		v.Known = c.Known
-		return v
-	}
-	if !r.Route.Allow(v.Region) || !r.Customer.Allow(v.Region) {
-		v.Reason = RegionBarred
 	}
 	return v
 }
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -34,6 +34,8 @@
 	mayHaveRun bool
 	// barred is why the request may not run where it could, the zero value if it may.
 	barred placement.Verdict
+	// barredRegions are the regions that bound the request when it was barred.
+	barredRegions placement.Request
 	// overBudget tells that the request was not sent again for want of budget.
 	overBudget bool
 	// begun tells that the head of an answer went out.
--- a/serving/place.go
+++ b/serving/place.go
@@ -7,11 +7,24 @@
 	"github.com/pointpass/pointpass/placement"
 )
 
-// placementRequest is what the request asks of the place where it runs.
+// placementRequest is what the request asks of the place where it runs, by the newest
+// configuration: a region that its route or customer lost is barred from the next
+// sending on, also to a request that was admitted before. Where the newest one doesn't
+// know the route or the credential, what it was admitted by binds on.
 func (e *exchange) placementRequest() placement.Request {
-	r := placement.Request{Route: e.route.Regions}
-	if e.customer != nil {
-		r.Customer = e.customer.Regions
+	route, customer := e.route, e.customer
+	newest := e.server.opts.Catalogs.Current().Catalog
+	if newest != nil && newest != e.inForce.Catalog {
+		if r, known := newest.Route(e.req.Host, e.req.Path); known {
+			route = r
+		}
+		if c, known := newest.Customer(e.req.Credential); known && customer != nil {
+			customer = c
+		}
+	}
+	r := placement.Request{Route: route.Regions}
+	if customer != nil {
+		r.Customer = customer.Regions
 	}
 	return r
 }
@@ -22,15 +35,37 @@
 	s := e.server
 	request := e.placementRequest()
 	for _, t := range Targets(s.opts.Workers(), e.service, e.req.Model) {
-		if v := s.opts.Placement.Judge(request, t.Worker); v.Allowed() {
+		v := s.opts.Placement.Judge(request, t.Worker)
+		switch {
+		case v.Allowed():
 			targets = append(targets, t)
-		} else {
+		case v.Telling(barred):
 			barred = v
 		}
+		if v.UnknownRegion() {
+			s.noteUnknownRegion(v.Hall)
+		}
 	}
 	return targets, barred
 }
 
+// mostUnknownHalls bounds how many halls without a region are named in the log.
+const mostUnknownHalls = 64
+
+// noteUnknownRegion counts that a target was left out since nothing says in which region
+// its hall is, and logs each hall once: the settings lack it, or an entry is wrong.
+func (s *Server) noteUnknownRegion(hall string) {
+	s.opts.Counters.unknownRegion.Inc()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unknownHalls[hall] || len(s.unknownHalls) >= mostUnknownHalls {
+		return
+	}
+	s.unknownHalls[hall] = true
+	s.opts.Log.Error().Str("event", "hall_region_unknown").Str("hall", hall).
+		Msg("its workers get no requests that are bound to regions; hall_regions in the settings lacks the hall")
+}
+
 // choose finds the next target and counts a request there, or returns the refusal of a
 // request that there is none for. What is allowed is asked again at the moment of sending:
 // a cold worker has room for one of two requests that chose it at the same time.
@@ -58,6 +93,7 @@
 	f := &fault{status: http.StatusServiceUnavailable, reason: "nothing serves this at present", retryAfter: absentRetry}
 	if !barred.Allowed() {
 		e.barred = barred
+		e.barredRegions = e.placementRequest()
 		f.reason = barredReasons[barred.Reason]
 		e.server.opts.Counters.barred(barred.Reason)
 	}
--- a/serving/record.go
+++ b/serving/record.go
@@ -23,6 +23,8 @@
 	overBudget *metrics.Counter
 	// overload counts the requests refused since their model's groups were fully used.
 	overload *metrics.Counter
+	// unknownRegion counts the targets left out since their hall's region isn't known.
+	unknownRegion *metrics.Counter
 	// warned counts the warnings of other daemons about groups.
 	warned *metrics.Counter
 	// oldEvidence counts the verdicts given while evidence was old.
@@ -38,15 +40,16 @@
 		oldEvidence[v] = set.NewCounter(`pointpass_old_evidence_verdicts_total{verdict="` + v.String() + `"}`)
 	}
 	return &Counters{
-		oldEvidence: oldEvidence,
-		set:         set,
-		rejected:    set.NewCounter("pointpass_attempts_rejected_total"),
-		resumed:     set.NewCounter("pointpass_streams_resumed_total"),
-		overBudget:  set.NewCounter("pointpass_retries_over_budget_total"),
-		overload:    set.NewCounter("pointpass_refused_overload_total"),
-		warned:      set.NewCounter("pointpass_group_warnings_total"),
-		firstEvent:  set.NewHistogram("pointpass_first_event_seconds"),
-		duration:    set.NewHistogram("pointpass_request_seconds"),
+		oldEvidence:   oldEvidence,
+		set:           set,
+		rejected:      set.NewCounter("pointpass_attempts_rejected_total"),
+		resumed:       set.NewCounter("pointpass_streams_resumed_total"),
+		overBudget:    set.NewCounter("pointpass_retries_over_budget_total"),
+		overload:      set.NewCounter("pointpass_refused_overload_total"),
+		unknownRegion: set.NewCounter("pointpass_targets_unknown_region_total"),
+		warned:        set.NewCounter("pointpass_group_warnings_total"),
+		firstEvent:    set.NewHistogram("pointpass_first_event_seconds"),
+		duration:      set.NewHistogram("pointpass_request_seconds"),
 	}
 }
 
@@ -102,6 +105,7 @@
 		if !v.Known.IsZero() {
 			entry = entry.Dur("fact_age", now.Sub(v.Known))
 		}
+		entry = entry.Strs("route_regions", e.barredRegions.Route).Strs("customer_regions", e.barredRegions.Customer)
 	}
 	if f != nil {
 		entry = entry.Str("reason", reason).Bool("aborted", f.aborted).Bool("caller_gone", ctx.Err() != nil).Bool("over_budget", e.overBudget).Dur("retry_after", f.retryAfter)
--- a/serving/server.go
+++ b/serving/server.go
@@ -65,11 +65,18 @@
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
 	windows map[load.Model]*admission.Window
+	// unknownHalls are the halls without a region that were logged.
+	unknownHalls map[string]bool
 }
 
 // NewServer returns a server.
 func NewServer(opts Options) *Server {
-	return &Server{opts: opts, budgets: map[string]*retry.Window{}, windows: map[load.Model]*admission.Window{}}
+	return &Server{
+		opts:         opts,
+		budgets:      map[string]*retry.Window{},
+		windows:      map[load.Model]*admission.Window{},
+		unknownHalls: map[string]bool{},
+	}
 }
 
 // Stop makes the server ask callers to leave after their present request.
