replica, load: Plan each region for the work that may run there

Cause: demand was known by model alone, so that a model could stand wholly in a region that may not run most of its work; and a daemon's window for a model refused requests of one region for the queues of another. Ruled out: regions told within the model's name (no change of generated code, but each reader would have to take names apart); one plan over all workers with a share for each model and set of regions (a group serves several sets, so shares would count it twice). Change: load.Model names the set of regions as well; it is told along the relays in a new field of ModelLoad. A meter, a sum and a server keep 64 keys at most; beyond that work counts as work that may run anywhere. The planner spreads the work of each set over its regions so that all are equally busy, and plans each region like a fleet of its own. Windows are kept by set too. Conclusion: with one region nothing changes; with several each has the groups its requests need. Seen red on mutations: workers, groups and groups in formation of other regions counted, sets ignored, work spread evenly, regions dropped at either end of the report, bounds left out.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,12 +27,6 @@
 	Weight  float64
 }
 
-// Regions are the regions where requests may run; none bounds nothing.
-type Regions []string
-
-// Allow tells whether a region is allowed.
-func (r Regions) Allow(region string) bool { return len(r) == 0 || slices.Contains(r, region) }
-
 // Route says where requests of one host and path prefix go.
 type Route struct {
 	Name   string
--- /dev/null
+++ b/catalog/regions_test.go
@@ -0,0 +1,41 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestRegionSet_IsComparable(t *testing.T) {
+	must.EqOp(t, NewRegionSet([]string{"b", "a", "b"}), NewRegionSet([]string{"a", "b"}))
+	must.NotEqOp(t, NewRegionSet([]string{"ab"}), NewRegionSet([]string{"a", "b"}))
+	must.EqOp(t, RegionSet{}, NewRegionSet(nil))
+	must.Eq(t, []string{"a", "b"}, NewRegionSet([]string{"b", "a"}).Names())
+	must.SliceEmpty(t, RegionSet{}.Names())
+}
+
+func TestRegionSet_AllowsWhatItNames(t *testing.T) {
+	s := NewRegionSet([]string{"north", "south"})
+	must.True(t, s.Allow("north"))
+	must.False(t, s.Allow("nor"))
+	must.False(t, s.Allow(""), must.Sprint("an unknown region"))
+	must.True(t, RegionSet{}.Allow(""))
+}
+
+func TestShared_BothBind(t *testing.T) {
+	for _, c := range []struct {
+		a, b Regions
+		want []string
+		any  bool
+	}{
+		{nil, nil, nil, true},
+		{Regions{"a"}, nil, []string{"a"}, true},
+		{nil, Regions{"b", "a"}, []string{"a", "b"}, true},
+		{Regions{"a", "b"}, Regions{"c", "b"}, []string{"b"}, true},
+		{Regions{"a"}, Regions{"b"}, nil, false},
+	} {
+		set, found := Shared(c.a, c.b)
+		must.EqOp(t, c.any, found)
+		must.Eq(t, c.want, set.Names())
+	}
+}
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -147,6 +147,7 @@
 		Dead:      e.noteDead,
 		StoreBack: e.lastBack,
 		Load:      e.loads.Known,
+		Region:    func(hall string) string { return e.Placement.Facts().Region(hall) },
 		Idle:      func() bool { return e.settings.FirstStart() && !e.begun.Load() },
 		Metrics:   e.Metrics,
 		Now:       time.Now,
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -1,10 +1,13 @@
 package load
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/catalog"
 )
 
 var (
@@ -72,3 +75,40 @@
 	must.True(t, Sum{Daemons: 54}.Covers(89))
 	must.True(t, Sum{Daemons: 1}.Covers(1))
 }
+
+// TestMeter_SetsOfRegionsComeAndGo: a full meter counts further sets of regions as work
+// that may run anywhere, and has room again for those of the day after.
+func TestMeter_SetsOfRegionsComeAndGo(t *testing.T) {
+	m := NewMeter()
+	now := noon
+	for day := range 3 {
+		m.Ask(now, chat, time.Second)
+		for i := range 2 * mostModels {
+			m.Ask(now, bound(chat, day*1000+i), time.Second)
+		}
+		o := m.Offered(now)
+		must.MapLen(t, mostModels, o)
+		must.Between(t, mostModels, o[chat], mostModels+3)
+		now = now.Add(time.Minute)
+	}
+}
+
+// TestOffered_IsBounded: sums over many daemons hold no more models than one does.
+func TestOffered_IsBounded(t *testing.T) {
+	g := NewGatherer()
+	for daemon := range 10 {
+		o := Offered{}
+		for i := range mostModels / 2 {
+			o[bound(chat, 100*daemon+i)] = 1
+		}
+		g.Take(strconv.Itoa(daemon), Sum{Offered: o, Daemons: 1, At: noon}, 10)
+	}
+	total := g.Total(noon, Offered{}).Offered
+	must.LessEq(t, mostModels+1, len(total))
+	must.EqOp(t, 10*mostModels/2-mostModels, total[chat])
+}
+
+func bound(m Model, region int) Model {
+	m.Regions = catalog.NewRegionSet([]string{strconv.Itoa(region)})
+	return m
+}
--- a/load/meter.go
+++ b/load/meter.go
@@ -7,18 +7,31 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/pointpass/pointpass/catalog"
 )
 
-// Model names a model of a service.
-type Model struct{ Service, Name string }
+// Model names a model of a service as some of its callers ask for it: those whose
+// requests may run in the same regions.
+type Model struct {
+	Service, Name string
+	Regions       catalog.RegionSet
+}
+
+// anywhere returns the model as callers ask for it whose requests may run in any region.
+func (m Model) anywhere() Model { return Model{Service: m.Service, Name: m.Name} }
 
 // Offered is the work that callers ask for in a second, by model, in seconds of one
 // group: 2.5 keeps two and a half groups busy. Refused requests count too.
 type Offered map[Model]float64
 
-// add adds others to o.
+// add adds others to o. Beyond mostModels, work that is bound to regions counts as work
+// that may run anywhere: the model's groups are then enough, if not where they should be.
 func (o Offered) add(others Offered) {
 	for m, work := range others {
+		if _, known := o[m]; !known && len(o) >= mostModels {
+			m = m.anywhere()
+		}
 		o[m] += work
 	}
 }
@@ -28,7 +41,9 @@
 // longer averages makes them from these.
 const memory = ReportPause
 
-// mostModels bounds how many models a meter knows.
+// mostModels bounds how many models a meter knows, each as often as there are sets of
+// regions that requests for it are bound to: two models and all sets of four regions
+// are 32.
 const mostModels = 64
 
 // Meter measures the work that one daemon is asked for. It is safe for use by many
@@ -51,18 +66,45 @@
 func (m *Meter) Ask(now time.Time, model Model, work time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r, known := m.rates[model]
-	if !known {
-		if len(m.rates) >= mostModels {
-			return
-		}
-		r = &rate{at: now}
-		m.rates[model] = r
+	r := m.of(model, now)
+	if r == nil {
+		return
 	}
 	r.decay(now)
 	r.work += work.Seconds() / memory.Seconds()
 }
 
+// of returns the rate of a model. A full meter forgets what nobody asks for any more, and
+// counts what is bound to further sets of regions as work that may run anywhere. It
+// returns nil if there is no room for that either. The caller holds the lock.
+func (m *Meter) of(model Model, now time.Time) *rate {
+	if r, known := m.rates[model]; known {
+		return r
+	}
+	if len(m.rates) >= mostModels {
+		m.forgetIdle(now)
+	}
+	if len(m.rates) >= mostModels {
+		return m.rates[model.anywhere()]
+	}
+	r := &rate{at: now}
+	m.rates[model] = r
+	return r
+}
+
+// idleWork is the work in a second below which a model counts as no longer asked for: a
+// second of work leaves that little after 14 times the meter's memory.
+const idleWork = 1e-6
+
+// forgetIdle drops the rates of models that nobody asks for any more.
+func (m *Meter) forgetIdle(now time.Time) {
+	for model, r := range m.rates {
+		if r.decay(now); r.work < idleWork {
+			delete(m.rates, model)
+		}
+	}
+}
+
 // Offered returns what callers ask for at present.
 func (m *Meter) Offered(now time.Time) Offered {
 	m.mu.Lock()
--- a/relay/load.go
+++ b/relay/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/rpc"
 )
@@ -12,7 +13,8 @@
 func (s *Server) Load(_ context.Context, m *rpc.LoadRequest) (*rpc.LoadReply, error) {
 	offered := load.Offered{}
 	for _, l := range m.Models {
-		offered[load.Model{Service: l.Service, Name: l.Model}] += l.Offered
+		m := load.Model{Service: l.Service, Name: l.Model, Regions: catalog.NewRegionSet(l.Regions)}
+		offered[m] += l.Offered
 	}
 	s.reports.Load(m.Reporter, load.Sum{Offered: offered, Daemons: int(m.Daemons), At: s.now()})
 	return &rpc.LoadReply{}, nil
@@ -24,7 +26,7 @@
 	defer cancel()
 	request := &rpc.LoadRequest{Reporter: reporter, Daemons: int32(sum.Daemons)}
 	for m, work := range sum.Offered {
-		request.Models = append(request.Models, &rpc.ModelLoad{Service: m.Service, Model: m.Name, Offered: work})
+		request.Models = append(request.Models, &rpc.ModelLoad{Service: m.Service, Model: m.Name, Offered: work, Regions: m.Regions.Names()})
 	}
 	if _, err := c.stub(addr).Load(ctx, request); err != nil {
 		return &CallError{Addr: addr, Err: err}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/rpc"
 	"github.com/pointpass/pointpass/store"
@@ -189,13 +190,16 @@
 func (r reported) Begun() { r <- "begun" }
 
 func (r reported) Load(reporter string, s load.Sum) {
-	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons, " ", s.Offered)
+	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons)
+	for m, work := range s.Offered {
+		r <- fmt.Sprint(m.Service, " ", m.Name, " in ", m.Regions.Names(), ": ", work)
+	}
 }
 
 // serve serves a cache as a daemon would, whose clock is ahead of the caller's.
 func serve(t *testing.T, c *Cache, now func() time.Time) (addr string, reports reported) {
 	t.Helper()
-	reports = make(reported, 1)
+	reports = make(reported, 2)
 	handler := rpc.NewRelayServer(NewServer(reports, now, c))
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
@@ -246,9 +250,14 @@
 	}
 	must.NoError(t, newTestClient(t, time.Now).Begun(t.Context(), addr))
 	must.EqOp(t, "begun", <-reports)
-	told := load.Sum{Offered: load.Offered{{Service: "llm", Name: "m"}: 2.5}, Daemons: 7, At: time.Now()}
-	must.NoError(t, newTestClient(t, time.Now).Load(t.Context(), addr, "e1", told))
-	must.EqOp(t, "load of e1 7 map[{llm m}:2.5]", <-reports)
+	var told load.Sum
+	for _, regions := range [][]string{{}, {"north"}, {"north", "south"}} {
+		m := load.Model{Service: "llm", Name: "m", Regions: catalog.NewRegionSet(regions)}
+		told = load.Sum{Offered: load.Offered{m: 2.5}, Daemons: 7, At: time.Now()}
+		must.NoError(t, newTestClient(t, time.Now).Load(t.Context(), addr, "e1", told))
+		must.EqOp(t, "load of e1 7", <-reports)
+		must.EqOp(t, fmt.Sprint("llm m in ", regions, ": 2.5"), <-reports)
+	}
 	var failed *CallError
 	must.True(t, errors.As(newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told), &failed))
 	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", Report{Group: "m.7"}), &failed))
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -32,7 +32,9 @@
 	// StoreBack returns when the store last answered again after it had not.
 	StoreBack func() time.Time
 	// Load returns what callers ask for, as far as it is known.
-	Load    func() load.Sum
+	Load func() load.Sum
+	// Region returns the region of a data hall, "" if it isn't known.
+	Region  func(hall string) string
 	Metrics *metrics.Set
 	Now     func() time.Time
 	Log     *log.Logger
@@ -177,6 +179,7 @@
 		Failing:   c.failing,
 		StoreBack: c.opts.StoreBack(),
 		Load:      c.opts.Load(),
+		Region:    c.opts.Region,
 	})
 	c.logPlan(term)
 	return orders
@@ -189,7 +192,7 @@
 			Int("members", e.Members).Int("lost", e.Lost).Bool("serving", e.Serving).Uint64("term", term).Msg("")
 	}
 	for _, s := range c.planner.ShareChanges() {
-		c.opts.Log.Info().Str("event", "model_shares").Str("service", s.Service).Any("shares", s.Shares).Any("asked", s.Asked).
+		c.opts.Log.Info().Str("event", "model_shares").Str("service", s.Service).Str("region", s.Region).Any("shares", s.Shares).Any("asked", s.Asked).
 			Bool("measured", s.Measured).Uint64("term", term).Msg("")
 	}
 }
--- a/replica/demand.go
+++ b/replica/demand.go
@@ -27,6 +27,9 @@
 	shareStep = 0.25
 	// leastShare keeps shares above 0.
 	leastShare = 0.001
+	// leastWork is the work, in seconds of one group a second, below which an average is
+	// forgotten that nothing is added to: sets of regions come and go with configurations.
+	leastWork = 1e-9
 )
 
 // demand is what callers ask of the models, averaged. Until that is known the shares of
@@ -35,15 +38,19 @@
 	average map[load.Model]float64
 	// since is when the first sum came, and last when the newest did.
 	since, last time.Time
-	// inForce are the shares that were followed last, by service.
-	inForce map[string]map[string]float64
+	// inForce are the shares that were followed last.
+	inForce map[sharesKey]map[string]float64
 	// changes are those that are still to be logged.
 	changes []ShareChange
 }
 
-// ShareChange tells that the models of a service are to have other parts of its workers.
+// sharesKey names the workers that shares are parts of: those of a service in a region.
+type sharesKey struct{ service, region string }
+
+// ShareChange tells that the models of a service are to have other parts of its workers
+// in a region.
 type ShareChange struct {
-	Service string
+	Service, Region string
 	// Shares are the new parts, and Asked the work that callers ask for, in seconds of one
 	// group a second, by model.
 	Shares, Asked map[string]float64
@@ -59,7 +66,7 @@
 }
 
 func newDemand() *demand {
-	return &demand{average: map[load.Model]float64{}, inForce: map[string]map[string]float64{}}
+	return &demand{average: map[load.Model]float64{}, inForce: map[sharesKey]map[string]float64{}}
 }
 
 // note takes in a sum. One that is too old says nothing: the average stays.
@@ -77,6 +84,9 @@
 	for m := range d.average {
 		if _, asked := s.Offered[m]; !asked {
 			d.average[m] -= weight * d.average[m]
+			if d.average[m] < leastWork {
+				delete(d.average, m)
+			}
 		}
 	}
 	for m, work := range s.Offered {
@@ -88,26 +98,30 @@
 // known tells whether callers were seen for long enough.
 func (d *demand) known() bool { return d.last.Sub(d.since) >= demandKnown }
 
-// shares returns the part of a service's workers that each model should have. They stay
-// until the work asks for others that differ much.
-func (d *demand) shares(service *catalog.Service, workers int) map[string]float64 {
-	current := d.inForce[service.Name]
-	wanted := d.wanted(service, workers)
+// shares returns the part of a service's workers in a region that each model should have.
+// They stay until the work asks for others that differ much.
+func (d *demand) shares(service *catalog.Service, have supply) map[string]float64 {
+	key := sharesKey{service: service.Name, region: have.region}
+	current := d.inForce[key]
+	wanted := d.wanted(service, have)
 	for name, share := range wanted {
 		if off := math.Abs(share - current[name]); off > shareStep*min(share, current[name]) {
-			d.inForce[service.Name] = wanted
-			d.changes = append(d.changes, ShareChange{Service: service.Name, Shares: wanted, Asked: d.asked(service), Measured: d.known()})
+			d.inForce[key] = wanted
+			d.changes = append(d.changes, ShareChange{Service: service.Name, Region: have.region, Shares: wanted, Asked: d.asked(service, have), Measured: d.known()})
 			return wanted
 		}
 	}
 	return current
 }
 
-// asked returns the work that callers ask for, by model.
-func (d *demand) asked(service *catalog.Service) map[string]float64 {
+// asked returns the work that callers ask for and that a region is to do, by model.
+func (d *demand) asked(service *catalog.Service, have supply) map[string]float64 {
 	work := map[string]float64{}
+	parts := d.partsIn(service, have)
 	for _, m := range service.Runtime.Models {
-		work[m.Name] = d.average[load.Model{Service: service.Name, Name: m.Name}]
+		for _, p := range parts {
+			work[m.Name] += p.part * d.average[load.Model{Service: service.Name, Name: m.Name, Regions: p.set}]
+		}
 	}
 	return work
 }
@@ -116,12 +130,13 @@
 // work keeps busy, and of what is left a part that grows with the square root of that:
 // so many more make waiting equally rare (square-root staffing, Halfin and Whitt, 1981).
 // Where the work is more than all can do, each gets its part of it.
-func (d *demand) wanted(service *catalog.Service, workers int) map[string]float64 {
+func (d *demand) wanted(service *catalog.Service, have supply) map[string]float64 {
 	models := service.Runtime.Models
+	asked := d.asked(service, have)
 	needs := map[string]float64{}
 	busy, spread := 0.0, 0.0
 	for _, m := range models {
-		groups := d.average[load.Model{Service: service.Name, Name: m.Name}]
+		groups := asked[m.Name]
 		busy += groups * float64(m.Size)
 		spread += math.Sqrt(groups) * float64(m.Size)
 	}
@@ -131,12 +146,12 @@
 		}
 		return normalized(needs)
 	}
-	slack := max((float64(workers)-busy)/spread, 0)
+	slack := max((float64(have.workers)-busy)/spread, 0)
 	for _, m := range models {
-		groups := d.average[load.Model{Service: service.Name, Name: m.Name}]
+		groups := asked[m.Name]
 		needs[m.Name] = (groups + slack*math.Sqrt(groups)) * float64(m.Size)
 	}
-	return withFloors(models, normalized(needs), workers)
+	return withFloors(models, normalized(needs), have.workers)
 }
 
 // withFloors raises shares below what leastGroups take, at the cost of the others.
--- a/replica/demand_test.go
+++ b/replica/demand_test.go
@@ -31,7 +31,7 @@
 	for at := begun; at.Before(begun.Add(length)); at = at.Add(250 * time.Millisecond) {
 		d.note(at, asked(at, large, small))
 	}
-	return d.shares(twoModels(), 162)["small"]
+	return d.shares(twoModels(), supply{workers: 162})["small"]
 }
 
 // TestShares_FollowTheWork has five of six requests go to the model of 6, so that its
@@ -39,14 +39,14 @@
 // say half and half.
 func TestShares_FollowTheWork(t *testing.T) {
 	now := time.Unix(1000, 0)
-	must.EqOp(t, 0.5, newDemand().shares(twoModels(), 162)["small"])
+	must.EqOp(t, 0.5, newDemand().shares(twoModels(), supply{workers: 162})["small"])
 	must.EqOp(t, 0.5, after(newDemand(), now, time.Second, 2.9, 8.8)) // too short to tell
 	d := newDemand()
 	share := after(d, now, 20*time.Second, 2.9, 8.8)
 	must.Between(t, 0.53, share, 0.55)
 	// With fewer workers left each keeps nearer to what its work needs at the least.
-	must.Greater(t, share, d.wanted(twoModels(), 100)["small"])
-	must.Between(t, 0.59, d.wanted(twoModels(), 60)["small"], 0.61)
+	must.Greater(t, share, d.wanted(twoModels(), supply{workers: 100})["small"])
+	must.Between(t, 0.59, d.wanted(twoModels(), supply{workers: 60})["small"], 0.61)
 }
 
 // TestShares_ASwingOfThreeSecondsMovesLittle has the small model's callers come 2.5 times
@@ -74,8 +74,8 @@
 	now := time.Unix(1000, 0)
 	d := newDemand()
 	after(d, now, 20*time.Second, 0.01, 8.8)
-	must.Between(t, 24.0/162, d.shares(twoModels(), 162)["large"], 0.15)
-	must.Between(t, 0.3, d.shares(twoModels(), 24)["large"], 0.5)
+	must.Between(t, 24.0/162, d.shares(twoModels(), supply{workers: 162})["large"], 0.15)
+	must.Between(t, 0.3, d.shares(twoModels(), supply{workers: 24})["large"], 0.5)
 }
 
 // TestShares_OldSumsTellNothing: the average stays where no newer sum comes.
@@ -84,5 +84,5 @@
 	d := newDemand()
 	share := after(d, now, 20*time.Second, 2.9, 8.8)
 	d.note(now.Add(40*time.Second), asked(now.Add(30*time.Second), 9, 1))
-	must.EqOp(t, share, d.shares(twoModels(), 162)["small"])
+	must.EqOp(t, share, d.shares(twoModels(), supply{workers: 162})["small"])
 }
--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/common/histories"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -36,10 +37,21 @@
 	frozen      []Order
 	// storeBack is when the store came back.
 	storeBack time.Time
+	// offered is what callers ask for, nil if nobody tells, and region tells where halls are.
+	offered load.Offered
+	region  func(hall string) string
 	// fate, if set, draws what becomes of orders where all else is calm.
 	fate func(o Order) fate
 }
 
+// sum is what daemons tell of the work that callers ask for.
+func (h *holder) sum(now time.Time) load.Sum {
+	if h.offered == nil {
+		return load.Sum{}
+	}
+	return load.Sum{Offered: h.offered, Daemons: 1, At: now}
+}
+
 // takeResults tells the planner what came of orders by now.
 func (h *holder) takeResults(now time.Time) {
 	var rest []reply
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -78,6 +78,8 @@
 	// the time since when.
 	retiring map[workers.GroupID]time.Time
 	demand   *demand
+	// plans counts the plans made.
+	plans int
 	// failingFrom is since when groups with lost members fail requests.
 	failingFrom map[workers.GroupID]time.Time
 	// dissolving are the groups told to be dissolved, with the time since when, and
@@ -112,12 +114,16 @@
 	StoreBack time.Time
 	// Load is what callers ask for, the zero value if that isn't known.
 	Load load.Sum
+	// Region returns the region of a data hall, "" if it isn't known; nil puts all halls
+	// in one.
+	Region func(hall string) string
 }
 
 // formation is a group that the planner is forming.
 type formation struct {
 	id      workers.GroupID
 	service string
+	region  string
 	model   catalog.Model
 	members []string
 	begun   time.Time
@@ -170,7 +176,11 @@
 // Plan returns the orders to give now. All of them count as under way until
 // Result tells what came of them.
 func (p *Planner) Plan(s Situation) []Order {
-	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack}
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, regionOf: s.Region}
+	if r.regionOf == nil {
+		r.regionOf = func(string) string { return "" }
+	}
+	p.plans++
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
 	p.forgetEndings(s.Now)
@@ -181,8 +191,11 @@
 		r.service = service
 		r.advanceFormations()
 		r.tendGroups()
-		r.form()
-		r.stage()
+		for _, region := range r.regionsOf(service.Name) {
+			r.region = region
+			r.form()
+			r.stage()
+		}
 	}
 	return r.orders
 }
@@ -294,9 +307,13 @@
 	now     time.Time
 	view    *workers.View
 	service *catalog.Service
-	idle    bool
-	failing func(group string) bool
-	orders  []Order
+	// region is planned for, and supply has the service's workers in each.
+	region   string
+	supply   map[string]int
+	regionOf func(hall string) string
+	idle     bool
+	failing  func(group string) bool
+	orders   []Order
 
 	storeBack time.Time
 }
--- a/replica/planner_test.go
+++ b/replica/planner_test.go
@@ -295,7 +295,7 @@
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.step()
 		h.takeResults(w.now)
-		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle, Failing: w.failing, StoreBack: h.storeBack}) {
+		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle, Failing: w.failing, StoreBack: h.storeBack, Load: h.sum(w.now), Region: h.region}) {
 			h.pending = append(h.pending, h.order(w, o))
 		}
 	}
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -7,7 +7,7 @@
 	"github.com/pointpass/pointpass/workers"
 )
 
-// pool is the workers of a service while groups are formed.
+// pool is the workers of a service in one region while groups are formed.
 type pool struct {
 	// free are the workers that may join a group, by domain.
 	free map[string][]workers.Worker
@@ -49,14 +49,14 @@
 		p.total += len(list)
 	}
 	for _, f := range r.forming {
-		if f.service == r.service.Name {
+		if f.service == r.service.Name && f.region == r.region {
 			p.counts[f.model.Name] += f.model.Size
 			p.total += f.model.Size
 		}
 	}
 	for _, g := range r.view.Groups() {
 		_, forming := r.forming[g.ID]
-		if g.Service != r.service.Name || forming || !g.Whole {
+		if g.Service != r.service.Name || forming || !g.Whole || !r.here(g.Members[0]) {
 			continue
 		}
 		p.total += g.Size()
@@ -66,7 +66,7 @@
 		p.counts[g.ID.Model()] += g.Size()
 		p.whole[g.Members[0].Domain] = append(p.whole[g.Members[0].Domain], g)
 	}
-	p.shares = r.demand.shares(r.service, p.total)
+	p.shares = r.demand.shares(r.service, supply{region: r.region, workers: p.total, regions: r.supply})
 	return p
 }
 
@@ -80,7 +80,7 @@
 	}
 	free := map[string][]workers.Worker{}
 	for _, w := range r.view.Of(r.service.Name) {
-		if !taken[w.ID] && r.free(w) {
+		if !taken[w.ID] && r.here(w) && r.free(w) {
 			free[w.Domain] = append(free[w.Domain], w)
 		}
 	}
@@ -92,6 +92,9 @@
 func (r *round) leavingByDomain() map[string][]workers.Worker {
 	leaving := map[string][]workers.Worker{}
 	for _, w := range r.view.Of(r.service.Name) {
+		if !r.here(w) {
+			continue
+		}
 		rec := r.record(w.ID)
 		told := rec.last.Op == Leave && rec.last.Group == w.Membership.Group && w.Membership.Group.Name != ""
 		if told && rec.left != rec.last.Group && !w.Draining && !r.unreachable(w.ID) && r.now.Sub(rec.leaveBegun) < leavePatience {
--- /dev/null
+++ b/replica/regions_test.go
@@ -0,0 +1,237 @@
+package replica
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// set returns a set of regions named by one letter each.
+func set(names string) catalog.RegionSet {
+	if names == "" {
+		return catalog.RegionSet{}
+	}
+	return catalog.NewRegionSet(strings.Split(names, ""))
+}
+
+// partOf returns the part of a set's work that a region is to do.
+func partOf(parts map[string][]setPart, region string, s catalog.RegionSet) float64 {
+	for _, p := range parts[region] {
+		if p.set == s {
+			return p.part
+		}
+	}
+	return 0
+}
+
+// TestSpread_RegionsAreEquallyBusy: work that may be done anywhere goes where what is
+// bound leaves room.
+func TestSpread_RegionsAreEquallyBusy(t *testing.T) {
+	regions := map[string]int{"a": 100, "b": 100, "c": 200}
+	parts := spread([]setWork{{set(""), 100}, {set("a"), 40}, {set("ab"), 20}}, regions)
+	// 160 of 400 is 0.4: a is as busy with its own alone.
+	must.EqOp(t, 1, partOf(parts, "a", set("a")))
+	must.Between(t, 0.19, partOf(parts, "b", set("")), 0.21)
+	must.Between(t, 0.79, partOf(parts, "c", set("")), 0.81)
+	must.Between(t, 0.99, partOf(parts, "b", set("ab")), 1.01)
+
+	parts = spread([]setWork{{set(""), 30}, {set("a"), 90}}, regions)
+	must.EqOp(t, 0, partOf(parts, "a", set("")), must.Sprint("a has too much of its own"))
+	must.Between(t, 0.32, partOf(parts, "b", set("")), 0.34)
+}
+
+// TestSpread_Histories: all work is placed, where it may be done, and no region could
+// give up some to one that is less busy.
+func TestSpread_Histories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regions := map[string]int{}
+		for _, name := range []string{"a", "b", "c", "d"} {
+			regions[name] = rapid.IntRange(0, 3000).Draw(t, name)
+		}
+		var sets []setWork
+		for _, names := range []string{"", "a", "ab", "abc", "abd", "ac", "acd", "ad", "b", "bc", "bcd", "bd", "c", "cd", "d"} {
+			if rapid.Bool().Draw(t, "has "+names) {
+				sets = append(sets, setWork{set(names), rapid.Float64Range(0.1, 1000).Draw(t, names)})
+			}
+		}
+		parts := spread(sets, regions)
+		busy := map[string]float64{}
+		for _, s := range sets {
+			placed, anywhere := 0.0, false
+			for region, n := range regions {
+				part := partOf(parts, region, s.set)
+				must.True(t, part == 0 || n > 0 && s.set.Allow(region))
+				anywhere = anywhere || n > 0 && s.set.Allow(region)
+				placed += part
+				if n > 0 {
+					busy[region] += part * s.work / float64(n)
+				}
+			}
+			must.EqOp(t, anywhere, math.Abs(placed-1) < 1e-6, must.Sprint(placed))
+		}
+		for _, s := range sets {
+			for from, n := range regions {
+				for to, m := range regions {
+					movable := partOf(parts, from, s.set)*s.work > 0.02*float64(n) && m > 0 && s.set.Allow(to)
+					must.True(t, !movable || busy[from] < busy[to]+0.02*(1+busy[to]), must.Sprint(from, busy[from], to, busy[to]))
+				}
+			}
+		}
+	})
+}
+
+// newRegions returns a world of 19 workers a domain, whose halls lie in regions: region a
+// has those of the first domains, b those of the next, and so on.
+func newRegions(domains ...int) (*world, *holder) {
+	total := 0
+	regions := map[string]string{}
+	for i, n := range domains {
+		for range n {
+			regions[fmt.Sprint("d", total)] = string(rune('a' + i))
+			total++
+		}
+	}
+	w := newUnevenWorld(total)
+	h := &holder{planner: NewPlanner(1, testCeiling), region: func(hall string) string { return regions[hall] }}
+	return w, h
+}
+
+// offered is work asked of a model by requests bound to a set of regions, in groups.
+func offered(large, small float64, s catalog.RegionSet) load.Offered {
+	return load.Offered{
+		{Service: "llm", Name: "m.large", Regions: s}: large,
+		{Service: "llm", Name: "small", Regions: s}:   small,
+	}
+}
+
+func merge(all ...load.Offered) load.Offered {
+	sum := load.Offered{}
+	for _, o := range all {
+		for m, work := range o {
+			sum[m] += work
+		}
+	}
+	return sum
+}
+
+// wholeIn counts a model's open groups in a region.
+func wholeIn(w *world, h *holder, model, region string) int {
+	n := 0
+	for _, g := range w.view.Groups() {
+		head, ok := g.Head()
+		if ok && g.Whole && head.Membership.State == workers.Open && g.ID.Model() == model && h.region(head.Hall) == region {
+			n++
+		}
+	}
+	return n
+}
+
+// TestPlanner_EachRegionHasWhatItsRequestsNeed: the large model's callers are bound to
+// region a and those of the small one to b. In the sum both ask for as much; a plan for
+// all workers alike would have half of each model's groups out of bounds.
+func TestPlanner_EachRegionHasWhatItsRequestsNeed(t *testing.T) {
+	w, h := newRegions(3, 3)
+	calm(w, h, 30*time.Second, true)
+	h.offered = merge(offered(5, 0, set("a")), offered(0, 8, set("b")))
+	calm(w, h, 2*time.Minute, false)
+	must.GreaterEq(t, 5, wholeIn(w, h, "m.large", "a"))
+	must.GreaterEq(t, 8, wholeIn(w, h, "small", "b"))
+	// Each model keeps a second group elsewhere: callers may come to be bound to it.
+	must.GreaterEq(t, 1, wholeIn(w, h, "m.large", "b"))
+	must.GreaterEq(t, 1, wholeIn(w, h, "small", "a"))
+	must.SliceEmpty(t, w.broken)
+}
+
+// TestPlanner_OneRegionIsPlannedAsNone: with one region, or none told, the orders are the
+// same to the byte.
+func TestPlanner_OneRegionIsPlannedAsNone(t *testing.T) {
+	play := func(region func(string) string) string {
+		w := newUnevenWorld(5)
+		h := &holder{planner: NewPlanner(1, testCeiling), region: region}
+		var orders strings.Builder
+		h.fate = func(o Order) fate {
+			fmt.Fprintln(&orders, w.now.Unix(), o.Op, o.Worker.ID, o.Group.Name, o.Model, o.Members)
+			return fateTaken
+		}
+		calm(w, h, 30*time.Second, true)
+		h.offered = offered(2, 12, catalog.RegionSet{})
+		calm(w, h, 30*time.Second, false)
+		h.offered = offered(7, 3, catalog.RegionSet{})
+		for _, id := range w.ids()[:8] {
+			w.engines[id].dead = w.now
+		}
+		calm(w, h, 30*time.Second, false)
+		return orders.String()
+	}
+	none := play(nil)
+	must.Greater(t, 10000, len(none))
+	must.EqOp(t, none, play(func(string) string { return "a" }))
+}
+
+// lose takes all workers of some domains away.
+func lose(w *world, domains ...int) {
+	for _, id := range w.ids() {
+		for _, d := range domains {
+			if w.engines[id].worker.Domain == "d"+strconv.Itoa(d) {
+				w.engines[id].dead = w.now
+			}
+		}
+	}
+}
+
+// TestPlanner_ALostRegionsWorkGoesWhereItMay: requests that may run in a or b need more
+// groups in b once a is lost; those bound to a alone need none elsewhere.
+func TestPlanner_ALostRegionsWorkGoesWhereItMay(t *testing.T) {
+	w, h := newRegions(3, 6)
+	calm(w, h, 30*time.Second, true)
+	h.offered = merge(offered(8, 0, set("ab")), offered(0, 2, set("a")), offered(0, 14, set("b")))
+	calm(w, h, 2*time.Minute, false)
+	before := wholeIn(w, h, "m.large", "b")
+	lose(w, 0, 1, 2)
+	calm(w, h, 2*time.Minute, false)
+	must.EqOp(t, 0, wholeIn(w, h, "m.large", "a"))
+	must.Greater(t, before, wholeIn(w, h, "m.large", "b"))
+	must.SliceEmpty(t, w.broken)
+}
+
+// TestPlanner_ALastGroupIsFormedAgainInItsRegion: the only groups of the small model in a
+// lose a member each. Region b has plenty; that helps nobody who is bound to a.
+func TestPlanner_ALastGroupIsFormedAgainInItsRegion(t *testing.T) {
+	w, h := newRegions(1, 4)
+	calm(w, h, 30*time.Second, true)
+	h.offered = merge(offered(0.5, 1, set("a")), offered(2, 8, set("b")))
+	calm(w, h, time.Minute, false)
+	for _, g := range w.view.Groups() {
+		if g.ID.Model() == "small" && h.region(g.Members[0].Hall) == "a" {
+			w.engines[g.Members[1].ID].dead = w.now
+		}
+	}
+	calm(w, h, 10*time.Second, false)
+	must.GreaterEq(t, 1, wholeIn(w, h, "small", "a"))
+	must.GreaterEq(t, 1, wholeIn(w, h, "m.large", "a"))
+}
+
+// TestPool_HoldsItsRegionAlone: groups that are formed in another region are no supply here.
+func TestPool_HoldsItsRegionAlone(t *testing.T) {
+	w, h := newRegions(1, 2)
+	calm(w, h, 6*time.Second, true)
+	must.MapNotEmpty(t, h.planner.forming)
+	r := &round{Planner: h.planner, now: w.now, view: w.view, service: w.service, regionOf: h.region}
+	r.regionsOf("llm")
+	for region, domains := range map[string]int{"a": 1, "b": 2} {
+		r.region = region
+		p := r.newPool()
+		must.EqOp(t, 19*domains, p.total)
+		must.LessEq(t, p.total, p.counts["m.large"]+p.counts["small"])
+	}
+}
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -167,7 +167,7 @@
 	spare := map[string]int{}
 	for _, w := range r.view.Of(r.service.Name) {
 		group := r.membership(w).Group
-		if group.Model() == m.Name {
+		if group.Model() == m.Name || !r.here(w) {
 			continue
 		}
 		if preparationOf(w, m.Name) != fromStore {
--- a/rpc/bodies_test.go
+++ b/rpc/bodies_test.go
@@ -19,6 +19,7 @@
 	"pointpass.rpc.LoadRequest.reporter":    true,
 	"pointpass.rpc.ModelLoad.service":       true,
 	"pointpass.rpc.ModelLoad.model":         true,
+	"pointpass.rpc.ModelLoad.regions":       true,
 }
 
 // TestRelay_PassesNoBodies: a request that is bound to regions must not pass a daemon in
--- a/serving/overload.go
+++ b/serving/overload.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/admission"
+	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
 )
 
@@ -17,11 +18,20 @@
 	mostReturn  = 0.6
 )
 
-// window returns the window of a model's requests.
+// mostWindows bounds how many windows are kept. Beyond it requests that are bound to
+// further sets of regions share one.
+const mostWindows = 64
+
+// window returns the window of a model's requests that may run in the same regions: where
+// some regions have too much to do, others may have room.
 func (s *Server) window(key load.Model) *admission.Window {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, ok := s.windows[key]
+	if !ok && len(s.windows) >= mostWindows {
+		key.Regions = catalog.RegionSet{}
+		w, ok = s.windows[key]
+	}
 	if !ok {
 		w = admission.NewWindow(s.opts.Balancer)
 		s.windows[key] = w
@@ -32,7 +42,8 @@
 
 // enter counts a request for a model as under way, or refuses it where the model's
 // groups have as much to do as they can in time. Services whose workers each serve
-// alone have no window: their queues are short.
+// alone have no window: their queues are short. Requests that may run in no region at all
+// aren't counted, since no group could be formed for them.
 func (e *exchange) enter() *fault {
 	if e.service.Runtime == nil {
 		return nil
@@ -41,7 +52,12 @@
 	if !known {
 		return nil
 	}
-	key := load.Model{Service: e.service.Name, Name: model.Name}
+	place := e.placementRequest()
+	regions, found := catalog.Shared(place.Route, place.Customer)
+	if !found {
+		return nil
+	}
+	key := load.Model{Service: e.service.Name, Name: model.Name, Regions: regions}
 	e.server.opts.Asked(key, e.service.Runtime.Work(model, e.req.Prompt, e.req.Answer))
 	w := e.server.window(key)
 	e.place = w.Enter(e.arrived, e.route.Goal, rand.Float64())
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -55,9 +56,11 @@
 	answers []answer
 	// regions are those that each request went to.
 	regions []string
-	log     bytes.Buffer
-	set     *metrics.Set
-	server  *Server
+	// asked are the models that work was asked of.
+	asked  []load.Model
+	log    bytes.Buffer
+	set    *metrics.Set
+	server *Server
 }
 
 var fleetHalls = map[string]string{"h1": "north", "h2": "north", "h3": "south", "h4": "south"}
@@ -106,7 +109,7 @@
 		Catalogs:  &f.catalogs, Workers: registry.View, Upstream: f, Balancer: NewBalancer("h1"),
 		Counters: NewCounters(f.set), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 1000, Window: time.Second} },
-		Asked:     func(load.Model, time.Duration) {},
+		Asked:     func(m load.Model, _ time.Duration) { f.asked = append(f.asked, m) },
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return true }, MostRequests: 10,
 		Now: time.Now, Log: &log.Logger{Level: log.ErrorLevel, Writer: log.IOWriter{Writer: &f.log}},
 	})
@@ -309,3 +312,28 @@
 	f.configure(catalog.Regions{"south"}, nil)
 	must.False(t, e.mayMove(time.Now()))
 }
+
+// TestServe_CountsWhatIsAskedByRegions: what is refused for want of a group counts, so that
+// one is formed where it may run, and not what may run nowhere.
+func TestServe_CountsWhatIsAskedByRegions(t *testing.T) {
+	f := newFleet(catalog.Stream, []string{"h1"}, streamEnd)
+	f.configure(nil, nil)
+	f.ask()
+	f.configure(catalog.Regions{"south", "north"}, catalog.Regions{"south", "east"})
+	f.ask()
+	f.configure(catalog.Regions{"south"}, catalog.Regions{"north"})
+	f.ask()
+	m := load.Model{Service: "s", Name: "m"}
+	south := m
+	south.Regions = catalog.NewRegionSet([]string{"south"})
+	must.Eq(t, []load.Model{m, south}, f.asked)
+}
+
+// TestWindow_BoundsTheSetsOfRegions: configurations that change don't grow the server.
+func TestWindow_BoundsTheSetsOfRegions(t *testing.T) {
+	f := newFleet(catalog.Stream, []string{"h1"}, streamEnd)
+	for i := range 10 * mostWindows {
+		f.server.window(load.Model{Service: "s", Name: "m", Regions: catalog.NewRegionSet([]string{strconv.Itoa(i)})})
+	}
+	must.LessEq(t, mostWindows+1, len(f.server.windows))
+}
--- a/serving/record.go
+++ b/serving/record.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -60,7 +61,7 @@
 
 // gaugeWindow shows how many requests a model's window lets be under way.
 func (c *Counters) gaugeWindow(key load.Model, w *admission.Window) {
-	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q}`, key.Service, key.Name)
+	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q,regions=%q}`, key.Service, key.Name, strings.Join(key.Regions.Names(), " "))
 	c.set.GetOrCreateGauge(name, func() float64 {
 		limit, _ := w.Limit()
 		return min(limit, math.MaxInt32) // no bound shows as a large number
