replica: Let a new holder hear the demand before it takes groups apart

Cause: until demand is known, shares are those of the settings. A new holder of the lease gave up groups that its predecessor had formed for what callers ask: simulated, with callers of one model bound to a region of three domains, 2 of 8 groups within 4 s, and they didn't come back, since the workers' hosts had nothing else staged. Ruled out: handing the averages on with the lease, which costs a row that changes each second. Change: groups aren't retired before demand is known, for 5 s at most; not while nobody is served. Figures: the test's fleet keeps 8 of 8. Seen red without the condition.

--- a/replica/form.go
+++ b/replica/form.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -49,6 +51,17 @@
 	}
 }
 
+// tellTime is how long a new holder of the lease may take to hear what callers ask for: two
+// reports on the way, and demandKnown.
+const tellTime = 2*load.ReportPause + demandKnown + time.Second
+
+// demandTold tells whether groups may be given up for what callers ask for: what that is is
+// known, or won't be told. Until then a new holder of the lease would go by the shares of
+// the settings, and take apart what its predecessor formed for another demand.
+func (r *round) demandTold() bool {
+	return r.idle || r.demand.known() || r.now.Sub(r.begun) >= tellTime
+}
+
 // nextGroup returns the model and members of the group to form next. Where none
 // can be formed, groups of well supplied models may be retired for the one that
 // lacks most.
@@ -65,7 +78,7 @@
 			return m, members, true
 		}
 	}
-	if len(models) > 0 && len(r.forming) < mostForming {
+	if len(models) > 0 && len(r.forming) < mostForming && r.demandTold() {
 		return r.retireFor(models[0], models, p)
 	}
 	return catalog.Model{}, nil, false
--- a/replica/regions_test.go
+++ b/replica/regions_test.go
@@ -221,6 +221,26 @@
 	must.GreaterEq(t, 1, wholeIn(w, h, "m.large", "a"))
 }
 
+// TestPlanner_ANewHolderKeepsWhatRegionsHave: the holder is lost with its region. The next
+// one knows nothing of what callers ask for at first, and gives up no group for that.
+func TestPlanner_ANewHolderKeepsWhatRegionsHave(t *testing.T) {
+	w, h := newRegions(2, 3)
+	calm(w, h, 30*time.Second, true)
+	h.offered = merge(offered(3, 1, set("a")), offered(0, 8, set("b")))
+	calm(w, h, 2*time.Minute, false)
+	small := wholeIn(w, h, "small", "b")
+	must.GreaterEq(t, 8, small)
+	lose(w, 0, 1)
+	asked := h.offered
+	h = &holder{planner: NewPlanner(2, testCeiling), region: h.region}
+	calm(w, h, 2*time.Second, false)
+	must.GreaterEq(t, small, wholeIn(w, h, "small", "b"))
+	h.offered = asked
+	calm(w, h, time.Minute, false)
+	must.GreaterEq(t, 8, wholeIn(w, h, "small", "b"))
+	must.SliceEmpty(t, w.broken)
+}
+
 // TestPool_HoldsItsRegionAlone: groups that are formed in another region are no supply here.
 func TestPool_HoldsItsRegionAlone(t *testing.T) {
 	w, h := newRegions(1, 2)
