ramp: Bound what all daemons together send a cold worker

Ruled out: equal parts for all (0.2 a second each of 90, and 90 first ones at once); nothing to cold ones at all, which needs no proof but leaves them idle (to be measured beside this). Change: package ramp (Book: who is cold, Roster: which daemons count, Ramp: a sliding window at each of the first K by rendezvous hashing), wired into the decider; work under way at a cold worker counts less at those who may send there.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -61,6 +61,7 @@
 	following   *following
 	reporter    *reporter
 	loads       *loads
+	cold        *cold
 	workersRead atomic.Bool
 	// begun tells that callers are being served, here or elsewhere.
 	begun     atomic.Bool
@@ -77,7 +78,8 @@
 		Balancer: serving.NewBalancer(settings.Hall()),
 		settings: settings,
 	}
-	e.Placement = placement.NewDecider(settings.HallRegions(), placement.NoRamp{}, time.Now)
+	e.cold = newCold(e)
+	e.Placement = placement.NewDecider(settings.HallRegions(), e.cold.ramp, time.Now)
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
@@ -205,6 +207,7 @@
 	e.Metrics.NewGauge("pointpass_halls_closed", func() float64 { return float64(len(e.Placement.Facts().Closings())) })
 	e.Metrics.NewGauge("pointpass_requests_under_way", func() float64 { return float64(e.Server.UnderWay()) })
 	e.Metrics.NewGauge("pointpass_load_daemons", func() float64 { return float64(e.loads.Total().Daemons) })
+	e.cold.gauges()
 	e.Metrics.NewGauge("pointpass_lease_held", func() float64 {
 		_, held := e.Lease.Held()
 		return asNumber(held)
@@ -221,7 +224,7 @@
 // Run follows the store and forms groups until ctx ends.
 func (e *Edge) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run} {
+	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run} {
 		running.Go(func() { run(ctx) })
 	}
 	running.Wait()
@@ -256,6 +259,7 @@
 	} else {
 		e.Log.Info().Str("event", "workers").Int("changed", len(changed)).Int("gone", len(gone)).Bool("all", u.Full).Uint64("store_version", u.Version).Dur("evidence_age", time.Since(u.Evidence)).Msg("")
 	}
+	e.cold.learnEntries(changed, gone, u.Full)
 	e.Workers.Apply(changed, gone, u.Full)
 	e.workersRead.Store(true)
 }
@@ -266,7 +270,7 @@
 func (e *Edge) logWorkers(changed []workers.Worker, gone []string, version uint64) {
 	for _, w := range changed {
 		e.Log.Info().Str("event", "worker").Str("worker", w.ID).Str("service", w.Service).Bool("draining", w.Draining).
-			Str("group", w.Membership.Group.Name).Int("rank", w.Membership.Rank).Str("state", string(w.Membership.State)).Strs("models", w.Models).Strs("staged", w.Staged).Str("domain", w.Domain).Uint64("store_version", version).Msg("")
+			Str("group", w.Membership.Group.Name).Int("rank", w.Membership.Rank).Str("state", string(w.Membership.State)).Strs("models", w.Models).Strs("staged", w.Staged).Str("domain", w.Domain).Dur("cold_left", w.ColdLeft).Uint64("store_version", version).Msg("")
 	}
 	for _, id := range gone {
 		e.Log.Info().Str("event", "worker_gone").Str("worker", id).Uint64("store_version", version).Msg("")
--- a/deps/following.go
+++ b/deps/following.go
@@ -226,8 +226,9 @@
 }
 
 // applyControl takes in who the other daemons are.
-func (f *following) applyControl(store.Update) {
+func (f *following) applyControl(u store.Update) {
 	snapshot, _ := f.caches[replica.LeaseTable].Rows()
+	f.edge.cold.learnDaemons(replica.Announced(snapshot.Rows), u)
 	view := &controlView{Control: replica.Parse(snapshot.Rows)}
 	var members []relay.Member
 	for _, n := range view.Nodes {
--- a/deps/halls.go
+++ b/deps/halls.go
@@ -15,12 +15,15 @@
 	if err != nil {
 		e.Log.Error().Str("event", "hall_unreadable").Err(err).Msg("")
 	}
+	before := e.Placement.Facts()
 	closed, opened := e.Placement.Apply(placement.Update{Changes: changes, Full: u.Full, Version: u.Version, Evidence: u.Evidence})
 	for _, c := range closed {
 		e.Log.Warn().Str("event", "hall_closed").Str("hall", c.Hall).Uint64("store_version", c.Version).
 			Dur("evidence_age", time.Since(u.Evidence)).Int("under_way", e.underWayIn(c.Hall)).Msg("its workers get no further requests")
 	}
 	for _, r := range opened {
+		_, seen := before.Closed(r.Hall)
+		e.cold.learnOpening(r.Hall, seen)
 		e.Log.Info().Str("event", "hall_opened").Str("hall", r.Hall).Uint64("store_version", r.Version).
 			Dur("evidence_age", time.Since(u.Evidence)).Msg("")
 	}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -32,6 +32,9 @@
 // Verdict says whether a request may go to a worker, and the fact that decided.
 type Verdict struct {
 	Reason Reason
+	// Weight is what a request under way at the worker counts where work is spread, 1 but
+	// for a cold worker.
+	Weight float64
 	// Hall is the worker's data hall, and Region that hall's region.
 	Hall, Region string
 	// Version is the store's version of the fact, 0 where settings tell it, and Known
@@ -52,6 +55,9 @@
 	// Take counts a request that is about to be sent to a worker. It returns false if
 	// the worker is cold and there is no room for it.
 	Take(w workers.Worker, now time.Time) bool
+	// Weight returns what a request of this process under way at a worker counts, 1 but
+	// for a cold one: few processes send there for all.
+	Weight(w workers.Worker, now time.Time) float64
 }
 
 // Decider decides where requests may run. It is safe for use by many goroutines; only
@@ -93,8 +99,12 @@
 	if !v.Allowed() {
 		return v
 	}
-	if _, room := d.ramp.Room(w, d.now()); !room {
+	now := d.now()
+	cold, room := d.ramp.Room(w, now)
+	if !room {
 		v.Reason = Cold
+	} else if cold {
+		v.Weight = d.ramp.Weight(w, now)
 	}
 	return v
 }
@@ -115,7 +125,7 @@
 // judgeHall decides by the worker's data hall alone.
 func (d *Decider) judgeHall(r Request, w workers.Worker) Verdict {
 	facts := d.Facts()
-	v := Verdict{Hall: w.Hall, Region: facts.Region(w.Hall)}
+	v := Verdict{Weight: 1, Hall: w.Hall, Region: facts.Region(w.Hall)}
 	if c, closed := facts.Closed(w.Hall); closed {
 		v.Reason = HallClosed
 		v.Version = c.Version
@@ -136,3 +146,6 @@
 
 // Take tells that there is room.
 func (NoRamp) Take(workers.Worker, time.Time) bool { return true }
+
+// Weight tells that all work counts alike.
+func (NoRamp) Weight(workers.Worker, time.Time) float64 { return 1 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -22,7 +22,7 @@
 	closed, opened := d.Apply(Update{Changes: []Change{{Hall: "h1", Closed: true, Version: 7}}, Version: 7})
 	must.Eq(t, []Closing{{Hall: "h1", Version: 7, Known: noon}}, closed)
 	must.SliceEmpty(t, opened)
-	must.Eq(t, Verdict{Reason: HallClosed, Hall: "h1", Region: "north", Version: 7, Known: noon}, d.Judge(Request{}, in("h1")))
+	must.Eq(t, Verdict{Reason: HallClosed, Weight: 1, Hall: "h1", Region: "north", Version: 7, Known: noon}, d.Judge(Request{}, in("h1")))
 	must.EqOp(t, HallClosed, d.Send(Request{}, in("h1")).Reason)
 	must.True(t, d.Send(Request{}, in("h2")).Allowed())
 	must.False(t, d.Open("h1"))
@@ -87,7 +87,8 @@
 func (fullRamp) Room(w workers.Worker, _ time.Time) (cold, room bool) {
 	return w.ID == "w", w.ID != "w"
 }
-func (fullRamp) Take(w workers.Worker, _ time.Time) bool { return w.ID != "w" }
+func (fullRamp) Take(w workers.Worker, _ time.Time) bool      { return w.ID != "w" }
+func (fullRamp) Weight(w workers.Worker, _ time.Time) float64 { return 1 }
 
 func TestDecider_AColdWorkerGetsWhatItsRampHasRoomFor(t *testing.T) {
 	d := NewDecider(halls, fullRamp{}, time.Now)
--- /dev/null
+++ b/ramp/ramp.go
@@ -0,0 +1,182 @@
+package ramp
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+const (
+	// countedWithin is the time within which requests to a cold worker are counted.
+	countedWithin = time.Second
+	// mostSendDelay is how long after Take a request may leave: a connection may have to
+	// be dialled first.
+	mostSendDelay = 500 * time.Millisecond
+	// caution is the part of the bound that daemons use: a request may be sent to a
+	// worker by a daemon that hasn't heard yet that it is cold.
+	caution = 0.95
+	// takesEach is how many requests of a window a daemon gets where there are more
+	// daemons than needed. With one there is more waiting for its turn, with more a
+	// cold worker hears of fewer of the callers.
+	takesEach = 2
+)
+
+// Limits bound what all daemons together send a cold worker within a second, as a
+// multiple of what it bears and a number beyond that.
+type Limits struct{ Overrun, Slack float64 }
+
+// Options wires a ramp.
+type Options struct {
+	Roster *Roster
+	Book   *Book
+	// Usage returns how a service's workers are to be used when they have just started.
+	Usage  func(service string) catalog.Cold
+	Limits Limits
+}
+
+// Ramp implements placement.Ramp.
+type Ramp struct {
+	opts Options
+
+	mu    sync.Mutex
+	takes map[string][]time.Time
+	// taken and refused count requests to cold workers.
+	taken, refused uint64
+}
+
+// New returns a ramp.
+func New(opts Options) *Ramp { return &Ramp{opts: opts, takes: map[string][]time.Time{}} }
+
+// Room tells whether a worker is cold and, if it is, whether it may get a request from
+// this process now. It takes nothing.
+func (r *Ramp) Room(w workers.Worker, now time.Time) (cold, room bool) {
+	c, cold := r.cold(w, now)
+	if !cold {
+		return false, true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return true, r.room(c, now)
+}
+
+// Take counts a request that is about to be sent to a worker. It returns false if the
+// worker is cold and there is no room for it.
+func (r *Ramp) Take(w workers.Worker, now time.Time) bool {
+	c, cold := r.cold(w, now)
+	if !cold {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.room(c, now) {
+		r.refused++
+		return false
+	}
+	r.taken++
+	r.takes[w.ID] = append(r.takes[w.ID], now)
+	return true
+}
+
+// Weight returns what a request under way at a worker counts against one at a warm
+// worker. A daemon that sends to a cold worker does so for all that may not.
+func (r *Ramp) Weight(w workers.Worker, now time.Time) float64 {
+	c, cold := r.cold(w, now)
+	if !cold {
+		return 1
+	}
+	p, active := r.part(c, now)
+	if !active {
+		return 1
+	}
+	return p.weight
+}
+
+// Counts returns how many requests to cold workers were let through and how many had no
+// room.
+func (r *Ramp) Counts() (taken, refused uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.taken, r.refused
+}
+
+// Forget drops what is known of takes that no window holds any more.
+func (r *Ramp) Forget(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, list := range r.takes {
+		if now.Sub(list[len(list)-1]) > longestWindow {
+			delete(r.takes, id)
+		}
+	}
+}
+
+// cold returns that a worker is cold and that its service asks for care.
+func (r *Ramp) cold(w workers.Worker, now time.Time) (Cold, bool) {
+	c, cold := r.opts.Book.At(w.ID, now)
+	return c, cold && r.opts.Usage(w.Service).PerSecond > 0
+}
+
+// room tells whether a cold worker may get one more. The caller holds the lock.
+func (r *Ramp) room(c Cold, now time.Time) bool {
+	if now.Before(c.HeldUntil) {
+		return false
+	}
+	p, active := r.part(c, now)
+	if !active {
+		return false
+	}
+	list := r.takes[c.Worker]
+	for len(list) > 0 && now.Sub(list[0]) >= longestWindow {
+		list = list[1:]
+	}
+	if len(list) > 0 {
+		r.takes[c.Worker] = list
+	}
+	n := 0
+	for _, at := range list {
+		if now.Sub(at) < p.window {
+			n++
+		}
+	}
+	return n < p.takes
+}
+
+// part is this daemon's part of what a worker may get: so many requests within any
+// window.
+type part struct {
+	takes  int
+	window time.Duration
+	weight float64
+}
+
+// longestWindow bounds how long takes are remembered.
+const longestWindow = 10 * time.Second
+
+// part returns this daemon's part at a cold worker, false if it has none.
+func (r *Ramp) part(c Cold, now time.Time) (part, bool) {
+	rank, count, active := r.opts.Roster.Place(c.Worker, now)
+	if !active {
+		return part{}, false
+	}
+	bears := r.opts.Usage(c.Service).PerSecond
+	most := int(caution * (bears*r.opts.Limits.Overrun + r.opts.Limits.Slack))
+	return partOf(most, bears, rank, count)
+}
+
+// partOf returns the part of a daemon that comes after rank others of count, where most
+// requests may be sent in any window and a worker bears so many a second.
+func partOf(most int, bears float64, rank, count int) (part, bool) {
+	senders := min(count, max(most/takesEach, 1))
+	takes := most / senders
+	if rank >= senders || takes == 0 {
+		return part{}, false
+	}
+	mean := time.Duration(float64(senders*takes) / bears * float64(time.Second))
+	return part{
+		takes:  takes,
+		window: min(max(countedWithin+mostSendDelay, mean), longestWindow),
+		weight: float64(senders) / float64(count),
+	}, true
+}
--- /dev/null
+++ b/ramp/roster.go
@@ -0,0 +1,176 @@
+package ramp
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+)
+
+// Bounds of what a daemon knows of the others; the package comment has the proof.
+const (
+	// evidenceAge is how old the newest view may be. While the store answers, views are
+	// younger than 2.2 s, also behind daemons that relay.
+	evidenceAge = 3 * time.Second
+	// margin is above countedWithin and mostSendDelay, with room for clocks that run
+	// unlike.
+	margin = 2 * time.Second
+	// keepGone is how long a daemon counts after its row is gone, and least how long
+	// views have to come without a gap.
+	keepGone = evidenceAge + margin
+	// leastListed is how long a daemon's own row has to be seen.
+	leastListed = 2*evidenceAge + margin
+)
+
+// View is what an answer tells of the daemons that announced themselves.
+type View struct {
+	// Rows are the versions of all their rows, by name.
+	Rows map[string]uint64
+	// Version is the store's version of the answer, and Evidence when it was asked.
+	Version  uint64
+	Evidence time.Time
+}
+
+// Roster knows which daemons may send requests to cold workers. It is safe for use by
+// many goroutines.
+type Roster struct {
+	self string
+
+	mu       sync.RWMutex
+	version  uint64
+	evidence time.Time
+	// informed is since when views came without a gap, and listed since when they show
+	// this daemon's row in one version, the zero time if the newest doesn't.
+	informed, listed time.Time
+	rows             map[string]uint64
+	// hashes are those of the names in rows, but for this daemon's.
+	hashes []uint64
+	// gone are those that vanished, and when this daemon learned of it.
+	gone map[string]time.Time
+}
+
+// NewRoster returns the roster of a daemon that knows of no other yet.
+func NewRoster(self string) *Roster {
+	return &Roster{self: self, gone: map[string]time.Time{}}
+}
+
+// Learn takes in a view. One that is older than what is known is left alone.
+func (r *Roster) Learn(v View, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v.Version < r.version {
+		return
+	}
+	if now.Sub(r.evidence) > evidenceAge {
+		r.informed = now
+	}
+	if v.Evidence.After(r.evidence) {
+		r.evidence = v.Evidence
+	}
+	own, listed := v.Rows[r.self]
+	switch {
+	case !listed:
+		r.listed = time.Time{}
+	case r.listed.IsZero() || own != r.rows[r.self]:
+		r.listed = now
+	}
+	r.replace(v.Rows, now)
+	r.version = v.Version
+}
+
+// replace notes who vanished, and the hashes of those that are there.
+func (r *Roster) replace(rows map[string]uint64, now time.Time) {
+	for name := range r.rows {
+		if _, there := rows[name]; !there {
+			r.gone[name] = now
+		}
+	}
+	for name, at := range r.gone {
+		if _, back := rows[name]; back || now.Sub(at) > keepGone {
+			delete(r.gone, name)
+		}
+	}
+	r.rows = rows
+	r.hashes = r.hashes[:0]
+	for name := range rows {
+		if name != r.self {
+			r.hashes = append(r.hashes, hash(name))
+		}
+	}
+}
+
+// Standing is why a daemon may send to cold workers, or why it may not yet.
+type Standing string
+
+// The standings.
+const (
+	Active Standing = "active"
+	// Uninformed tells that the newest view is too old.
+	Uninformed Standing = "uninformed"
+	// Resuming tells that views haven't come without a gap for long enough.
+	Resuming Standing = "resuming"
+	// Unannounced tells that the daemon's own row hasn't been seen for long enough.
+	Unannounced Standing = "unannounced"
+)
+
+// Standing returns whether this daemon may send to cold workers.
+func (r *Roster) Standing(now time.Time) Standing {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.standing(now)
+}
+
+func (r *Roster) standing(now time.Time) Standing {
+	switch {
+	case now.Sub(r.evidence) > evidenceAge:
+		return Uninformed
+	case now.Sub(r.informed) < keepGone:
+		return Resuming
+	case r.listed.IsZero() || now.Sub(r.listed) < leastListed:
+		return Unannounced
+	}
+	return Active
+}
+
+// Place returns how many of the daemons that count come before this one at a worker, and
+// how many count in all. It returns false while this daemon may not send there.
+func (r *Roster) Place(worker string, now time.Time) (rank, count int, active bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if r.standing(now) != Active {
+		return 0, 0, false
+	}
+	at := hash(worker)
+	own := mix(at ^ hash(r.self))
+	count = 1
+	for _, h := range r.hashes {
+		count++
+		if mix(at^h) > own {
+			rank++
+		}
+	}
+	for name, learned := range r.gone {
+		if now.Sub(learned) > keepGone {
+			continue
+		}
+		count++
+		if mix(at^hash(name)) > own {
+			rank++
+		}
+	}
+	return rank, count, true
+}
+
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// mix spreads a number over all of its bits (the end of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/replica/control.go
+++ b/replica/control.go
@@ -46,6 +46,17 @@
 	return c
 }
 
+// Announced returns the versions of the rows by which nodes announced themselves, by name.
+func Announced(rows []store.Row) map[string]uint64 {
+	versions := map[string]uint64{}
+	for _, r := range rows {
+		if name, isNode := strings.CutPrefix(r.Key, nodePrefix); isNode && !r.Deleted {
+			versions[name] = r.Version
+		}
+	}
+	return versions
+}
+
 // leaseIn returns the lease among the rows of LeaseTable and its version, 0 if
 // there is none.
 func leaseIn(rows []store.Row) (row leaseRow, version uint64) {
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -16,6 +16,9 @@
 	Worker workers.Worker
 	// Pace multiplies the time that work takes there.
 	Pace float64
+	// Weight is what a request under way there counts, 1 but for a cold worker: those
+	// few that may send there do so for all others.
+	Weight float64
 }
 
 // Targets returns where a service's requests for a model may go now. Groups
@@ -37,7 +40,7 @@
 			continue
 		}
 		if head.Membership.State == workers.Open {
-			targets = append(targets, Target{Key: g.ID.Name, Worker: head, Pace: wanted.Pace})
+			targets = append(targets, Target{Key: g.ID.Name, Worker: head, Pace: wanted.Pace, Weight: 1})
 		}
 	}
 	return targets
@@ -47,7 +50,7 @@
 	var targets []Target
 	for _, w := range view.Of(service) {
 		if !w.Draining {
-			targets = append(targets, Target{Key: w.ID, Worker: w, Pace: 1})
+			targets = append(targets, Target{Key: w.ID, Worker: w, Pace: 1, Weight: 1})
 		}
 	}
 	return targets
@@ -137,15 +140,17 @@
 
 func (b *Balancer) score(t Target, now time.Time) float64 {
 	score := tieSpread * rand.Float64()
-	if l, ok := b.loads[t.Key]; ok {
-		score += float64(l.inFlight)
-		if now.Before(l.suspectUntil) || now.Before(l.warnedUntil) {
-			score += suspectPenalty
-		}
-	}
 	if t.Worker.Hall != b.hall {
 		score += farPenalty
 	}
+	l, known := b.loads[t.Key]
+	if !known {
+		return t.Weight * score
+	}
+	score = t.Weight * (score + float64(l.inFlight))
+	if now.Before(l.suspectUntil) || now.Before(l.warnedUntil) {
+		score += suspectPenalty
+	}
 	return score
 }
 
--- a/serving/place.go
+++ b/serving/place.go
@@ -23,6 +23,7 @@
 	request := e.placementRequest()
 	for _, t := range Targets(s.opts.Workers(), e.service, e.req.Model) {
 		if v := s.opts.Placement.Judge(request, t.Worker); v.Allowed() {
+			t.Weight = v.Weight
 			targets = append(targets, t)
 		} else {
 			barred = v
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -17,7 +17,7 @@
 var noon = time.Unix(1_000_000, 0)
 
 func target(key, hall string) Target {
-	return Target{Key: key, Worker: workers.Worker{ID: key, Hall: hall}, Pace: 1}
+	return Target{Key: key, Worker: workers.Worker{ID: key, Hall: hall}, Pace: 1, Weight: 1}
 }
 
 func TestChoose_LeastWorkThenOwnHall(t *testing.T) {
