ramp: Prove the sum by histories and by one case for each guard

Cause: random histories alone didn't show what three of the guards are for. Change: scripted cases of two daemons, one for each guard; histories where one daemon sends to a worker, so that two that don't agree show; rows that go and come back. A view older than what is known needs no guard of its own: whom it doesn't show counts on as one that vanished.

--- a/deps/cold.go
+++ b/deps/cold.go
@@ -55,7 +55,7 @@
 
 // learnDaemons takes in which daemons announced themselves.
 func (c *cold) learnDaemons(rows map[string]uint64, u store.Update) {
-	c.roster.Learn(ramp.View{Rows: rows, Version: u.Version, Evidence: u.Evidence}, time.Now())
+	c.roster.Learn(ramp.View{Rows: rows, Evidence: u.Evidence}, time.Now())
 }
 
 // learnEntries takes in entries of workers.
--- a/ramp/histories_test.go
+++ b/ramp/histories_test.go
@@ -21,13 +21,18 @@
 	noon   = time.Unix(1_000_000, 0)
 	usage  = func(string) catalog.Cold { return catalog.Cold{For: 3 * time.Second, PerSecond: 18} }
 	limits = Limits{Overrun: 1.5, Slack: 5}
+	// narrow has one daemon send to a worker, two requests in each window, so that two
+	// daemons that don't agree show.
+	narrow = Limits{Slack: 2.2}
 	open   = func(string) bool { return true }
 )
 
 const (
-	// bound is what daemons use of the 32 that limits allow of usage.
-	bound = 30
-	tick  = 250 * time.Millisecond
+	// bound is what daemons use of the 32 that limits allow of usage, and narrowBound
+	// what they use of the narrow ones.
+	bound       = 30
+	narrowBound = 2
+	tick        = 250 * time.Millisecond
 )
 
 // daemon is one process of the world, greedy: it sends whatever its ramp has room for.
@@ -46,10 +51,13 @@
 // world is a table of the daemons' rows, daemons and one cold worker. It keeps the table
 // as it was at any time.
 type world struct {
+	limits  Limits
 	now     time.Time
 	version uint64
 	rows    map[string]uint64
 	past    []snapshot
+	// again is when daemons whose row is gone announce themselves once more.
+	again   map[string]time.Time
 	daemons map[string]*daemon
 	// deletes are rows that go late.
 	deletes []deletion
@@ -67,8 +75,8 @@
 	name string
 }
 
-func newWorld() *world {
-	w := &world{now: noon, rows: map[string]uint64{}, daemons: map[string]*daemon{}}
+func newWorld(limits Limits) *world {
+	w := &world{limits: limits, now: noon, rows: map[string]uint64{}, daemons: map[string]*daemon{}, again: map[string]time.Time{}}
 	w.write(nil)
 	return w
 }
@@ -94,7 +102,7 @@
 // start starts a daemon, or starts it again. It announces itself unless its row is there.
 func (w *world) start(name string, lag time.Duration) {
 	d := &daemon{name: name, roster: NewRoster(name), book: NewBook(usage), lag: lag, next: w.now}
-	d.ramp = New(Options{Roster: d.roster, Book: d.book, Usage: usage, Limits: limits})
+	d.ramp = New(Options{Roster: d.roster, Book: d.book, Usage: usage, Limits: w.limits})
 	d.book.Entries([]workers.Worker{{ID: "w", ColdLeft: time.Hour}}, nil, true, open, w.now)
 	w.daemons[name] = d
 	if w.rows[name] == 0 {
@@ -113,6 +121,10 @@
 	w.deletes = slices.DeleteFunc(w.deletes, func(d deletion) bool { return !d.at.After(w.now) })
 	for _, name := range slices.Sorted(maps.Keys(w.daemons)) {
 		d := w.daemons[name]
+		if at, is := w.again[name]; is && !w.now.Before(at) && w.rows[name] == 0 {
+			w.write(func() { w.rows[name] = w.version })
+			delete(w.again, name)
+		}
 		if w.now.Before(d.frozenUntil) {
 			continue
 		}
@@ -129,7 +141,7 @@
 	d.next = w.now.Add(d.lag)
 	evidence := w.now.Add(-d.lag)
 	s := w.asOf(evidence)
-	d.roster.Learn(View{Rows: s.rows, Version: s.version, Evidence: evidence}, w.now)
+	d.roster.Learn(View{Rows: s.rows, Evidence: evidence}, w.now)
 }
 
 // send sends what the daemon's ramp has room for.
@@ -155,7 +167,7 @@
 	for_ := time.Duration(rapid.IntRange(1, 48).Draw(t, "ticks")) * tick
 	lag := time.Duration(rapid.IntRange(1, 10).Draw(t, "lag")) * tick
 	d := w.daemons[name]
-	kind := rapid.SampledFrom([]string{"start", "freeze", "cut", "lag", "leave", "late", "many"}).Draw(t, "kind")
+	kind := rapid.SampledFrom([]string{"start", "freeze", "cut", "lag", "leave", "late", "again", "many"}).Draw(t, "kind")
 	switch {
 	case kind == "many":
 		for i := range sizes {
@@ -171,6 +183,9 @@
 		d.lag = lag
 	case kind == "leave": // its row goes, the process works on for a while
 		w.deletes = append(w.deletes, deletion{at: w.now, name: name})
+	case kind == "again": // its row goes and comes back
+		w.deletes = append(w.deletes, deletion{at: w.now, name: name})
+		w.again[name] = w.now.Add(for_)
 	case kind == "late": // the row of an earlier life goes though the daemon is there
 		w.start(name, lag)
 		w.deletes = append(w.deletes, deletion{at: w.now.Add(for_), name: name})
@@ -181,9 +196,14 @@
 // a cold worker never gets more within the bound's time than is allowed. Requests may
 // leave mostSendDelay after they were taken, so that all taken in that time longer count.
 func TestRamp_Histories(t *testing.T) {
+	t.Run("wide", func(t *testing.T) { playHistories(t, limits, bound, []int{2, 7, 17, 32}) })
+	t.Run("narrow", func(t *testing.T) { playHistories(t, narrow, narrowBound, []int{2, 3, 5}) })
+}
+
+func playHistories(t *testing.T, limits Limits, bound int, sizes []int) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld()
-		size := rapid.SampledFrom([]int{2, 7, 17, 32}).Draw(t, "size")
+		w := newWorld(limits)
+		size := rapid.SampledFrom(sizes).Draw(t, "size")
 		begun := rapid.IntRange(1, size).Draw(t, "begun")
 		for i := range begun {
 			w.start(fmt.Sprint("d", i), time.Duration(1+i%4)*tick)
@@ -205,7 +225,7 @@
 func TestRamp_ManyDaemons(t *testing.T) {
 	for _, size := range []int{1, 2, 7, 32, 90, 300} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			w := newWorld()
+			w := newWorld(limits)
 			for i := range size {
 				w.start(fmt.Sprint("d", i), time.Duration(1+i%6)*tick)
 			}
--- /dev/null
+++ b/ramp/ramp_test.go
@@ -0,0 +1,147 @@
+package ramp
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// newActive returns the ramp of "x", which is active at the time returned, among so many
+// daemons.
+func newActive(daemons int, b *Book) (*Ramp, time.Time) {
+	r := NewRoster("x")
+	rows := map[string]uint64{"x": 1}
+	for i := range daemons - 1 {
+		rows[fmt.Sprint("d", i)] = 1
+	}
+	for _, at := range steps(0, 10, 0.5) {
+		r.Learn(View{Rows: rows, Evidence: second(at)}, second(at))
+	}
+	return New(Options{Roster: r, Book: b, Usage: usage, Limits: limits}), second(10)
+}
+
+func takeAll(r *Ramp, w workers.Worker, now time.Time) int {
+	n := 0
+	for n < 1000 && r.Take(w, now) {
+		n++
+	}
+	return n
+}
+
+func TestRamp_TakesWhatRoomTells(t *testing.T) {
+	b := learned()
+	r, now := newActive(2, b)
+	b.Entries([]workers.Worker{entry("b", 20*time.Second)}, nil, false, open, now)
+	cold, room := r.Room(entry("b", 0), now)
+	must.True(t, cold)
+	must.True(t, room)
+	must.EqOp(t, 15, takeAll(r, entry("b", 0), now))
+	_, room = r.Room(entry("b", 0), now)
+	must.False(t, room)
+	must.EqOp(t, 0, takeAll(r, entry("b", 0), now.Add(countedWithin+mostSendDelay)), must.Sprint("18 a second are its mean"))
+	must.EqOp(t, 15, takeAll(r, entry("b", 0), now.Add(2*time.Second)))
+	taken, refused := r.Counts()
+	must.EqOp(t, 30, taken)
+	must.EqOp(t, 3, refused)
+}
+
+func TestRamp_WarmWorkersHaveRoom(t *testing.T) {
+	r, now := newActive(2, learned())
+	cold, room := r.Room(entry("a", 0), now)
+	must.False(t, cold)
+	must.True(t, room)
+	must.EqOp(t, 1000, takeAll(r, entry("a", 0), now))
+	must.EqOp(t, 1, r.Weight(entry("a", 0), now))
+}
+
+// TestRamp_GivesNothingWhileOthersAreUnknown: the daemon has just started.
+func TestRamp_GivesNothingWhileOthersAreUnknown(t *testing.T) {
+	b := learned()
+	b.Entries([]workers.Worker{entry("b", 20*time.Second)}, nil, false, open, noon)
+	r := New(Options{Roster: NewRoster("x"), Book: b, Usage: usage, Limits: limits})
+	must.EqOp(t, 0, takeAll(r, entry("b", 0), noon))
+}
+
+func TestRamp_GivesNothingToWhoTurnedCold(t *testing.T) {
+	b := learned()
+	r, now := newActive(2, b)
+	b.Entries([]workers.Worker{entry("a", 20*time.Second)}, nil, false, open, now)
+	must.EqOp(t, 0, takeAll(r, entry("a", 0), now.Add(heldAfterTurn-1)))
+	must.EqOp(t, 15, takeAll(r, entry("a", 0), now.Add(heldAfterTurn)))
+}
+
+func TestRamp_WorkAtAColdWorkerCountsForAll(t *testing.T) {
+	b := learned()
+	r, now := newActive(90, b)
+	for i := range 60 {
+		b.Entries([]workers.Worker{entry(fmt.Sprint("c", i), time.Second)}, nil, false, open, now)
+		w := entry(fmt.Sprint("c", i), 0)
+		if _, room := r.Room(w, now); room {
+			must.EqOp(t, 15.0/90, r.Weight(w, now))
+			must.EqOp(t, takesEach, takeAll(r, w, now))
+		}
+	}
+}
+
+func TestRamp_ServicesThatNeedNoCare(t *testing.T) {
+	b := learned()
+	b.Entries([]workers.Worker{entry("b", time.Hour)}, nil, false, open, noon)
+	r := New(Options{Roster: NewRoster("x"), Book: b, Usage: func(string) catalog.Cold { return catalog.Cold{For: time.Second} }, Limits: limits})
+	must.EqOp(t, 1000, takeAll(r, entry("b", 0), noon))
+}
+
+func TestRamp_ForgetsOldTakes(t *testing.T) {
+	b := learned()
+	r, now := newActive(2, b)
+	b.Entries([]workers.Worker{entry("b", time.Hour)}, nil, false, open, now)
+	takeAll(r, entry("b", 0), now)
+	r.Forget(now.Add(longestWindow))
+	must.MapLen(t, 1, r.takes)
+	r.Forget(now.Add(longestWindow + 1))
+	must.MapEmpty(t, r.takes)
+}
+
+func TestPartOf_NeverAddsUpToMoreThanAllowed(t *testing.T) {
+	for most := range 60 {
+		for count := 1; count <= 300; count++ {
+			sum := 0
+			for rank := range count {
+				if p, has := partOf(most, 18, rank, count); has {
+					sum += p.takes
+				}
+			}
+			must.LessEq(t, most, sum)
+			if most > 0 && sum < most/2 {
+				t.Fatal("too little is given out", most, count, sum)
+			}
+		}
+	}
+}
+
+func benchmark(b *testing.B, daemons int, use func(r *Ramp, w workers.Worker, now time.Time)) {
+	book := learned()
+	r, now := newActive(daemons, book)
+	book.Entries([]workers.Worker{entry("b", time.Hour)}, nil, false, open, now)
+	for b.Loop() {
+		use(r, entry("b", 0), now)
+	}
+}
+
+func BenchmarkRamp(b *testing.B) {
+	for _, n := range []int{90, 300} {
+		b.Run(fmt.Sprint("Take/", n), func(b *testing.B) {
+			benchmark(b, n, func(r *Ramp, w workers.Worker, now time.Time) { r.Take(w, now) })
+		})
+		b.Run(fmt.Sprint("Room/", n), func(b *testing.B) {
+			benchmark(b, n, func(r *Ramp, w workers.Worker, now time.Time) { r.Room(w, now) })
+		})
+	}
+	b.Run("warm", func(b *testing.B) {
+		benchmark(b, 90, func(r *Ramp, w workers.Worker, now time.Time) { r.Room(entry("a", 0), now) })
+	})
+}
--- a/ramp/roster.go
+++ b/ramp/roster.go
@@ -25,8 +25,7 @@
 type View struct {
 	// Rows are the versions of all their rows, by name.
 	Rows map[string]uint64
-	// Version is the store's version of the answer, and Evidence when it was asked.
-	Version  uint64
+	// Evidence is when the store was asked.
 	Evidence time.Time
 }
 
@@ -36,7 +35,6 @@
 	self string
 
 	mu       sync.RWMutex
-	version  uint64
 	evidence time.Time
 	// informed is since when views came without a gap, and listed since when they show
 	// this daemon's row in one version, the zero time if the newest doesn't.
@@ -53,13 +51,11 @@
 	return &Roster{self: self, gone: map[string]time.Time{}}
 }
 
-// Learn takes in a view. One that is older than what is known is left alone.
+// Learn takes in a view. One that is older than what is known only has those count as
+// gone, and for a while, that it doesn't show.
 func (r *Roster) Learn(v View, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if v.Version < r.version {
-		return
-	}
 	if now.Sub(r.evidence) > evidenceAge {
 		r.informed = now
 	}
@@ -74,7 +70,6 @@
 		r.listed = now
 	}
 	r.replace(v.Rows, now)
-	r.version = v.Version
 }
 
 // replace notes who vanished, and the hashes of those that are there.
