--- a/serving/place.go
+++ b/serving/place.go
@@ -38,6 +38,7 @@
 		v := s.opts.Placement.Judge(request, t.Worker)
 		switch {
 		case v.Allowed():
+			t.Weight = v.Weight
 			targets = append(targets, t)
 		case v.Telling(barred):
 			barred = v
