testbed/engine: Keep off ports that the system gives to connections

Ruled out: a fault of the daemon, which was not yet asked anything. Change: stand-ins of VMs take their ports as the others do, below the range that the system gives out. Conclusion: traced and mended.

--- a/testbed/engine/engine.go
+++ b/testbed/engine/engine.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	client "github.com/pointpass/pointpass/engine"
+	"github.com/pointpass/pointpass/testbed/loopback"
 	"github.com/pointpass/pointpass/testbed/observed"
 )
 
@@ -38,9 +39,14 @@
 	batch   *batch
 }
 
-// Start starts a stand-in on a free port of loopback.
+// Start starts a stand-in on a free port of loopback. It keeps the port through restarts,
+// so that the port must not be one that the system gives to connections meanwhile.
 func Start(f *Fabric, opts Options) (*Engine, error) {
-	e := &Engine{fabric: f, opts: opts, addr: "127.0.0.1:0"}
+	addr, err := loopback.FreeAddr()
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{fabric: f, opts: opts, addr: addr}
 	e.thawed = sync.NewCond(&e.mu)
 	if err := e.Restart(); err != nil {
 		return nil, err
--- /dev/null
+++ b/testbed/engine/engine_test.go
@@ -0,0 +1,30 @@
+package engine
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/testbed/observed"
+)
+
+// TestStart_KeepsOffPortsThatTheSystemGivesOut: a connection of another process may take
+// such a port while the stand-in is down, and it couldn't come back.
+func TestStart_KeepsOffPortsThatTheSystemGivesOut(t *testing.T) {
+	limits, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	must.NoError(t, err)
+	first, err := strconv.Atoi(strings.Fields(string(limits))[0])
+	must.NoError(t, err)
+	e, err := Start(NewFabric(Timing{}, Limits{}, &observed.Record{}), Options{VM: "vm1"})
+	must.NoError(t, err)
+	defer e.Kill()
+	_, port, err := net.SplitHostPort(e.Addr())
+	must.NoError(t, err)
+	n, err := strconv.Atoi(port)
+	must.NoError(t, err)
+	must.Less(t, first, n)
+}
