replica: Count groups once where they are spread over domains and halls

Cause: for each group to form, all groups were counted again for each domain: planning the groups of 12,008 workers in 632 domains, ten halls and four regions took 45 s in one plan, during which the holder of the lease gives no order. Ruled out: sorting the candidates of each domain only once, which alone leaves the counting. Change: the pool counts groups by model, domain and hall, and only the chosen domain's workers are sorted. A test plans that fleet and checks that each region has what its requests need.

--- a/replica/choose.go
+++ b/replica/choose.go
@@ -10,8 +10,9 @@
 
 // choice is one way to form a group.
 type choice struct {
-	members []workers.Worker
-	loads   int
+	// free are the workers of a domain to choose from.
+	free  []workers.Worker
+	loads int
 	// spoiled are the groups of the largest model that no longer fit the domain.
 	spoiled int
 	// alike and near are the groups of the model in the same domain and hall.
@@ -27,16 +28,13 @@
 func (r *round) membersFor(m catalog.Model, p *pool, lacking []catalog.Model) ([]workers.Worker, bool) {
 	var best *choice
 	for domain, list := range p.free {
-		if p.awaited(domain, lacking) {
+		if len(list) < m.Size || p.awaited(domain, lacking) {
 			continue
 		}
-		if !r.idle {
-			list = prepared(list, m.Name)
-		}
-		if len(list) < m.Size {
+		c := p.choiceIn(domain, list, m)
+		if c.loads > 0 && !r.idle {
 			continue
 		}
-		c := r.choiceIn(domain, list, m)
 		c.spoiled = r.spoiled(m, len(p.free[domain]))
 		if best == nil || less(c, best) {
 			best = c
@@ -45,7 +43,7 @@
 	if best == nil {
 		return nil, false
 	}
-	return best.members, true
+	return best.members(m), true
 }
 
 func less(a, b *choice) bool {
@@ -71,8 +69,27 @@
 	return free/largest - (free-m.Size)/largest
 }
 
-func (r *round) choiceIn(domain string, list []workers.Worker, m catalog.Model) *choice {
-	sorted := slices.Clone(list)
+// choiceIn weighs a domain's free workers, at least as many as the model needs.
+func (p *pool) choiceIn(domain string, list []workers.Worker, m catalog.Model) *choice {
+	ready := 0
+	for _, w := range list {
+		if preparationOf(w, m.Name) != fromStore {
+			ready++
+		}
+	}
+	return &choice{
+		free:   list,
+		loads:  max(m.Size-ready, 0),
+		alike:  p.alike[modelAt{m.Name, domain}],
+		near:   p.near[modelAt{m.Name, list[0].Hall}],
+		domain: domain,
+	}
+}
+
+// members returns the workers for a group: those that need the least preparation, and
+// among them those that can run the fewest models.
+func (c *choice) members(m catalog.Model) []workers.Worker {
+	sorted := slices.Clone(c.free)
 	slices.SortStableFunc(sorted, func(a, b workers.Worker) int {
 		return cmp.Or(
 			cmp.Compare(preparationOf(a, m.Name), preparationOf(b, m.Name)),
@@ -80,24 +97,7 @@
 			cmp.Compare(a.ID, b.ID),
 		)
 	})
-	c := &choice{members: sorted[:m.Size], domain: domain}
-	for _, w := range c.members {
-		if preparationOf(w, m.Name) == fromStore {
-			c.loads++
-		}
-	}
-	for _, f := range r.forming {
-		if head, ok := r.view.Worker(f.members[0]); ok && f.model.Name == m.Name {
-			c.count(head)
-		}
-	}
-	for _, g := range r.view.Groups() {
-		_, forming := r.forming[g.ID]
-		if head, ok := g.Head(); ok && !forming && g.ID.Model() == m.Name {
-			c.count(head)
-		}
-	}
-	return c
+	return sorted[:m.Size]
 }
 
 // versatility returns how many models a worker can run without a load. Those that
@@ -110,13 +110,28 @@
 	return n
 }
 
-// count notes a group of the same model, by its head.
-func (c *choice) count(head workers.Worker) {
-	if head.Domain == c.domain {
-		c.alike++
+// modelAt is a model in a domain or hall.
+type modelAt struct{ model, place string }
+
+// count notes a group of a model, by its head.
+func (p *pool) count(model string, head workers.Worker) {
+	p.alike[modelAt{model, head.Domain}]++
+	p.near[modelAt{model, head.Hall}]++
+}
+
+// countGroups notes where groups are, or are being formed. It counts once for all domains:
+// a count for each domain and group took 27 s, where 1,896 groups of 12,000 workers are
+// planned in 0.2 s (BenchmarkPlan_TwoYears, all lost).
+func (r *round) countGroups(p *pool) {
+	for _, f := range r.forming {
+		if head, listed := r.view.Worker(f.members[0]); listed {
+			p.count(f.model.Name, head)
+		}
 	}
-	if head.Hall == c.members[0].Hall {
-		c.near++
+	for _, g := range r.view.Groups() {
+		if head, found := g.Head(); found && r.forming[g.ID] == nil {
+			p.count(g.ID.Model(), head)
+		}
 	}
 }
 
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -16,6 +16,8 @@
 	total  int
 	// shares are the parts of the workers that the models should have.
 	shares map[string]float64
+	// alike and near are how many groups of a model each domain and hall has.
+	alike, near map[modelAt]int
 	// whole are the groups that serve or could, by domain.
 	whole map[string][]*workers.Group
 	// leaving are the workers that were told to leave a group and will soon be free,
@@ -25,6 +27,7 @@
 
 func (p *pool) take(model catalog.Model, members []workers.Worker) {
 	p.counts[model.Name] += model.Size
+	p.count(model.Name, members[0])
 	domain := members[0].Domain
 	p.free[domain] = slices.DeleteFunc(p.free[domain], func(w workers.Worker) bool {
 		return slices.ContainsFunc(members, func(m workers.Worker) bool { return m.ID == w.ID })
@@ -45,6 +48,9 @@
 
 func (r *round) newPool() *pool {
 	p := &pool{free: r.freeByDomain(), counts: map[string]int{}, whole: map[string][]*workers.Group{}, leaving: r.leavingByDomain()}
+	p.alike = map[modelAt]int{}
+	p.near = map[modelAt]int{}
+	r.countGroups(p)
 	for _, list := range p.free {
 		p.total += len(list)
 	}
--- /dev/null
+++ b/replica/size_test.go
@@ -0,0 +1,145 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/load"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// The size of the two-year aim: 632 domains of 19 workers in ten halls of four regions.
+const (
+	sizeDomains = 632
+	sizeHalls   = 10
+)
+
+var sizeRegions = []string{"a", "a", "a", "b", "b", "b", "c", "c", "d", "d"}
+
+// sizeRegion returns the region of a hall "h0" to "h9".
+func sizeRegion(hall string) string { return sizeRegions[hall[1]-'0'] }
+
+// newSize returns the workers of the two-year aim, in groups of 8, 4 and 4 if formed, three
+// of each domain spare; staged are the models on their hosts.
+func newSize(formed bool, staged ...string) (*workers.View, *catalog.Service) {
+	service := newUnevenWorld(0).service
+	var list []workers.Worker
+	epoch := uint64(0)
+	for d := range sizeDomains {
+		var domain []workers.Worker
+		for i := range 19 {
+			domain = append(domain, workers.Worker{
+				ID: fmt.Sprintf("w%05d", 19*d+i), Service: "llm", Domain: fmt.Sprintf("d%03d", d),
+				Hall: fmt.Sprint("h", d%sizeHalls), Staged: staged,
+			})
+		}
+		first := 0
+		for _, size := range []int{8, 4, 4} {
+			if !formed {
+				break
+			}
+			epoch++
+			model := "small"
+			if size == 8 {
+				model = "m.large"
+			}
+			for rank := range size {
+				state := workers.Ready
+				if rank == 0 {
+					state = workers.Open
+				}
+				domain[first+rank].Membership = workers.Membership{Group: workers.NewGroupID(model, epoch), Rank: rank, State: state}
+			}
+			first += size
+		}
+		list = append(list, domain...)
+	}
+	registry := workers.NewRegistry(func(*workers.View) {})
+	registry.Apply(list, nil, true)
+	return registry.View(), service
+}
+
+// sizeOffered is what callers of all regions ask for: half of it is bound to their own
+// region, in a mostly the large model, in b mostly the small one.
+func sizeOffered() load.Offered {
+	return merge(
+		offered(200, 300, set("")),
+		offered(150, 30, set("a")), offered(10, 350, set("b")), offered(60, 60, set("c")), offered(30, 100, set("cd")),
+	)
+}
+
+func sizeSituation(at time.Time, view *workers.View, service *catalog.Service) Situation {
+	return Situation{
+		Now: at, View: view, Services: []*catalog.Service{service}, Failing: func(string) bool { return false },
+		Load:   load.Sum{Offered: sizeOffered(), Daemons: 1, At: at},
+		Region: sizeRegion,
+	}
+}
+
+// TestPlan_TwoYears: when all groups are lost at once, those formed anew are what each
+// region's requests need, and the plan is made within one look around.
+func TestPlan_TwoYears(t *testing.T) {
+	view, service := newSize(false, "m.large", "small")
+	p := NewPlanner(1, testCeiling)
+	at := time.Unix(1000, 0)
+	p.demand.note(at, sizeSituation(at, view, service).Load)
+	at = at.Add(demandKnown)
+	must.SliceNotEmpty(t, p.Plan(sizeSituation(at, view, service)))
+	formed := map[string]map[string]int{"a": {}, "b": {}, "c": {}, "d": {}}
+	for _, f := range p.forming {
+		formed[f.region][f.model.Name]++
+		for _, id := range f.members {
+			w, _ := view.Worker(id)
+			must.EqOp(t, f.region, sizeRegion(w.Hall))
+		}
+	}
+	regions := map[string]int{"a": 19 * 190, "b": 19 * 189, "c": 19 * 126, "d": 19 * 126}
+	for region, workers := range regions {
+		asked := p.demand.asked(service, supply{region: region, workers: workers, regions: regions})
+		for model, groups := range asked {
+			must.GreaterEq(t, groups, float64(formed[region][model]), must.Sprint(region, " ", model))
+		}
+	}
+	must.GreaterEq(t, 150, formed["a"]["m.large"])
+	must.GreaterEq(t, 350, formed["b"]["small"])
+}
+
+// BenchmarkPlan_TwoYears plans for 12,008 workers: in 1,896 groups, where nothing is to be
+// done but to compare shares and look for what to retire; empty ones before anybody is
+// served, which all have something to load, and the same once they run groups; and ones
+// that all lost their groups.
+func BenchmarkPlan_TwoYears(b *testing.B) {
+	b.Run("steady", func(b *testing.B) {
+		view, service := newSize(true, "m.large", "small")
+		p := NewPlanner(1, testCeiling)
+		at := time.Unix(1000, 0)
+		for b.Loop() {
+			at = at.Add(time.Second / 4)
+			p.Plan(sizeSituation(at, view, service))
+		}
+	})
+	for _, c := range []struct {
+		name         string
+		formed, idle bool
+		staged       []string
+	}{
+		{"start", false, true, nil},
+		{"formed", true, true, nil},
+		{"all lost", false, false, []string{"m.large", "small"}},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			view, service := newSize(c.formed, c.staged...)
+			for b.Loop() {
+				p := NewPlanner(1, testCeiling)
+				s := sizeSituation(time.Unix(1000, 0), view, service)
+				s.Idle = c.idle
+				p.begun = s.Now.Add(-mostSettling)
+				must.SliceNotEmpty(b, p.Plan(s))
+			}
+		})
+	}
+}
