--- a/deps/edge.go
+++ b/deps/edge.go
@@ -147,6 +147,7 @@
 		Dead:      e.noteDead,
 		StoreBack: e.lastBack,
 		Load:      e.loads.Known,
+		Halls:     func() replica.Halls { return e.Placement.Facts() },
 		Idle:      func() bool { return e.settings.FirstStart() && !e.begun.Load() },
 		Metrics:   e.Metrics,
 		Now:       time.Now,
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -82,10 +82,7 @@
 }
 
 // Open tells whether a hall is open to requests.
-func (d *Decider) Open(hall string) bool {
-	_, closed := d.Facts().Closed(hall)
-	return !closed
-}
+func (d *Decider) Open(hall string) bool { return d.Facts().Open(hall) }
 
 // Judge says whether a request may be planned for a worker. Nothing is counted.
 func (d *Decider) Judge(r Request, w workers.Worker) Verdict {
--- a/placement/facts.go
+++ b/placement/facts.go
@@ -49,6 +49,12 @@
 	return c, closed
 }
 
+// Open tells whether a hall is open to requests.
+func (f *Facts) Open(hall string) bool {
+	_, closed := f.closed[hall]
+	return !closed
+}
+
 // Closings returns all closed halls in order of their names.
 func (f *Facts) Closings() []Closing {
 	var list []Closing
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -32,7 +32,9 @@
 	// StoreBack returns when the store last answered again after it had not.
 	StoreBack func() time.Time
 	// Load returns what callers ask for, as far as it is known.
-	Load    func() load.Sum
+	Load func() load.Sum
+	// Halls returns which data halls are open to requests.
+	Halls   func() Halls
 	Metrics *metrics.Set
 	Now     func() time.Time
 	Log     *log.Logger
@@ -166,18 +168,18 @@
 	if c.planner == nil || c.planner.Term() != term {
 		c.planner = NewPlanner(term, c.opts.Ceiling)
 	}
-	now := c.opts.Now()
-	view := c.opts.Workers()
-	c.probeFailing(ctx, term, view, now)
-	orders := c.planner.Plan(Situation{
-		Now:       now,
-		View:      view,
+	s := Situation{
+		Now:       c.opts.Now(),
+		View:      c.opts.Workers(),
 		Services:  current.Services(),
 		Idle:      c.opts.Idle(),
 		Failing:   c.failing,
 		StoreBack: c.opts.StoreBack(),
 		Load:      c.opts.Load(),
-	})
+		Halls:     c.opts.Halls(),
+	}
+	c.probeDoubtful(ctx, term, s)
+	orders := c.planner.Plan(s)
 	c.logPlan(term)
 	return orders
 }
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -65,6 +65,7 @@
 		Dead:      func(string) {},
 		StoreBack: func() time.Time { return time.Time{} },
 		Load:      func() load.Sum { return load.Sum{} },
+		Halls:     func() Halls { return nil },
 		Metrics:   metrics.NewSet(),
 		Now:       func() time.Time { return table.now },
 		Log:       &log.Logger{Level: log.PanicLevel},
--- a/replica/form.go
+++ b/replica/form.go
@@ -14,13 +14,9 @@
 // 0.009 of what all answers are worth, in paired days.
 const mostAboveShare = 1.15
 
-// form begins groups of free workers, those first whose model is furthest below
+// form begins groups of a pool's free workers, those first whose model is furthest below
 // its share.
-func (r *round) form() {
-	if !r.settled() {
-		return
-	}
-	pool := r.newPool()
+func (r *round) form(pool *pool) {
 	for r.formed < epochsPerTerm {
 		model, members, ok := r.nextGroup(pool)
 		if !ok {
@@ -65,7 +61,7 @@
 			return m, members, true
 		}
 	}
-	if len(models) > 0 && len(r.forming) < mostForming {
+	if len(models) > 0 && p.forming < mostForming {
 		return r.retireFor(models[0], models, p)
 	}
 	return catalog.Model{}, nil, false
--- /dev/null
+++ b/replica/halls.go
@@ -0,0 +1,53 @@
+package replica
+
+import (
+	"github.com/pointpass/pointpass/workers"
+)
+
+// Halls tells which data halls the operator closed to requests. It must not change while
+// a plan is made.
+type Halls interface {
+	// Open tells whether a hall is open.
+	Open(hall string) bool
+}
+
+// part tells which workers a pool is of.
+type part func(w workers.Worker) bool
+
+// usable tells whether a worker's data hall is open to requests.
+func (s Situation) usable(w workers.Worker) bool { return s.Halls == nil || s.Halls.Open(w.Hall) }
+
+// holds tells whether a formation's members are of a part of the workers. They are all in
+// one domain, and a domain lies in one hall.
+func (r *round) holds(in part, f *formation) bool {
+	w, listed := r.view.Worker(f.members[0])
+	return listed && in(w)
+}
+
+// openPool returns the workers of open halls. Only these are supply: the models' shares
+// are parts of them.
+func (r *round) openPool() *pool {
+	p := r.newPool(r.usable)
+	p.shares = r.demand.shares(r.service, p.total)
+	return p
+}
+
+// closedPool returns the workers of closed halls. None of their groups may be retired:
+// a whole group counts at once when its hall is opened, another after seconds.
+func (r *round) closedPool() *pool {
+	p := r.newPool(func(w workers.Worker) bool { return !r.usable(w) })
+	p.shares = r.demand.inForce[r.service.Name]
+	p.whole = nil
+	return p
+}
+
+// formGroups begins groups, in closed halls after the open ones. While somebody is served
+// groups are formed of prepared workers alone, so that none in a closed hall takes a load
+// that an open one needs.
+func (r *round) formGroups() {
+	if !r.settled() {
+		return
+	}
+	r.form(r.openPool())
+	r.form(r.closedPool())
+}
--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -36,6 +36,8 @@
 	frozen      []Order
 	// storeBack is when the store came back.
 	storeBack time.Time
+	// halls are those that are closed.
+	halls closedHalls
 	// fate, if set, draws what becomes of orders where all else is calm.
 	fate func(o Order) fate
 }
@@ -78,6 +80,7 @@
 	term    uint64
 	holders []*holder // the last one holds the lease
 	idle    bool
+	halls   closedHalls
 }
 
 var testCeiling = LoadCeiling{Window: 5 * time.Second, Overrun: 1.1}
@@ -98,7 +101,9 @@
 	}
 	id := ids[rapid.IntRange(0, len(ids)-1).Draw(p.t, "who")]
 	e := p.w.engines[id]
-	switch rapid.IntRange(0, 7).Draw(p.t, "what") {
+	switch rapid.IntRange(0, 8).Draw(p.t, "what") {
+	case 8: // the operator closes the worker's hall, or opens it again
+		p.halls[e.worker.Hall] = !p.halls[e.worker.Hall]
 	case 7: // a worker did not answer, dead or not
 		p.holders[len(p.holders)-1].planner.Unreachable(p.w.now, id)
 	case 0:
@@ -147,7 +152,7 @@
 }
 
 func (p *play) plan(h *holder) []Order {
-	return h.planner.Plan(Situation{Now: p.w.now, View: p.w.view, Services: []*catalog.Service{p.w.service}, Idle: p.idle, Failing: p.failing})
+	return h.planner.Plan(Situation{Now: p.w.now, View: p.w.view, Services: []*catalog.Service{p.w.service}, Idle: p.idle, Failing: p.failing, Halls: p.halls})
 }
 
 // failing draws whether the holder has requests at a group that fail.
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -112,6 +112,8 @@
 	StoreBack time.Time
 	// Load is what callers ask for, the zero value if that isn't known.
 	Load load.Sum
+	// Halls tells which data halls are open to requests. Nil stands for all.
+	Halls Halls
 }
 
 // formation is a group that the planner is forming.
@@ -170,7 +172,7 @@
 // Plan returns the orders to give now. All of them count as under way until
 // Result tells what came of them.
 func (p *Planner) Plan(s Situation) []Order {
-	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack}
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable}
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
 	p.forgetEndings(s.Now)
@@ -181,7 +183,7 @@
 		r.service = service
 		r.advanceFormations()
 		r.tendGroups()
-		r.form()
+		r.formGroups()
 		r.stage()
 	}
 	return r.orders
@@ -299,6 +301,8 @@
 	orders  []Order
 
 	storeBack time.Time
+	// usable tells whether a worker's data hall is open to requests.
+	usable part
 }
 
 // give adds an order, unless one to the same worker is under way.
--- a/replica/planner_test.go
+++ b/replica/planner_test.go
@@ -13,10 +13,11 @@
 )
 
 // TestPlanner_Histories plays random crashes, drains, lost, late and doubled
-// orders, holders that change, and holders that pause and go on giving orders.
+// orders, holders that change, holders that pause and go on giving orders, and halls
+// that are closed and opened.
 func TestPlanner_Histories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := &play{t: t, w: newWorld(rapid.IntRange(1, 2).Draw(t, "domains"), 8), idle: true}
+		p := &play{t: t, w: newWorld(rapid.IntRange(1, 2).Draw(t, "domains"), 8), idle: true, halls: closedHalls{}}
 		p.newHolder()
 		steps := rapid.IntRange(50, 400).Draw(t, "steps")
 		trouble := rapid.IntRange(0, 30).Draw(t, "trouble")
@@ -295,7 +296,7 @@
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.step()
 		h.takeResults(w.now)
-		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle, Failing: w.failing, StoreBack: h.storeBack}) {
+		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle, Failing: w.failing, StoreBack: h.storeBack, Halls: h.halls}) {
 			h.pending = append(h.pending, h.order(w, o))
 		}
 	}
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/pointpass/pointpass/catalog"
@@ -14,6 +15,8 @@
 	// counts are the workers in whole groups and in those being formed, by model.
 	counts map[string]int
 	total  int
+	// forming are how many groups are being formed.
+	forming int
 	// shares are the parts of the workers that the models should have.
 	shares map[string]float64
 	// whole are the groups that serve or could, by domain.
@@ -25,6 +28,7 @@
 
 func (p *pool) take(model catalog.Model, members []workers.Worker) {
 	p.counts[model.Name] += model.Size
+	p.forming++
 	domain := members[0].Domain
 	p.free[domain] = slices.DeleteFunc(p.free[domain], func(w workers.Worker) bool {
 		return slices.ContainsFunc(members, func(m workers.Worker) bool { return m.ID == w.ID })
@@ -43,20 +47,29 @@
 	return wouldHave > mostAboveShare*p.shares[m.Name]*float64(p.total)
 }
 
-func (r *round) newPool() *pool {
-	p := &pool{free: r.freeByDomain(), counts: map[string]int{}, whole: map[string][]*workers.Group{}, leaving: r.leavingByDomain()}
+// bySupply returns the models in order of how well they are supplied, the worst first.
+func (p *pool) bySupply(models []catalog.Model) []catalog.Model {
+	sorted := slices.Clone(models)
+	slices.SortStableFunc(sorted, func(a, b catalog.Model) int { return cmp.Compare(p.fill(a, 0), p.fill(b, 0)) })
+	return sorted
+}
+
+// newPool returns the pool of a part of the workers.
+func (r *round) newPool(in part) *pool {
+	p := &pool{free: r.freeByDomain(in), counts: map[string]int{}, whole: map[string][]*workers.Group{}, leaving: r.leavingByDomain(in)}
 	for _, list := range p.free {
 		p.total += len(list)
 	}
 	for _, f := range r.forming {
-		if f.service == r.service.Name {
+		if f.service == r.service.Name && r.holds(in, f) {
 			p.counts[f.model.Name] += f.model.Size
 			p.total += f.model.Size
+			p.forming++
 		}
 	}
 	for _, g := range r.view.Groups() {
 		_, forming := r.forming[g.ID]
-		if g.Service != r.service.Name || forming || !g.Whole {
+		if g.Service != r.service.Name || forming || !g.Whole || !in(g.Members[0]) {
 			continue
 		}
 		p.total += g.Size()
@@ -66,12 +79,11 @@
 		p.counts[g.ID.Model()] += g.Size()
 		p.whole[g.Members[0].Domain] = append(p.whole[g.Members[0].Domain], g)
 	}
-	p.shares = r.demand.shares(r.service, p.total)
 	return p
 }
 
 // freeByDomain returns the workers that may join a group.
-func (r *round) freeByDomain() map[string][]workers.Worker {
+func (r *round) freeByDomain(in part) map[string][]workers.Worker {
 	taken := map[string]bool{}
 	for _, f := range r.forming {
 		for _, id := range f.members {
@@ -80,7 +92,7 @@
 	}
 	free := map[string][]workers.Worker{}
 	for _, w := range r.view.Of(r.service.Name) {
-		if !taken[w.ID] && r.free(w) {
+		if in(w) && !taken[w.ID] && r.free(w) {
 			free[w.Domain] = append(free[w.Domain], w)
 		}
 	}
@@ -89,12 +101,12 @@
 
 // leavingByDomain returns the workers that were told lately to leave a group that is
 // no more.
-func (r *round) leavingByDomain() map[string][]workers.Worker {
+func (r *round) leavingByDomain(in part) map[string][]workers.Worker {
 	leaving := map[string][]workers.Worker{}
 	for _, w := range r.view.Of(r.service.Name) {
 		rec := r.record(w.ID)
 		told := rec.last.Op == Leave && rec.last.Group == w.Membership.Group && w.Membership.Group.Name != ""
-		if told && rec.left != rec.last.Group && !w.Draining && !r.unreachable(w.ID) && r.now.Sub(rec.leaveBegun) < leavePatience {
+		if told && in(w) && rec.left != rec.last.Group && !w.Draining && !r.unreachable(w.ID) && r.now.Sub(rec.leaveBegun) < leavePatience {
 			leaving[w.Domain] = append(leaving[w.Domain], w)
 		}
 	}
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -16,12 +16,14 @@
 	probePause   = 1500 * time.Millisecond
 )
 
-// probeFailing asks the members of groups that fail requests whether they are
-// there. Their entries would tell only seconds later.
-func (c *Controller) probeFailing(ctx context.Context, term uint64, view *workers.View, now time.Time) {
-	for _, g := range view.Groups() {
+// probeDoubtful asks the members of groups whether they are there that fail requests,
+// since their entries would tell only seconds later, or that no request would show to
+// fail.
+func (c *Controller) probeDoubtful(ctx context.Context, term uint64, s Situation) {
+	now := s.Now
+	for _, g := range s.View.Groups() {
 		head, found := g.Head()
-		if !found || head.Membership.State != workers.Open || !c.failing(g.ID.Name) {
+		if !found || head.Membership.State != workers.Open || !s.doubtful(g) {
 			continue
 		}
 		if now.Sub(c.probed[g.ID]) < probePause {
@@ -37,6 +39,11 @@
 	}
 }
 
+// doubtful tells whether members of a group may have died unnoticed.
+func (s Situation) doubtful(g *workers.Group) bool {
+	return s.Failing(g.ID.Name) || len(g.Lost) > 0 && !s.usable(g.Members[0])
+}
+
 // probe asks all members of a group, also those whose entries are gone, and reports
 // those that never answer. Where most don't it is this process that can't reach them: a
 // member dies alone, or with a few.
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -23,16 +23,20 @@
 	if left <= 0 || !r.settled() {
 		return
 	}
-	p := r.newPool()
-	models := slices.Clone(r.service.Runtime.Models)
-	slices.SortStableFunc(models, func(a, b catalog.Model) int { return cmp.Compare(p.fill(a, 0), p.fill(b, 0)) })
-	if !r.idle {
-		left = r.stageIdle(p, models, left)
+	open := r.openPool()
+	left = r.stagePool(open, left)
+	if r.idle { // loads disturb nobody, and closed halls are to count once they are open
+		left = r.stagePool(r.closedPool(), left)
+		r.stageMembers(open.bySupply(r.service.Runtime.Models), left)
 	}
-	left = r.stageSpares(p, left)
-	if r.idle {
-		r.stageMembers(models, left)
+}
+
+// stagePool has hosts of a pool's workers load models, and returns how many loads are left.
+func (r *round) stagePool(p *pool, left int) int {
+	if !r.idle {
+		left = r.stageIdle(p, p.bySupply(r.service.Runtime.Models), left)
 	}
+	return r.stageSpares(p, left)
 }
 
 // stageMembers has the hosts of workers that run a model load another beside it.
