--- a/deps/edge.go
+++ b/deps/edge.go
@@ -48,6 +48,7 @@
 	Balancer *serving.Balancer
 	// Placement decides where requests may run.
 	Placement  *placement.Decider
+	standstill *placement.Standstill
 	Server     *serving.Server
 	Ingress    http.Handler
 	Lease      *replica.Lease
@@ -78,6 +79,7 @@
 		settings: settings,
 	}
 	e.Placement = placement.NewDecider(settings.HallRegions(), placement.NoRamp{}, time.Now)
+	e.standstill = placement.NewStandstill(time.Now)
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
@@ -119,6 +121,7 @@
 		Upstream:     upstream,
 		Balancer:     e.Balancer,
 		Placement:    e.Placement,
+		Settle:       e.standstill.Settle,
 		Counters:     serving.NewCounters(e.Metrics),
 		Evidence:     evidencePolicy(e.settings.Bounds()),
 		Allowance:    e.allowance,
@@ -222,7 +225,7 @@
 // Run follows the store and forms groups until ctx ends.
 func (e *Edge) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run} {
+	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.watchStandstill} {
 		running.Go(func() { run(ctx) })
 	}
 	running.Wait()
--- a/deps/following.go
+++ b/deps/following.go
@@ -157,7 +157,7 @@
 	case <-ctx.Done():
 	case <-time.After(mostBlind):
 	}
-	running.Go(func() { f.follower(platform.ConfigTable, f.edge.applyConfig).Run(ctx) })
+	running.Go(func() { f.settlingFollower().Run(ctx) })
 	running.Go(func() { f.follower(platform.WorkersTable, f.edge.applyWorkers).Run(ctx) })
 	running.Go(func() { f.followWarnings(ctx) })
 	running.Wait()
@@ -191,6 +191,9 @@
 	p := paceOf(table)
 	most := p.aloneHold
 	if table == platform.ConfigTable {
+		if !f.edge.standstill.Settled() {
+			return 0 // requests wait for the answer
+		}
 		most = configWait(min(mostAge(f.edge.settings.Bounds().Revoke), denyAge))
 	}
 	switch {
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline.Add(-deadlineSlack), context.DeadlineExceeded)
 	defer cancel()
 	for {
-		target, f := e.choose()
+		target, f := e.choose(ctx)
 		if f != nil {
 			return e.giveUp(f)
 		}
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -34,8 +34,8 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(group("m", 1, workers.Open, 2), nil, true)
 	s := NewServer(Options{
-		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now),
-		Catalogs:  &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
+		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
+		Catalogs: &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Window: time.Second} },
 		Asked:     func(load.Model, time.Duration) {},
--- a/serving/place.go
+++ b/serving/place.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"context"
 	"net/http"
 	"slices"
 
@@ -33,9 +34,11 @@
 
 // choose finds the next target and counts a request there, or returns the refusal of a
 // request that there is none for. What is allowed is asked again at the moment of sending:
-// a cold worker has room for one of two requests that chose it at the same time.
-func (e *exchange) choose() (Target, *fault) {
+// a cold worker has room for one of two requests that chose it at the same time. A process
+// that stood still may not know what changed meanwhile, and asks first.
+func (e *exchange) choose(ctx context.Context) (Target, *fault) {
 	s := e.server
+	s.opts.Settle(ctx)
 	targets, barred := e.permitted()
 	excluded := slices.Clone(e.tried)
 	for {
--- a/serving/server.go
+++ b/serving/server.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -26,7 +27,10 @@
 	Balancer *Balancer
 	// Placement decides where requests may run.
 	Placement Placement
-	Counters  *Counters
+	// Settle waits until what Placement knows is up to date again after this process
+	// stood still.
+	Settle   func(ctx context.Context)
+	Counters *Counters
 	// Evidence says what may be decided on how old evidence.
 	Evidence catalog.EvidencePolicy
 	// Allowance returns this process's part of the retries for a service.
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -48,8 +48,8 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(append(group("m", 1, workers.Open, 2), group("m", 2, workers.Open, 2)...), nil, true)
 	return NewServer(Options{
-		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now),
-		Catalogs:  &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
+		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
+		Catalogs: &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 10, Window: time.Second} },
 		Asked:     func(load.Model, time.Duration) {},
--- a/testbed/standin/judge.go
+++ b/testbed/standin/judge.go
@@ -14,13 +14,15 @@
 	// open are the groups whose head is open, by name and epoch.
 	open map[string]bool
 	// ready are the members that were ready in a group, by member, group and list.
-	ready  map[string]bool
-	loads  []time.Time
+	ready map[string]bool
+	loads []time.Time
+	// closed are the halls that are closed, with the time since when.
+	closed map[string]time.Time
 	broken []string
 }
 
 func newJudge() *Judge {
-	return &Judge{sizes: map[string]int{}, open: map[string]bool{}, ready: map[string]bool{}}
+	return &Judge{sizes: map[string]int{}, open: map[string]bool{}, ready: map[string]bool{}, closed: map[string]time.Time{}}
 }
 
 // Broken returns the rules broken so far.
@@ -114,3 +116,37 @@
 		}
 	}
 }
+
+// hallBound is how long after a hall was closed requests may still reach its workers.
+const hallBound = 5 * time.Second
+
+// setClosed notes that a hall is closed or open from now on.
+func (j *Judge) setClosed(hall string, closed bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.closed, hall)
+	if closed {
+		j.closed[hall] = time.Now()
+	}
+}
+
+// Overdue tells whether a hall has been closed for so long that no request may reach it.
+func (j *Judge) Overdue(hall string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.overdue(hall)
+}
+
+func (j *Judge) overdue(hall string) bool {
+	since, closed := j.closed[hall]
+	return closed && time.Since(since) > hallBound
+}
+
+// arrives judges a request that reaches a worker: EVAC.
+func (j *Judge) arrives(id, hall string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.overdue(hall) {
+		j.broken = append(j.broken, fmt.Sprintf("EVAC: a request reaches %s, whose hall %s was closed %v ago", id, hall, time.Since(j.closed[hall])))
+	}
+}
--- a/testbed/standin/store.go
+++ b/testbed/standin/store.go
@@ -96,6 +96,21 @@
 	s.set(Row{Table: table, Key: key, Value: data})
 }
 
+// hallKey returns the key of the operator's row that closes a hall.
+func hallKey(hall string) string { return "evacuate/" + hall }
+
+// CloseHall has the operator close a hall to requests.
+func (s *Store) CloseHall(hall string) {
+	s.Put("op", hallKey(hall), struct{}{})
+	s.judge.setClosed(hall, true)
+}
+
+// OpenHall has the operator take a hall back.
+func (s *Store) OpenHall(hall string) {
+	s.judge.setClosed(hall, false)
+	s.Put("op", hallKey(hall), nil)
+}
+
 // Rows returns the rows of a table.
 func (s *Store) Rows(table string) []Row {
 	s.mu.Lock()
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -90,6 +90,7 @@
 	id      string
 	service string
 	domain  string
+	hall    string
 	store   *Store
 	server  *httptest.Server
 
@@ -110,7 +111,15 @@
 // NewWorker starts a worker whose entry is in the store, and returns it with a
 // function that kills it; its entry stays.
 func NewWorker(store *Store, id, service, domain string) (*Worker, func()) {
-	w := &Worker{id: id, service: service, domain: domain, store: store, released: make(chan struct{})}
+	return NewWorkerIn(store, id, service, domain, firstHall)
+}
+
+// firstHall is the hall of daemons, and of workers where nobody says.
+const firstHall = "z1"
+
+// NewWorkerIn is NewWorker for a hall.
+func NewWorkerIn(store *Store, id, service, domain, hall string) (*Worker, func()) {
+	w := &Worker{id: id, service: service, domain: domain, hall: hall, store: store, released: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /order", w.serveOrder)
 	mux.HandleFunc("GET /report", func(http.ResponseWriter, *http.Request) {})
@@ -203,7 +212,7 @@
 	e := entry{
 		Service: w.service,
 		Address: w.server.Listener.Addr().String(),
-		Zone:    "z1",
+		Zone:    w.hall,
 		Domain:  w.domain,
 		Slots:   4,
 		State:   "ready",
@@ -331,6 +340,7 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.store.judge.arrives(w.id, w.hall)
 	if fault == Full {
 		rw.Header().Set(headerNotRun, "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
