--- a/replica/halls.go
+++ b/replica/halls.go
@@ -24,19 +24,19 @@
 	return listed && in(w)
 }
 
-// openPool returns the workers of open halls. Only these are supply: the models' shares
+// openPool returns the region's workers in open halls. Only these are supply: the models' shares
 // are parts of them.
 func (r *round) openPool() *pool {
-	p := r.newPool(r.usable)
-	p.shares = r.demand.shares(r.service, p.total)
+	p := r.newPool(func(w workers.Worker) bool { return r.here(w) && r.usable(w) })
+	p.shares = r.demand.shares(r.service, supply{region: r.region, workers: p.total, regions: r.supply})
 	return p
 }
 
-// closedPool returns the workers of closed halls. None of their groups may be retired:
+// closedPool returns the region's workers in closed halls. None of their groups may be retired:
 // a whole group counts at once when its hall is opened, another after seconds.
 func (r *round) closedPool() *pool {
-	p := r.newPool(func(w workers.Worker) bool { return !r.usable(w) })
-	p.shares = r.demand.inForce[r.service.Name]
+	p := r.newPool(func(w workers.Worker) bool { return r.here(w) && !r.usable(w) })
+	p.shares = r.demand.inForce[sharesKey{service: r.service.Name, region: r.region}]
 	p.whole = nil
 	return p
 }
--- a/replica/halls_test.go
+++ b/replica/halls_test.go
@@ -91,8 +91,8 @@
 func TestPlanner_ClosedHallsAreNoSupply(t *testing.T) {
 	w, h := settledWorld(3)
 	h.halls["d1"] = true
-	s := Situation{Now: w.now, View: w.view, Halls: h.halls}
-	r := &round{Planner: h.planner, now: w.now, view: w.view, service: w.service, usable: s.usable}
+	r := h.planner.newRound(Situation{Now: w.now, View: w.view, Halls: h.halls})
+	r.service = w.service
 	supply, rest := r.openPool(), r.closedPool()
 	must.EqOp(t, 2*19, supply.total)
 	must.EqOp(t, 19, rest.total)
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -78,6 +78,8 @@
 	// the time since when.
 	retiring map[workers.GroupID]time.Time
 	demand   *demand
+	// plans counts the plans made.
+	plans int
 	// failingFrom is since when groups with lost members fail requests.
 	failingFrom map[workers.GroupID]time.Time
 	// dissolving are the groups told to be dissolved, with the time since when, and
@@ -114,12 +116,16 @@
 	Load load.Sum
 	// Halls tells which data halls are open to requests. Nil stands for all.
 	Halls Halls
+	// Region returns the region of a data hall, "" if it isn't known; nil puts all halls
+	// in one.
+	Region func(hall string) string
 }
 
 // formation is a group that the planner is forming.
 type formation struct {
 	id      workers.GroupID
 	service string
+	region  string
 	model   catalog.Model
 	members []string
 	begun   time.Time
@@ -172,7 +178,8 @@
 // Plan returns the orders to give now. All of them count as under way until
 // Result tells what came of them.
 func (p *Planner) Plan(s Situation) []Order {
-	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable}
+	r := p.newRound(s)
+	p.plans++
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
 	p.forgetEndings(s.Now)
@@ -183,8 +190,11 @@
 		r.service = service
 		r.advanceFormations()
 		r.tendGroups()
-		r.formGroups()
-		r.stage()
+		for _, region := range r.regionsOf(service.Name) {
+			r.region = region
+			r.formGroups()
+			r.stage()
+		}
 	}
 	return r.orders
 }
@@ -296,15 +306,28 @@
 	now     time.Time
 	view    *workers.View
 	service *catalog.Service
-	idle    bool
-	failing func(group string) bool
-	orders  []Order
+	// region is planned for, and supply has the service's workers in each.
+	region   string
+	supply   map[string]int
+	regionOf func(hall string) string
+	idle     bool
+	failing  func(group string) bool
+	orders   []Order
 
 	storeBack time.Time
 	// usable tells whether a worker's data hall is open to requests.
 	usable part
 }
 
+// newRound returns what one plan looks at.
+func (p *Planner) newRound(s Situation) *round {
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable, regionOf: s.Region}
+	if r.regionOf == nil {
+		r.regionOf = func(string) string { return "" }
+	}
+	return r
+}
+
 // give adds an order, unless one to the same worker is under way.
 func (r *round) give(o Order) {
 	rec := r.record(o.Worker.ID)
--- a/replica/planner_test.go
+++ b/replica/planner_test.go
@@ -296,7 +296,7 @@
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.step()
 		h.takeResults(w.now)
-		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle, Failing: w.failing, StoreBack: h.storeBack, Halls: h.halls}) {
+		for _, o := range h.planner.Plan(Situation{Now: w.now, View: w.view, Services: []*catalog.Service{w.service}, Idle: idle, Failing: w.failing, StoreBack: h.storeBack, Load: h.sum(w.now), Region: h.region, Halls: h.halls}) {
 			h.pending = append(h.pending, h.order(w, o))
 		}
 	}
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -8,7 +8,7 @@
 	"github.com/pointpass/pointpass/workers"
 )
 
-// pool is the workers of a service while groups are formed.
+// pool is the workers of a service in one region while groups are formed.
 type pool struct {
 	// free are the workers that may join a group, by domain.
 	free map[string][]workers.Worker
@@ -61,7 +61,7 @@
 		p.total += len(list)
 	}
 	for _, f := range r.forming {
-		if f.service == r.service.Name && r.holds(in, f) {
+		if f.service == r.service.Name && f.region == r.region && r.holds(in, f) {
 			p.counts[f.model.Name] += f.model.Size
 			p.total += f.model.Size
 			p.forming++
--- a/serving/record.go
+++ b/serving/record.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,6 +24,8 @@
 	overBudget *metrics.Counter
 	// overload counts the requests refused since their model's groups were fully used.
 	overload *metrics.Counter
+	// unknownRegion counts the targets left out since their hall's region isn't known.
+	unknownRegion *metrics.Counter
 	// warned counts the warnings of other daemons about groups.
 	warned *metrics.Counter
 	// oldEvidence counts the verdicts given while evidence was old.
@@ -38,15 +41,16 @@
 		oldEvidence[v] = set.NewCounter(`pointpass_old_evidence_verdicts_total{verdict="` + v.String() + `"}`)
 	}
 	return &Counters{
-		oldEvidence: oldEvidence,
-		set:         set,
-		rejected:    set.NewCounter("pointpass_attempts_rejected_total"),
-		resumed:     set.NewCounter("pointpass_streams_resumed_total"),
-		overBudget:  set.NewCounter("pointpass_retries_over_budget_total"),
-		overload:    set.NewCounter("pointpass_refused_overload_total"),
-		warned:      set.NewCounter("pointpass_group_warnings_total"),
-		firstEvent:  set.NewHistogram("pointpass_first_event_seconds"),
-		duration:    set.NewHistogram("pointpass_request_seconds"),
+		oldEvidence:   oldEvidence,
+		set:           set,
+		rejected:      set.NewCounter("pointpass_attempts_rejected_total"),
+		resumed:       set.NewCounter("pointpass_streams_resumed_total"),
+		overBudget:    set.NewCounter("pointpass_retries_over_budget_total"),
+		overload:      set.NewCounter("pointpass_refused_overload_total"),
+		unknownRegion: set.NewCounter("pointpass_targets_unknown_region_total"),
+		warned:        set.NewCounter("pointpass_group_warnings_total"),
+		firstEvent:    set.NewHistogram("pointpass_first_event_seconds"),
+		duration:      set.NewHistogram("pointpass_request_seconds"),
 	}
 }
 
@@ -57,7 +61,7 @@
 
 // gaugeWindow shows how many requests a model's window lets be under way.
 func (c *Counters) gaugeWindow(key load.Model, w *admission.Window) {
-	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q}`, key.Service, key.Name)
+	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q,regions=%q}`, key.Service, key.Name, strings.Join(key.Regions.Names(), " "))
 	c.set.GetOrCreateGauge(name, func() float64 {
 		limit, _ := w.Limit()
 		return min(limit, math.MaxInt32) // no bound shows as a large number
@@ -102,6 +106,7 @@
 		if !v.Known.IsZero() {
 			entry = entry.Dur("fact_age", now.Sub(v.Known))
 		}
+		entry = entry.Strs("route_regions", e.barredRegions.Route).Strs("customer_regions", e.barredRegions.Customer)
 	}
 	if f != nil {
 		entry = entry.Str("reason", reason).Bool("aborted", f.aborted).Bool("caller_gone", ctx.Err() != nil).Bool("over_budget", e.overBudget).Dur("retry_after", f.retryAfter)
