serving: Have callers come back to closed halls after as long again

Cause: a request that only closed halls could serve was told to come back after 0.4 s, while halls stay closed for seconds; it was refused again and again. Change: Retry-After is as long as the halls have been closed, from 0.4 to 4 s. Ruled out: a fixed longer wait, which is as wrong right after the closing; nothing named. A test of three ages, red when the wait is left at 0.4 s. Conclusion: half of the callers who come while halls are closed find them open at their first return.

--- a/serving/place.go
+++ b/serving/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/pointpass/pointpass/placement"
 )
@@ -101,9 +102,24 @@
 		f.reason = barredReasons[barred.Reason]
 		e.server.opts.Counters.barred(barred.Reason)
 	}
+	if barred.Reason == placement.HallClosed && len(e.tried) == 0 {
+		f.retryAfter = closedRetry(e.server.opts.Now().Sub(barred.Known))
+	}
 	return f
 }
 
+// mostClosedRetry bounds the wait named while halls are closed: callers at the sites known
+// give up after 6 s.
+const mostClosedRetry = 4 * time.Second
+
+// closedRetry returns when to come back to halls that have been closed for a while: after as
+// long again. Nobody knows when they will be open. Of callers who come all the while until
+// then, half find them open at their first return, and one who comes back again and again
+// waits at most twice as long as needed, with few refusals in between.
+func closedRetry(closed time.Duration) time.Duration {
+	return min(max(closed, absentRetry), mostClosedRetry)
+}
+
 // barredReasons tell callers why no worker may get their request.
 var barredReasons = map[placement.Reason]string{
 	placement.HallClosed:   "the data halls that serve this are closed",
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -278,6 +278,25 @@
 	}
 }
 
+// TestServe_TellsWhenToComeBackToClosedHalls: the longer they have been closed, the later.
+func TestServe_TellsWhenToComeBackToClosedHalls(t *testing.T) {
+	for closed, want := range map[time.Duration]string{0: "0.400", 2 * time.Second: "2.000", 20 * time.Second: "4.000"} {
+		f := newFleet(catalog.Repeatable, []string{"h1"}, fullRoom)
+		now := time.Now()
+		clock := func() time.Time { return now }
+		decider := placement.NewDecider(fleetHalls, placement.NoRamp{}, clock)
+		f.server.opts.Placement = decider
+		f.server.opts.Now = clock
+		f.configure(nil, nil)
+		decider.Apply(placement.Update{Changes: []placement.Change{{Hall: "h1", Closed: true, Version: 7}}, Version: 7})
+		now = now.Add(closed)
+		w, _ := f.ask()
+		must.EqOp(t, http.StatusServiceUnavailable, w.Code)
+		must.EqOp(t, want, w.Header().Get("Retry-After"))
+		must.EqOp(t, 0, f.server.UnderWay())
+	}
+}
+
 // closesOnJudging is a placement that learns of a closed hall right after it was asked
 // where a request may be planned.
 type closesOnJudging struct{ *placement.Decider }
