commands, deps: Tell operators who still sends to a closed hall

Cause: nobody could say whether a hall that was closed is empty, and if not, who sends: an edge daemon had a gauge of closed halls and no more. Change: GET /status on the metrics address tells, as JSON, which halls a daemon knows to be closed, at which version and since when, how old its evidence is, and at which targets its requests still run; a gauge per closed hall counts them. The balancer keeps the worker of each target, so that requests at a group that is no longer listed are counted too. Ruled out: a second operator service at edge daemons (one address more, for one question). A test with a real daemon and a request under way, red without the change.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -134,6 +135,7 @@
 	readiness.HandleFunc("GET /readyz", p.serveReadiness)
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", p.serveMetrics)
+	metricsMux.HandleFunc("GET /status", p.serveStatus)
 	p.others = []*http.Server{{Handler: readiness, ReadHeaderTimeout: callerHeaderRead}, {Handler: metricsMux, ReadHeaderTimeout: callerHeaderRead}}
 	addrs := []string{p.settings.CallersAddr(), p.settings.ReadinessAddr(), p.settings.MetricsAddr()}
 	if p.settings.PeersAddr() != "" {
@@ -167,6 +169,14 @@
 	metrics.WriteProcessMetrics(w)
 }
 
+// serveStatus tells operators what the daemon knows of closed halls.
+func (p *edgeProcess) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(p.edge.Status(time.Now())); err != nil {
+		p.edge.Log.Info().Str("event", "status_not_read").Err(err).Msg("who asked has gone")
+	}
+}
+
 // Parts of the grace time: leaving is how long the balancer and callers get to
 // go elsewhere, reserve what is kept for the end.
 const (
--- /dev/null
+++ b/deps/edgestatus.go
@@ -0,0 +1,66 @@
+package deps
+
+import "time"
+
+// EdgeStatus is what a daemon knows of closed data halls, as it tells operators.
+type EdgeStatus struct {
+	Node    string `json:"node"`
+	Hall    string `json:"hall"`
+	Version string `json:"version"`
+	Ready   bool   `json:"ready"`
+	// EvidenceAgeMs is how long ago the store was asked whose answer last confirmed which
+	// halls are closed, -1 if it never answered.
+	EvidenceAgeMs int64 `json:"evidence_age_ms"`
+	// UnderWay is how many requests are being served, in all halls.
+	UnderWay int64 `json:"under_way"`
+	// ClosedHalls are those that get no further requests from here, in order of their names.
+	ClosedHalls []ClosedHall `json:"closed_halls"`
+}
+
+// ClosedHall is a hall that the operator closed.
+type ClosedHall struct {
+	Hall string `json:"hall"`
+	// StoreVersion is the store's version at which it was closed, Known when this daemon
+	// learned of it, and KnownMs how long ago that was.
+	StoreVersion uint64    `json:"store_version"`
+	Known        time.Time `json:"known"`
+	KnownMs      int64     `json:"known_ms"`
+	// UnderWay is how many requests of this daemon still run there, and Targets at whom.
+	UnderWay int            `json:"under_way"`
+	Targets  []TargetStatus `json:"targets"`
+}
+
+// TargetStatus is a worker, or a group by its head, that requests run at.
+type TargetStatus struct {
+	Target   string `json:"target"`
+	Worker   string `json:"worker"`
+	UnderWay int    `json:"under_way"`
+}
+
+// Status returns what this daemon knows now.
+func (e *Edge) Status(now time.Time) EdgeStatus {
+	facts := e.Placement.Facts()
+	s := EdgeStatus{
+		Node:          e.settings.Name(),
+		Hall:          e.settings.Hall(),
+		Version:       Version,
+		Ready:         e.Ready(),
+		EvidenceAgeMs: -1,
+		UnderWay:      e.Server.UnderWay(),
+		ClosedHalls:   []ClosedHall{},
+	}
+	if !facts.Evidence().IsZero() {
+		s.EvidenceAgeMs = now.Sub(facts.Evidence()).Milliseconds()
+	}
+	for _, c := range facts.Closings() {
+		hall := ClosedHall{Hall: c.Hall, StoreVersion: c.Version, Known: c.Known, KnownMs: now.Sub(c.Known).Milliseconds(), Targets: []TargetStatus{}}
+		for _, t := range e.Balancer.UnderWay() {
+			if t.Worker.Hall == c.Hall {
+				hall.UnderWay += t.Requests
+				hall.Targets = append(hall.Targets, TargetStatus{Target: t.Target, Worker: t.Worker.ID, UnderWay: t.Requests})
+			}
+		}
+		s.ClosedHalls = append(s.ClosedHalls, hall)
+	}
+	return s
+}
--- a/deps/halls.go
+++ b/deps/halls.go
@@ -1,12 +1,12 @@
 package deps
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/store"
-	"github.com/pointpass/pointpass/workers"
 )
 
 // applyHalls takes in which data halls are closed to requests.
@@ -20,8 +20,10 @@
 	for _, c := range closed {
 		e.Log.Warn().Str("event", "hall_closed").Str("hall", c.Hall).Uint64("store_version", c.Version).
 			Dur("evidence_age", time.Since(u.Evidence)).Int("under_way", e.underWayIn(c.Hall)).Msg("its workers get no further requests")
+		e.Metrics.GetOrCreateGauge(hallGauge(c.Hall), func() float64 { return float64(e.underWayIn(c.Hall)) })
 	}
 	for _, r := range opened {
+		e.Metrics.UnregisterMetric(hallGauge(r.Hall))
 		_, seen := before.Closed(r.Hall)
 		e.cold.learnOpening(r.Hall, seen)
 		e.Log.Info().Str("event", "hall_opened").Str("hall", r.Hall).Uint64("store_version", r.Version).
@@ -34,22 +36,16 @@
 
 // underWayIn returns how many requests of this daemon run at workers of a hall.
 func (e *Edge) underWayIn(hall string) int {
-	heads := map[string]workers.Worker{}
-	view := e.Workers.View()
-	for _, g := range view.Groups() {
-		if head, found := g.Head(); found {
-			heads[g.ID.Name] = head
-		}
-	}
 	n := 0
-	for key, count := range e.Balancer.UnderWay() {
-		w, found := heads[key]
-		if !found {
-			w, _ = view.Worker(key)
-		}
-		if w.Hall == hall {
-			n += count
+	for _, t := range e.Balancer.UnderWay() {
+		if t.Worker.Hall == hall {
+			n += t.Requests
 		}
 	}
 	return n
 }
+
+// hallGauge is the name of the gauge of requests under way in a closed hall.
+func hallGauge(hall string) string {
+	return fmt.Sprintf(`pointpass_closed_hall_requests_under_way{hall=%q}`, hall)
+}
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +61,8 @@
 // targetState is what this process knows of a target from its own requests.
 type targetState struct {
 	inFlight int
+	// worker is the one that requests were last sent to.
+	worker workers.Worker
 	// lastSign is when the target last sent anything to any of our requests.
 	lastSign time.Time
 	// suspectUntil is until when the target gets no new requests.
@@ -124,7 +128,9 @@
 	if best < 0 {
 		return Target{}, false
 	}
-	b.of(targets[best].Key).inFlight++
+	l := b.of(targets[best].Key)
+	l.inFlight++
+	l.worker = targets[best].Worker
 	return targets[best], true
 }
 
@@ -306,17 +312,25 @@
 	return ok && l.failures > 0
 }
 
-// UnderWay returns how many requests are under way at each target that has any.
-func (b *Balancer) UnderWay() map[string]int {
+// UnderWay is what this process has under way at a target.
+type UnderWay struct {
+	Target   string
+	Worker   workers.Worker
+	Requests int
+}
+
+// UnderWay returns the targets with requests under way, in order of their names.
+func (b *Balancer) UnderWay() []UnderWay {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts := map[string]int{}
+	var list []UnderWay
 	for key, l := range b.loads {
 		if l.inFlight > 0 {
-			counts[key] = l.inFlight
+			list = append(list, UnderWay{Target: key, Worker: l.worker, Requests: l.inFlight})
 		}
 	}
-	return counts
+	slices.SortFunc(list, func(a, b UnderWay) int { return strings.Compare(a.Target, b.Target) })
+	return list
 }
 
 // Keep forgets all idle targets but those that keep names.
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -223,6 +223,17 @@
 	return string(text)
 }
 
+// Status returns what the daemon tells operators, as JSON.
+func (d *Daemon) Status() string {
+	resp, err := http.Get("http://" + d.metrics + "/status")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return string(text)
+}
+
 // Ask is a request of a caller.
 type Ask struct {
 	ID, Method, Host, Path, Key, Body string
--- a/testbed/standin/halls_test.go
+++ b/testbed/standin/halls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -259,3 +260,28 @@
 	s.servedElsewhere(next)
 	must.EqOp(t, orders, len(s.workers["n0"].Orders())+len(s.workers["n1"].Orders()))
 }
+
+// TestHalls_OperatorsSeeWhoStillRunsThere: a request runs at a worker whose hall is closed.
+// It goes on, and the status, the gauge and the log tell of it until it has ended.
+func TestHalls_OperatorsSeeWhoStillRunsThere(t *testing.T) {
+	s := newHalls(t)
+	d := s.start(true)
+	s.awaitGroups(2)
+	s.setFaults(Stalls, "a0", "a1")
+	ctx, leave := context.WithCancel(t.Context())
+	a := s.ask(http.MethodPost, "/post/x")
+	var asking sync.WaitGroup
+	asking.Go(func() { d.Send(ctx, a) })
+	eventually(t, "it runs", func() bool { return len(s.runs(a.ID)) == 1 })
+	s.store.CloseHall(firstHall)
+	eventually(t, "the daemon knows", closes(d, 1))
+	must.RegexMatch(t, regexp.MustCompile(`"closed_halls":\[{"hall":"z1","store_version":\d+,"known":"[^"]+","known_ms":\d+,"under_way":1,"targets":\[{"target":"(a\d)","worker":"(a\d)","under_way":1}\]}\]`), d.Status())
+	must.StrContains(t, d.Metrics(), `pointpass_closed_hall_requests_under_way{hall="z1"} 1`)
+	must.RegexMatch(t, regexp.MustCompile(`"event":"hall_closed","hall":"z1","store_version":\d+,"evidence_age":[0-9.]+,"under_way":1`), d.Log())
+	leave()
+	asking.Wait()
+	eventually(t, "the hall is empty", func() bool { return strings.Contains(d.Status(), `"under_way":0,"targets":[]`) })
+	s.store.OpenHall(firstHall)
+	eventually(t, "nothing is closed", func() bool { return strings.Contains(d.Status(), `"closed_halls":[]`) })
+	must.StrNotContains(t, d.Metrics(), "pointpass_closed_hall_requests_under_way")
+}
