--- a/deps/edge.go
+++ b/deps/edge.go
@@ -81,7 +81,7 @@
 	}
 	e.cold = newCold(e)
 	e.Placement = placement.NewDecider(settings.HallRegions(), e.cold.ramp, time.Now)
-	e.standstill = placement.NewStandstill(time.Now)
+	e.standstill = placement.NewStandstill(time.Now, e.logStandstill)
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
--- a/deps/standstill.go
+++ b/deps/standstill.go
@@ -10,6 +10,12 @@
 	"github.com/pointpass/pointpass/store"
 )
 
+// logStandstill tells that this process stood still, so that requests that were waiting for
+// it waited for the store too.
+func (e *Edge) logStandstill(length time.Duration) {
+	e.Log.Warn().Str("event", "stood_still").Dur("for", length).Int64("under_way", e.Server.UnderWay()).Msg("requests wait until the store was asked anew")
+}
+
 // watchStandstill has standstills noticed while nothing is asked for.
 func (e *Edge) watchStandstill(ctx context.Context) {
 	ticker := time.NewTicker(placement.StandstillTick)
--- a/deps/standstill_test.go
+++ b/deps/standstill_test.go
@@ -37,7 +37,7 @@
 	} {
 		for _, all := range []bool{false, true} {
 			now := time.Unix(1000, 0)
-			standstill := placement.NewStandstill(func() time.Time { return now })
+			standstill := placement.NewStandstill(func() time.Time { return now }, func(time.Duration) {})
 			r := &settlingReader{reader: failingReader{c.err}, standstill: standstill}
 			now = now.Add(time.Minute)
 			must.False(t, standstill.Settled())
--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -81,7 +81,7 @@
 	d := &daemon{
 		cache:      relay.NewCache(platform.ConfigTable, mostAge, w.clock),
 		decider:    placement.NewDecider(nil, placement.NoRamp{}, w.clock),
-		standstill: placement.NewStandstill(w.clock),
+		standstill: placement.NewStandstill(w.clock, func(time.Duration) {}),
 	}
 	d.reader = relay.NewReader(relay.ReaderOptions{
 		Direct:    w,
--- a/placement/standstill.go
+++ b/placement/standstill.go
@@ -23,7 +23,8 @@
 // was asked anew requests wait, for some milliseconds as a rule. It is safe for use by
 // many goroutines.
 type Standstill struct {
-	now func() time.Time
+	now  func() time.Time
+	told func(length time.Duration)
 
 	mu   sync.Mutex
 	last time.Time
@@ -33,9 +34,10 @@
 	asked chan struct{}
 }
 
-// NewStandstill returns a detector.
-func NewStandstill(now func() time.Time) *Standstill {
-	return &Standstill{now: now, last: now()}
+// NewStandstill returns a detector. Told is told how long each standstill was; it must not
+// block.
+func NewStandstill(now func() time.Time, told func(length time.Duration)) *Standstill {
+	return &Standstill{now: now, told: told, last: now()}
 }
 
 // Tick notes that this process runs.
@@ -48,7 +50,8 @@
 // tick notes that this process runs, and returns the time. The lock is held.
 func (s *Standstill) tick() time.Time {
 	now := s.now()
-	if now.Sub(s.last) > standstillLimit {
+	if length := now.Sub(s.last); length > standstillLimit {
+		s.told(length)
 		s.woke = now
 		if s.asked == nil {
 			s.asked = make(chan struct{})
--- a/placement/standstill_test.go
+++ b/placement/standstill_test.go
@@ -16,7 +16,8 @@
 
 func TestStandstill_WaitsForAQuestionAskedAfterIt(t *testing.T) {
 	c := &clock{at: noon}
-	s := NewStandstill(c.now)
+	var told []time.Duration
+	s := NewStandstill(c.now, func(length time.Duration) { told = append(told, length) })
 	before := s.Asking()
 	c.pass(standstillLimit)
 	must.True(t, s.Settled(), must.Sprint("a busy machine is no standstill"))
@@ -28,13 +29,14 @@
 	must.False(t, s.Settled())
 	after()
 	must.True(t, s.Settled())
+	must.Eq(t, []time.Duration{standstillLimit + 1}, told)
 }
 
 // TestStandstill_OneMoreWhileAnAnswerIsAwaited: the answer is as old as the second
 // standstill was long.
 func TestStandstill_OneMoreWhileAnAnswerIsAwaited(t *testing.T) {
 	c := &clock{at: noon}
-	s := NewStandstill(c.now)
+	s := NewStandstill(c.now, func(time.Duration) {})
 	c.pass(standstillLimit + 1)
 	first := s.Asking()
 	c.pass(standstillLimit + 1)
@@ -46,7 +48,7 @@
 
 func TestStandstill_RequestsWaitUntilItIsOver(t *testing.T) {
 	c := &clock{at: noon}
-	s := NewStandstill(c.now)
+	s := NewStandstill(c.now, func(time.Duration) {})
 	s.Settle(t.Context()) // returns at once
 	c.pass(standstillLimit + 1)
 	ended := s.Asking()
@@ -67,7 +69,7 @@
 
 func TestStandstill_AWaitEndsWithItsCaller(t *testing.T) {
 	c := &clock{at: noon}
-	s := NewStandstill(c.now)
+	s := NewStandstill(c.now, func(time.Duration) {})
 	c.pass(standstillLimit + 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/testbed/standin/halls_test.go
+++ b/testbed/standin/halls_test.go
@@ -213,6 +213,7 @@
 	asking.Wait()
 	must.EqOp(t, before, s.arrived(firstHall))
 	must.Positive(t, s.arrived(secondHall))
+	must.StrContains(t, d.Log(), `"event":"stood_still"`)
 }
 
 // TestHalls_GarbageStopsNothing: a row that can't be read closes its hall all the same, one
