--- a/deps/edge.go
+++ b/deps/edge.go
@@ -48,6 +48,7 @@
 	Balancer *serving.Balancer
 	// Placement decides where requests may run.
 	Placement  *placement.Decider
+	standstill *placement.Standstill
 	Server     *serving.Server
 	Ingress    http.Handler
 	Lease      *replica.Lease
@@ -80,6 +81,7 @@
 	}
 	e.cold = newCold(e)
 	e.Placement = placement.NewDecider(settings.HallRegions(), e.cold.ramp, time.Now)
+	e.standstill = placement.NewStandstill(time.Now, e.logStandstill)
 	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
@@ -121,6 +123,7 @@
 		Upstream:     upstream,
 		Balancer:     e.Balancer,
 		Placement:    e.Placement,
+		Settle:       e.standstill.Settle,
 		Counters:     serving.NewCounters(e.Metrics),
 		Evidence:     evidencePolicy(e.settings.Bounds()),
 		Allowance:    e.allowance,
@@ -149,6 +152,7 @@
 		Dead:      e.noteDead,
 		StoreBack: e.lastBack,
 		Load:      e.loads.Known,
+		Halls:     func() replica.Halls { return e.Placement.Facts() },
 		Region:    func(hall string) string { return e.Placement.Facts().Region(hall) },
 		Idle:      func() bool { return e.settings.FirstStart() && !e.begun.Load() },
 		Metrics:   e.Metrics,
@@ -225,7 +229,7 @@
 // Run follows the store and forms groups until ctx ends.
 func (e *Edge) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run} {
+	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run, e.watchStandstill} {
 		running.Go(func() { run(ctx) })
 	}
 	running.Wait()
