commands: Take lines of the log after its end

Cause: a daemon that stops closes its log while calls to the store that its end broke off, and requests beyond the grace time, still write lines. The log's writer sends on a closed channel then, and the daemon ends with a panic and exit code 2. Ruled out: waiting for all parts to end (requests broken off at the end of the grace time needn't end), not closing the log (its last lines would be lost). Change: a writer that drops what comes after its end. The library's own writer races with itself over a length that nobody reads where two goroutines log; the test logs from one.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -37,10 +37,6 @@
 // configVariable names the settings file where no flag does.
 const configVariable = "POINTPASS_CONFIG"
 
-// logChannel is how many lines wait for a slow reader of the log; more are
-// dropped.
-const logChannel = 4096
-
 // executeEdge runs pointpassd edge and returns its exit code.
 func executeEdge(args []string, stdout, stderr io.Writer) int {
 	flags := flag.NewFlagSet("pointpassd edge", flag.ContinueOnError)
@@ -74,7 +70,7 @@
 // newEdgeLogger returns a logger that never blocks: lines that a slow reader
 // leaves no room for are dropped.
 func newEdgeLogger(settings *node.Settings, stdout io.Writer) (*log.Logger, func()) {
-	writer := &log.AsyncWriter{ChannelSize: logChannel, DiscardOnFull: true, Writer: log.IOWriter{Writer: stdout}}
+	writer := newLastingWriter(stdout)
 	logger := &log.Logger{Level: log.InfoLevel, TimeFormat: time.RFC3339Nano, Writer: writer}
 	if settings.LogLevel() != "" {
 		logger.Level = log.ParseLevel(settings.LogLevel())
