node: Read settings again on SIGHUP and when their file changes

Cause: SIGHUP was ignored, settings were read once. The platform fills the file anew with what holds at the moment (bounds, share of a core, halls), with or without a signal; a daemon went on with what was promised before. Ruled out: taking the part of a file that may change where another part can't (what is in force then stands in no file); time of modification (steps back with the clock, misses a second write within its tick); telling each part what changed (a copy each). Change: node.Holder holds one immutable value, replaced whole or not at all; Follow reads the file on the signal and looks at its text once a second. Parts ask the holder when they decide: evidence, retries, ceiling on loads, tokens on orders, contact, share of a core; log level and regions are told. Names and addresses are fixed: refused with file, line and field. first_start counts as of the start. Whether an order carried a token is now told by the order, so that a refusal is read by what was sent. One line and a counter by outcome for each reading, a gauge of the age. platform.NewOrders knows nothing of tokens any more.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -30,6 +30,8 @@
 
 Signals:
   SIGTERM, SIGINT                take no new connections, end what is under way, exit
+  SIGHUP                         read the settings again; they are also read when the
+                                 file changes without a signal
 
 Exit codes: 0 ended well, 1 failed, 2 wrong usage
 `
@@ -55,12 +57,14 @@
 		flags.Usage()
 		return exitUsage
 	}
-	settings, err := node.Load(*configFile)
+	reload := make(chan os.Signal, 1) // heard from before the first reading on
+	signal.Notify(reload, syscall.SIGHUP)
+	settings, err := node.Open(*configFile)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
-	if err := runEdge(settings, stdout); err != nil {
+	if err := runEdge(settings, reload, stdout); err != nil {
 		fmt.Fprintln(stderr, "pointpassd:", err)
 		return exitFailed
 	}
@@ -71,10 +75,7 @@
 // leaves no room for are dropped.
 func newEdgeLogger(settings *node.Settings, stdout io.Writer) (*log.Logger, func()) {
 	writer := newLastingWriter(stdout)
-	logger := &log.Logger{Level: log.InfoLevel, TimeFormat: time.RFC3339Nano, Writer: writer}
-	if settings.LogLevel() != "" {
-		logger.Level = log.ParseLevel(settings.LogLevel())
-	}
+	logger := &log.Logger{Level: deps.LogLevel(settings), TimeFormat: time.RFC3339Nano, Writer: writer}
 	logger.Context = log.NewContext(nil).Str("node", settings.Name()).Value()
 	return logger, func() { writer.Close() }
 }
@@ -82,19 +83,18 @@
 // edgeProcess is a running edge daemon.
 type edgeProcess struct {
 	edge     *deps.Edge
-	settings *node.Settings
+	settings *node.Holder
 	stopping atomic.Bool
 	callers  *http.Server
 	others   []*http.Server
 	failed   chan error
 }
 
-func runEdge(settings *node.Settings, stdout io.Writer) error {
-	logger, closeLog := newEdgeLogger(settings, stdout)
+func runEdge(settings *node.Holder, reload <-chan os.Signal, stdout io.Writer) error {
+	logger, closeLog := newEdgeLogger(settings.Current(), stdout)
 	defer closeLog()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Ignore(syscall.SIGHUP)
 	edge, cleanUp := deps.NewEdge(settings, logger)
 	defer cleanUp()
 	p := &edgeProcess{edge: edge, settings: settings, failed: make(chan error, 4)}
@@ -104,7 +104,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go edge.Run(ctx)
-	logger.Info().Str("event", "started").Str("callers", settings.CallersAddr()).Str("store", settings.StoreAddr()).Str("version", deps.Version).Msg("")
+	go node.Follow(ctx, settings, reload, edge.SettingsRead)
+	started := settings.Current()
+	logger.Info().Str("event", "started").Str("callers", started.CallersAddr()).Str("store", started.StoreAddr()).Str("version", deps.Version).Msg("")
 	select {
 	case err := <-p.failed:
 		return err
@@ -131,10 +133,11 @@
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", p.serveMetrics)
 	p.others = []*http.Server{{Handler: readiness, ReadHeaderTimeout: callerHeaderRead}, {Handler: metricsMux, ReadHeaderTimeout: callerHeaderRead}}
-	addrs := []string{p.settings.CallersAddr(), p.settings.ReadinessAddr(), p.settings.MetricsAddr()}
-	if p.settings.PeersAddr() != "" {
+	settings := p.settings.Current()
+	addrs := []string{settings.CallersAddr(), settings.ReadinessAddr(), settings.MetricsAddr()}
+	if settings.PeersAddr() != "" {
 		p.others = append(p.others, &http.Server{Handler: p.edge.Peers, ReadHeaderTimeout: callerHeaderRead, IdleTimeout: callerIdle})
-		addrs = append(addrs, p.settings.PeersAddr())
+		addrs = append(addrs, settings.PeersAddr())
 	}
 	for i, server := range append([]*http.Server{p.callers}, p.others...) {
 		listener, err := tcp.Listen(context.Background(), addrs[i], callerUnacked)
@@ -172,9 +175,10 @@
 )
 
 // drain lets the balancer send callers elsewhere, ends what is under way and
-// gives up the lease.
+// gives up the lease. Its time is what was in force when it began.
 func (p *edgeProcess) drain() {
-	end := time.Now().Add(p.settings.Bounds().Grace - reserve)
+	grace := p.settings.Bounds().Grace
+	end := time.Now().Add(grace - reserve)
 	p.stopping.Store(true)
 	p.edge.Server.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
@@ -182,7 +186,7 @@
 		p.edge.Log.Warn().Str("event", "lease_not_released").Err(err).Msg("")
 	}
 	cancel()
-	time.Sleep(time.Duration(leavingPart * float64(p.settings.Bounds().Grace)))
+	time.Sleep(time.Duration(leavingPart * float64(grace)))
 	ctx, cancel = context.WithDeadline(context.Background(), end)
 	defer cancel()
 	p.callers.Shutdown(ctx)
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -57,7 +57,8 @@
 	// Peers serves other daemons.
 	Peers http.Handler
 
-	settings    *node.Settings
+	settings    *node.Holder
+	reloads     map[node.Outcome]*metrics.Counter
 	following   *following
 	reporter    *reporter
 	loads       *loads
@@ -69,26 +70,27 @@
 
 // NewEdge wires a daemon. Nothing runs before Run. The function returned frees
 // what the parts hold.
-func NewEdge(settings *node.Settings, logger *log.Logger) (*Edge, func()) {
+func NewEdge(settings *node.Holder, logger *log.Logger) (*Edge, func()) {
 	e := &Edge{
 		Log:      logger,
 		Metrics:  metrics.NewSet(),
 		Catalogs: &catalog.Holder{},
-		Balancer: serving.NewBalancer(settings.Hall()),
+		Balancer: serving.NewBalancer(settings.Current().Hall()),
 		settings: settings,
+		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
-	e.Placement = placement.NewDecider(settings.HallRegions(), placement.NoRamp{}, time.Now)
-	client, closeStore := platform.NewStore(settings.StoreAddr(), storeTimeout)
+	e.Placement = placement.NewDecider(settings.Current().HallRegions(), placement.NoRamp{}, time.Now)
+	client, closeStore := platform.NewStore(settings.Current().StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
 	upstream, closeUpstream := platform.NewUpstream()
-	orders, closeOrders := platform.NewOrders(settings.Bounds().Fenced)
+	orders, closeOrders := platform.NewOrders()
 	e.following = newFollowing(e, client, peers)
 	e.Workers = workers.NewRegistry(e.workersChanged)
 	e.Lease = replica.NewLease(replica.LeaseOptions{
 		Table:      e.following,
-		Self:       e.self(),
+		Self:       e.self,
 		Memory:     e.Workers,
-		FirstStart: settings.FirstStart(),
+		FirstStart: settings.Current().FirstStart(),
 		Now:        time.Now,
 		Log:        logger,
 	})
@@ -109,7 +111,8 @@
 
 // self is how this daemon announces itself.
 func (e *Edge) self() replica.Node {
-	return replica.Node{Name: e.settings.Name(), Addr: e.settings.PeersAddr(), Hall: e.settings.Hall(), Cores: e.settings.Cores()}
+	s := e.settings.Current()
+	return replica.Node{Name: s.Name(), Addr: s.PeersAddr(), Hall: s.Hall(), Cores: s.Cores()}
 }
 
 func (e *Edge) wireServing(upstream serving.Upstream) {
@@ -120,7 +123,7 @@
 		Balancer:     e.Balancer,
 		Placement:    e.Placement,
 		Counters:     serving.NewCounters(e.Metrics),
-		Evidence:     evidencePolicy(e.settings.Bounds()),
+		Evidence:     func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
 		Asked:        e.loads.ask,
@@ -134,20 +137,19 @@
 }
 
 func (e *Edge) wireControl(orders *platform.Orders) {
-	bounds := e.settings.Bounds()
 	e.Controller = replica.NewController(replica.Options{
 		Lease:     e.Lease,
 		Orders:    orders,
 		Prober:    orders,
 		Workers:   e.Workers.View,
 		Catalogs:  e.Catalogs,
-		Fenced:    bounds.Fenced,
-		Ceiling:   replica.LoadCeiling{Window: bounds.LoadWindow, Overrun: bounds.LoadOverrun},
+		Fenced:    func() bool { return e.settings.Bounds().Fenced },
+		Ceiling:   e.ceiling,
 		Failing:   e.Balancer.Failing,
 		Dead:      e.noteDead,
 		StoreBack: e.lastBack,
 		Load:      e.loads.Known,
-		Idle:      func() bool { return e.settings.FirstStart() && !e.begun.Load() },
+		Idle:      func() bool { return e.settings.Current().FirstStart() && !e.begun.Load() },
 		Metrics:   e.Metrics,
 		Now:       time.Now,
 		Log:       e.Log,
@@ -173,6 +175,12 @@
 	return catalog.NewEvidencePolicy(bounds.Admit, denyAge)
 }
 
+// ceiling returns the bound on loads of weights.
+func (e *Edge) ceiling() replica.LoadCeiling {
+	bounds := e.settings.Bounds()
+	return replica.LoadCeiling{Window: bounds.LoadWindow, Overrun: bounds.LoadOverrun}
+}
+
 // allowance returns this daemon's part of the retries for a service.
 func (e *Edge) allowance() retry.Allowance {
 	bounds := e.settings.Bounds()
@@ -191,6 +199,7 @@
 }
 
 func (e *Edge) gauges() {
+	e.settingsGauges()
 	e.Metrics.NewGauge("pointpass_config_version", func() float64 {
 		if c := e.Catalogs.Current().Catalog; c != nil {
 			return float64(c.Version())
--- a/deps/following.go
+++ b/deps/following.go
@@ -121,7 +121,7 @@
 		Peers:     peers,
 		Upstreams: func() []relay.Member { return f.control.Load().upstreams },
 		MostAge:   func(table string) time.Duration { return paceOf(table).mostAge },
-		InTouch:   e.settings.Bounds().InTouch,
+		InTouch:   func() time.Duration { return e.settings.Bounds().InTouch },
 		Now:       time.Now,
 		Log:       e.Log,
 	})
@@ -130,6 +130,7 @@
 		Peers:     peers,
 		Upstreams: f.warners,
 		MostAge:   func(string) time.Duration { return health.MostAge },
+		InTouch:   func() time.Duration { return 0 },
 		Now:       time.Now,
 		Log:       e.Log,
 	})
@@ -148,7 +149,7 @@
 // Run follows all tables until ctx ends, first that which tells of other daemons.
 func (f *following) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	if f.edge.settings.FirstStart() {
+	if f.edge.settings.Current().FirstStart() {
 		pause(ctx, settleTime)
 	}
 	running.Go(func() { f.follower(replica.LeaseTable, f.applyControl).Run(ctx) })
--- a/deps/loads.go
+++ b/deps/loads.go
@@ -71,7 +71,7 @@
 		told = load.Sum{Offered: l.meter.Offered(told.At), Daemons: 1, At: told.At}
 	}
 	for _, m := range l.edge.following.gatherers() {
-		err := l.peers.Load(ctx, m.Addr, l.edge.settings.Name(), told)
+		err := l.peers.Load(ctx, m.Addr, l.edge.settings.Current().Name(), told)
 		if err == nil {
 			return
 		}
@@ -97,7 +97,7 @@
 func (f *following) hallRelays(view *controlView) []relay.Member {
 	var list []relay.Member
 	for _, m := range view.upstreams {
-		if m.Hall == f.edge.settings.Hall() {
+		if m.Hall == f.edge.settings.Current().Hall() {
 			list = append(list, m)
 		}
 	}
--- a/deps/reporter.go
+++ b/deps/reporter.go
@@ -48,7 +48,7 @@
 		return
 	}
 	select {
-	case r.queue <- relay.Report{Group: group, Reporter: r.edge.settings.Name(), Sign: sign}:
+	case r.queue <- relay.Report{Group: group, Reporter: r.edge.settings.Current().Name(), Sign: sign}:
 	default:
 	}
 }
@@ -65,7 +65,7 @@
 // just now. It never waits.
 func (r *reporter) object(group string) {
 	select {
-	case r.queue <- relay.Report{Group: group, Reporter: r.edge.settings.Name(), Sign: relay.Alive}:
+	case r.queue <- relay.Report{Group: group, Reporter: r.edge.settings.Current().Name(), Sign: relay.Alive}:
 	default:
 	}
 }
@@ -108,7 +108,7 @@
 
 func (r *reporter) sendBegun(ctx context.Context) {
 	holder, known := r.edge.following.holder()
-	if !known || holder.Name == r.edge.settings.Name() {
+	if !known || holder.Name == r.edge.settings.Current().Name() {
 		return
 	}
 	if err := r.peers.Begun(ctx, holder.Addr); err != nil {
--- /dev/null
+++ b/deps/settings.go
@@ -0,0 +1,59 @@
+package deps
+
+import (
+	"strings"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/pointpass/pointpass/node"
+)
+
+// mostLogged bounds how many changes or mistakes of one reading are logged.
+const mostLogged = 32
+
+// SettingsRead takes in what came of reading the settings file again. Most parts ask the
+// holder for what is in force each time; those that keep something are told here. Only
+// one goroutine may call it.
+func (e *Edge) SettingsRead(r node.Reading) {
+	e.reloads[r.Outcome].Inc()
+	if r.Outcome == node.Changed {
+		s := e.settings.Current()
+		e.Log.SetLevel(LogLevel(s))
+		e.Placement.SetRegions(s.HallRegions())
+		e.Controller.Wake()
+	}
+	e.logReading(r)
+}
+
+// logReading writes one line on a reading.
+func (e *Edge) logReading(r node.Reading) {
+	switch r.Outcome {
+	case node.Changed, node.Unchanged:
+		changes := r.Changes[:min(mostLogged, len(r.Changes))]
+		var texts []string
+		for _, c := range changes {
+			texts = append(texts, c.String())
+		}
+		e.Log.Info().Str("event", "settings_read").Str("outcome", string(r.Outcome)).Strs("changes", texts).Int("changed", len(r.Changes)).Msg("")
+	default:
+		mistakes := strings.Split(r.Err.Error(), "\n")
+		e.Log.Error().Str("event", "settings_refused").Str("outcome", string(r.Outcome)).Strs("mistakes", mistakes[:min(mostLogged, len(mistakes))]).
+			Int("found", len(mistakes)).Dur("in_force_for", e.settings.Age(time.Now())).Msg("the settings before stay in force")
+	}
+}
+
+// LogLevel returns the least level that is logged.
+func LogLevel(s *node.Settings) log.Level {
+	if s.LogLevel() == "" {
+		return log.InfoLevel
+	}
+	return log.ParseLevel(s.LogLevel())
+}
+
+func (e *Edge) settingsGauges() {
+	for _, o := range node.Outcomes() {
+		e.reloads[o] = e.Metrics.NewCounter(`pointpass_settings_reloads_total{outcome="` + string(o) + `"}`)
+	}
+	e.Metrics.NewGauge("pointpass_settings_age_seconds", func() float64 { return e.settings.Age(time.Now()).Seconds() })
+}
--- a/deps/warnings.go
+++ b/deps/warnings.go
@@ -51,7 +51,9 @@
 
 // isHolder tells whether this daemon was the last to hold the lease, as far as it
 // knows. It gathers reports also while the store is away and the lease has lapsed.
-func (f *following) isHolder() bool { return f.control.Load().Holder == f.edge.settings.Name() }
+func (f *following) isHolder() bool {
+	return f.control.Load().Holder == f.edge.settings.Current().Name()
+}
 
 // applyWarnings takes in what another daemon passes on.
 func (f *following) applyWarnings(u store.Update) {
@@ -85,7 +87,7 @@
 	if !e.following.isHolder() {
 		return
 	}
-	if w, warn := e.Warnings.Dead(group, e.settings.Name()); warn {
+	if w, warn := e.Warnings.Dead(group, e.settings.Current().Name()); warn {
 		e.warned(w)
 	}
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -27,6 +27,8 @@
 	firstStart    bool
 	hallRegions   map[string]string
 	bounds        Bounds
+	// source is the text that the settings were read from.
+	source []byte
 }
 
 // Bounds are what the operator of the platform has promised to others.
@@ -125,13 +127,19 @@
 
 // Parse reads settings; file is used in errors only.
 func Parse(file string, data []byte) (*Settings, error) {
+	s, _, err := parse(file, data)
+	return s, err
+}
+
+// parse is Parse that also returns the document, which knows the lines of fields.
+func parse(file string, data []byte) (*Settings, *jsonc.Document, error) {
 	document, err := jsonc.Parse(file, data)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var f fileSettings
 	if err := document.Decode(&f); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	c := &checker{document: document}
 	s := &Settings{
@@ -143,12 +151,13 @@
 		peersAddr:     c.optionalAddress("peers_addr", f.PeersAddr),
 		cores:         c.number("cores", &f.Cores, 0),
 		storeAddr:     c.address("store_addr", f.StoreAddr),
-		logLevel:      f.LogLevel,
+		logLevel:      c.logLevel(f.LogLevel),
 		firstStart:    f.FirstStart,
 		hallRegions:   c.hallRegions(f.HallRegions),
 		bounds:        c.bounds(f.Bounds),
+		source:        data,
 	}
-	return s, errors.Join(c.mistakes...)
+	return s, document, errors.Join(c.mistakes...)
 }
 
 type checker struct {
@@ -175,6 +184,16 @@
 	return value
 }
 
+// logLevels are the levels that a file may name.
+var logLevels = []string{"", "debug", "info", "warn", "error"}
+
+func (c *checker) logLevel(value string) string {
+	if !slices.Contains(logLevels, value) {
+		c.mistake("log_level", "want one of debug, info, warn and error, found %q", value)
+	}
+	return value
+}
+
 func (c *checker) optionalAddress(field, value string) string {
 	if value == "" {
 		return ""
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,9 +56,9 @@
 	Take(w workers.Worker, now time.Time) bool
 }
 
-// Decider decides where requests may run. It is safe for use by many goroutines; only
-// one may call Apply.
+// Decider decides where requests may run. It is safe for use by many goroutines.
 type Decider struct {
+	mu    sync.Mutex // of changes
 	facts atomic.Pointer[Facts]
 	ramp  Ramp
 	now   func() time.Time
@@ -76,11 +78,22 @@
 // Apply takes in what the store tells of halls, and returns those that it closed and
 // opened.
 func (d *Decider) Apply(u Update) (closed []Closing, opened []Reopening) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	next, closed, opened := d.Facts().Apply(u, d.now())
 	d.facts.Store(next)
 	return closed, opened
 }
 
+// SetRegions takes in the region of each hall, for all that is decided from now on.
+func (d *Decider) SetRegions(regions map[string]string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := *d.Facts()
+	next.regions = maps.Clone(regions)
+	d.facts.Store(&next)
+}
+
 // Open tells whether a hall is open to requests.
 func (d *Decider) Open(hall string) bool {
 	_, closed := d.Facts().Closed(hall)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -95,3 +95,15 @@
 	must.EqOp(t, Cold, d.Send(Request{}, in("h1")).Reason)
 	must.True(t, d.Send(Request{}, workers.Worker{ID: "other", Hall: "h1"}).Allowed())
 }
+
+// TestDecider_SetRegions: what is decided from now on rests on the regions told last, and
+// closed halls stay closed.
+func TestDecider_SetRegions(t *testing.T) {
+	d := NewDecider(map[string]string{"h1": "r1"}, NoRamp{}, time.Now)
+	d.Apply(Update{Changes: []Change{{Hall: "h2", Closed: true, Version: 3}}, Version: 3})
+	bound := Request{Route: catalog.Regions{"r2"}}
+	must.EqOp(t, RegionBarred, d.Judge(bound, workers.Worker{Hall: "h1"}).Reason)
+	d.SetRegions(map[string]string{"h1": "r2", "h2": "r2"})
+	must.EqOp(t, Allowed, d.Judge(bound, workers.Worker{Hall: "h1"}).Reason)
+	must.EqOp(t, HallClosed, d.Judge(bound, workers.Worker{Hall: "h2"}).Reason)
+}
--- a/relay/histories_test.go
+++ b/relay/histories_test.go
@@ -54,7 +54,7 @@
 			Peers:     peersOf{w},
 			Upstreams: func() []Member { return names[:min(i, 2)] },
 			MostAge:   testAges,
-			InTouch:   testInTouch,
+			InTouch:   func() time.Duration { return testInTouch },
 			Now:       func() time.Time { return w.now },
 			Log:       quiet,
 		})
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -66,8 +66,8 @@
 	// MostAge returns how old the evidence of another daemon for a table may be.
 	MostAge func(table string) time.Duration
 	// InTouch is within which time a daemon that the store serves again has to know
-	// what it says.
-	InTouch time.Duration
+	// what it says. It may change at any time.
+	InTouch func() time.Duration
 	Now     func() time.Time
 	Log     *log.Logger
 }
@@ -208,7 +208,7 @@
 // spare has the store left alone for a while, longer each time. The caller holds the
 // lock.
 func (r *Reader) spare() {
-	most := max(r.opts.InTouch-directCall, firstAway)
+	most := max(r.opts.InTouch()-directCall, firstAway)
 	length := min(max(2*r.away.length, firstAway), most)
 	r.away = avoidance{until: r.opts.Now().Add(length/2 + rand.N(length/2)), length: length}
 }
--- a/relay/reader_test.go
+++ b/relay/reader_test.go
@@ -46,7 +46,7 @@
 		Peers:     askedPeers{a},
 		Upstreams: upstreams,
 		MostAge:   testAges,
-		InTouch:   testInTouch,
+		InTouch:   func() time.Duration { return testInTouch },
 		Now:       func() time.Time { return a.now },
 		Log:       quiet,
 	}), a
@@ -140,7 +140,7 @@
 	const call = 700 * time.Millisecond
 	for inTouch := 3 * time.Second; inTouch <= 8*time.Second; inTouch += time.Second {
 		r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": stale, "second": stale, "store": failing})
-		r.opts.InTouch = inTouch
+		r.opts.InTouch = func() time.Duration { return inTouch }
 		for range 20 {
 			a.now = r.away.until
 			r.askStore(t.Context(), "t", 5, time.Second)
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -19,9 +19,11 @@
 	Prober   Prober
 	Workers  func() *workers.View
 	Catalogs *catalog.Holder
-	Ceiling  LoadCeiling
-	// Fenced tells that workers refuse orders with an old fencing token.
-	Fenced bool
+	// Ceiling returns the bound on loads. It may change at any time.
+	Ceiling func() LoadCeiling
+	// Fenced tells whether workers refuse orders with an old fencing token. It may change
+	// at any time.
+	Fenced func() bool
 	// Idle tells that nobody has been served yet, so that loads disturb nobody.
 	Idle func() bool
 	// Failing tells whether a group has failed requests since it last sent
@@ -134,7 +136,7 @@
 }
 
 func (c *Controller) take(r result) {
-	if outranked(r.order, r.outcome, c.opts.Fenced) {
+	if outranked(r.order, r.outcome) {
 		c.opts.Lease.Outranked(r.term)
 	}
 	if c.planner != nil && c.planner.Term() == r.term {
@@ -164,8 +166,9 @@
 		return nil
 	}
 	if c.planner == nil || c.planner.Term() != term {
-		c.planner = NewPlanner(term, c.opts.Ceiling)
+		c.planner = NewPlanner(term, c.opts.Ceiling())
 	}
+	c.planner.Bound(c.opts.Ceiling())
 	now := c.opts.Now()
 	view := c.opts.Workers()
 	c.probeFailing(ctx, term, view, now)
@@ -202,7 +205,9 @@
 	if held, ok := c.opts.Lease.Held(); ok && held == term {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		o.Fence = term
+		if c.opts.Fenced() {
+			o.Fence = term
+		}
 		outcome, err = c.opts.Orders.Give(ctx, o)
 	}
 	c.orders.Inc()
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -59,7 +59,8 @@
 		Prober:    orders,
 		Workers:   func() *workers.View { return w.view },
 		Catalogs:  &catalogs,
-		Ceiling:   testCeiling,
+		Ceiling:   func() LoadCeiling { return testCeiling },
+		Fenced:    func() bool { return false },
 		Idle:      func() bool { return true },
 		Failing:   func(string) bool { return false },
 		Dead:      func(string) {},
@@ -140,17 +141,55 @@
 	for _, c := range []struct {
 		op      Op
 		outcome Outcome
-		fenced  bool
+		fence   uint64
 		want    bool
 	}{
-		{Leave, Outdated, true, true},
-		{Open, Outdated, true, true},
-		{Stage, Outdated, true, true},
-		{Join, Outdated, true, false},
-		{Leave, Outdated, false, false},
-		{Leave, Unfit, true, false},
-		{Leave, Unanswered, true, false},
+		{Leave, Outdated, 7, true},
+		{Open, Outdated, 7, true},
+		{Stage, Outdated, 7, true},
+		{Join, Outdated, 7, false},
+		{Leave, Outdated, 0, false},
+		{Leave, Unfit, 7, false},
+		{Leave, Unanswered, 7, false},
 	} {
-		must.EqOp(t, c.want, outranked(Order{Op: c.op}, c.outcome, c.fenced), must.Sprint(c))
+		must.EqOp(t, c.want, outranked(Order{Op: c.op, Fence: c.fence}, c.outcome), must.Sprint(c))
 	}
 }
+
+// TestController_TokensFollowTheSettings: an order carries a token once workers look at
+// it, and what was refused without one tells nothing of another holder.
+func TestController_TokensFollowTheSettings(t *testing.T) {
+	_, leases := newLeases(1)
+	ctx := t.Context()
+	leases[0].round(ctx)
+	term, _ := leases[0].Held()
+	fenced := false
+	orders := &refused{}
+	c := NewController(Options{
+		Lease:   leases[0],
+		Orders:  orders,
+		Fenced:  func() bool { return fenced },
+		Metrics: metrics.NewSet(),
+		Now:     leases[0].opts.Now,
+		Log:     &log.Logger{Level: log.PanicLevel},
+	})
+	c.give(ctx, term, Order{Op: Leave})
+	fenced = true
+	c.takeAll()
+	_, held := leases[0].Held()
+	must.True(t, held)
+	c.give(ctx, term, Order{Op: Leave})
+	c.takeAll()
+	_, held = leases[0].Held()
+	must.False(t, held)
+	must.Eq(t, []uint64{0, term}, orders.fences)
+}
+
+// refused refuses orders as those of an earlier holder.
+type refused struct{ fences []uint64 }
+
+// Give refuses an order.
+func (r *refused) Give(_ context.Context, o Order) (Outcome, error) {
+	r.fences = append(r.fences, o.Fence)
+	return Outdated, nil
+}
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -86,8 +86,9 @@
 // LeaseOptions wires a lease.
 type LeaseOptions struct {
 	Table Table
-	// Self is the node that tries to hold the lease.
-	Self   Node
+	// Self returns the node that tries to hold the lease. Its share of a core may change
+	// at any time; the node then announces itself again.
+	Self   func() Node
 	Memory Memory
 	// FirstStart tells that no node can have announced itself before.
 	FirstStart bool
@@ -138,7 +139,7 @@
 // Release gives up the lease for good and takes back the node's row.
 func (l *Lease) Release(ctx context.Context) error {
 	l.released.Store(true)
-	txn := store.Txn{Deletes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.opts.Self.Name}}}
+	txn := store.Txn{Deletes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.opts.Self().Name}}}
 	row, version := l.state.row()
 	if _, held := l.Held(); held {
 		l.state.drop()
@@ -163,7 +164,7 @@
 // announceIfMissing writes the node's row where it isn't there. That of an earlier life
 // will do, so that a node which starts again costs the store no write.
 func (l *Lease) announceIfMissing(ctx context.Context) {
-	listed, known := l.state.lists(l.opts.Self)
+	listed, known := l.state.lists(l.opts.Self())
 	if !known || listed || l.released.Load() || l.opts.Now().Sub(l.announced) < announceAgain {
 		return
 	}
@@ -171,7 +172,8 @@
 }
 
 func (l *Lease) announce(ctx context.Context) {
-	row := store.Write{Table: LeaseTable, Key: nodePrefix + l.opts.Self.Name, Value: encode(l.opts.Self)}
+	self := l.opts.Self()
+	row := store.Write{Table: LeaseTable, Key: nodePrefix + self.Name, Value: encode(self)}
 	if _, err := l.opts.Table.Commit(ctx, store.Txn{Writes: []store.Write{row}}); err != nil {
 		l.opts.Log.Warn().Str("event", "announcement_failed").Err(err).Msg("")
 		return
@@ -200,7 +202,7 @@
 		return
 	}
 	row, version := leaseIn(snapshot.Rows)
-	if row.Holder == l.opts.Self.Name && version != 0 && row.UntilMs > snapshot.Clock.Milliseconds() {
+	if row.Holder == l.opts.Self().Name && version != 0 && row.UntilMs > snapshot.Clock.Milliseconds() {
 		// An earlier life of this node, or a renewal whose answer was lost. What it
 		// may have ordered counts as another holder's.
 		l.opts.Log.Info().Str("event", "lease_found_own").Uint64("term", row.Term).Msg("")
@@ -208,14 +210,14 @@
 		return
 	}
 	l.opts.Memory.Remember(row.Last)
-	l.commit(ctx, leaseRow{Holder: l.opts.Self.Name, Term: snapshot.Version + 1}, version, snapshot.Clock)
+	l.commit(ctx, leaseRow{Holder: l.opts.Self().Name, Term: snapshot.Version + 1}, version, snapshot.Clock)
 }
 
 // turn tells whether it is this node's turn to take a lease that is free. The nodes
 // with the most processor time come first, and the others a little later each, so
 // that they don't all write at once.
 func (l *Lease) turn(rows []store.Row, version uint64) bool {
-	rank := min(Parse(rows).Rank(l.opts.Self), mostRank)
+	rank := min(Parse(rows).Rank(l.opts.Self()), mostRank)
 	return l.opts.Now().Sub(l.state.freeSince(version, l.opts.Now())) >= time.Duration(rank)*rankPause
 }
 
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -95,8 +95,12 @@
 	return table, leases
 }
 
+func selfWith(i int, cores float64) func() Node {
+	return func() Node { return Node{Name: fmt.Sprint("n", i), Cores: cores} }
+}
+
 func newLease(table *memoryTable, i int, now func() time.Time) *Lease {
-	return NewLease(LeaseOptions{Table: table, Self: Node{Name: fmt.Sprint("n", i)}, Memory: &noMemory{}, Now: now, Log: &log.Logger{Level: log.PanicLevel}})
+	return NewLease(LeaseOptions{Table: table, Self: selfWith(i, 0), Memory: &noMemory{}, Now: now, Log: &log.Logger{Level: log.PanicLevel}})
 }
 
 func holders(leases []*Lease) (held []*Lease) {
@@ -204,9 +208,9 @@
 	table, leases := newLeases(3)
 	ctx := t.Context()
 	for i, l := range leases {
-		l.opts.Self.Cores = 0.2
+		l.opts.Self = selfWith(i, 0.2)
 		if i == 2 {
-			l.opts.Self.Cores = 0.8
+			l.opts.Self = selfWith(i, 0.8)
 		}
 		l.announce(ctx)
 	}
@@ -260,3 +264,27 @@
 		}
 	})
 }
+
+// TestLease_AnnouncesAnotherShareOfACore: who has more processor time than before says so,
+// once.
+func TestLease_AnnouncesAnotherShareOfACore(t *testing.T) {
+	table, leases := newLeases(1)
+	ctx := t.Context()
+	l := leases[0]
+	l.opts.Self = selfWith(0, 0.2)
+	l.announce(ctx)
+	table.now = table.now.Add(announceAgain)
+	l.opts.Self = selfWith(0, 0.8)
+	for range 3 {
+		l.round(ctx)
+		l.announceIfMissing(ctx)
+	}
+	snapshot, _ := table.Rows(ctx, LeaseTable)
+	n, _ := Parse(snapshot.Rows).Node("n0")
+	must.EqOp(t, 0.8, n.Cores)
+	announced := table.rows[nodePrefix+"n0"].Version
+	table.now = table.now.Add(announceAgain)
+	l.round(ctx)
+	l.announceIfMissing(ctx)
+	must.EqOp(t, announced, table.rows[nodePrefix+"n0"].Version)
+}
--- a/replica/order.go
+++ b/replica/order.go
@@ -34,7 +34,8 @@
 	Model   string
 	Members []string
 	// Fence is the fencing token: the term of the lease that the order is given under.
-	// Where workers look at it they refuse orders of earlier terms.
+	// Where workers look at it they refuse orders of earlier terms; where they don't it
+	// is 0, and none is sent.
 	Fence uint64
 }
 
@@ -62,11 +63,11 @@
 }
 
 // outranked tells whether an order's outcome shows that another process has given
-// orders under a later term of the lease, where workers look at fencing tokens. A join
+// orders under a later term of the lease, where it was given a fencing token. A join
 // may also be refused for a higher epoch, even one that the same holder gave before and
 // that was carried out late, so that only that of other orders is sure to show it.
-func outranked(o Order, outcome Outcome, fenced bool) bool {
-	return fenced && outcome == Outdated && o.Op != Join
+func outranked(o Order, outcome Outcome) bool {
+	return o.Fence != 0 && outcome == Outdated && o.Op != Join
 }
 
 // Orders gives orders to workers.
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -164,6 +164,10 @@
 	}
 }
 
+// Bound puts another bound on loads in force, from the next plan on. Loads are known for
+// as long as the bounds before asked.
+func (p *Planner) Bound(ceiling LoadCeiling) { p.ceiling = ceiling }
+
 // Term returns the planner's term.
 func (p *Planner) Term() uint64 { return p.term }
 
--- a/retry/window.go
+++ b/retry/window.go
@@ -46,6 +46,7 @@
 func (w *Window) Spend(now time.Time, a Allowance) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.resize(now, a.Window)
 	if !w.room(now, a) {
 		return false
 	}
@@ -57,20 +58,39 @@
 func (w *Window) Room(now time.Time, a Allowance) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.resize(now, a.Window)
 	return w.room(now, a)
 }
 
+// resize gives the window another length. The retries in it count as made now and the
+// requests in it no more, so that there are rather too few retries for one window than
+// too many. The caller holds the lock.
+func (w *Window) resize(now time.Time, length time.Duration) {
+	if length == w.length {
+		return
+	}
+	_, retries := w.counted(now)
+	w.length = length
+	w.slots = [windowSlots]windowSlot{}
+	w.slot(now).retries = retries
+}
+
 // room is Room with the lock held.
 func (w *Window) room(now time.Time, a Allowance) bool {
+	requests, retries := w.counted(now)
+	return float64(retries+1) <= a.Ratio*float64(requests)+a.Extra
+}
+
+// counted returns what came within the window. The caller holds the lock.
+func (w *Window) counted(now time.Time) (requests, retries int) {
 	current := w.slot(now)
-	requests, retries := 0, 0
 	for _, s := range w.slots {
 		if current.number-s.number < windowSlots {
 			requests += s.requests
 			retries += s.retries
 		}
 	}
-	return float64(retries+1) <= a.Ratio*float64(requests)+a.Extra
+	return requests, retries
 }
 
 // slot returns the current part of the window, emptied of what it held a window
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -52,6 +52,25 @@
 	})
 }
 
+// TestWindow_KeepsRetriesWhenItsLengthChanges: who gives the window another length gets no
+// retries for free, neither by that nor by the requests before.
+func TestWindow_KeepsRetriesWhenItsLengthChanges(t *testing.T) {
+	a := Allowance{Ratio: 0.2, Extra: 2, Window: 10 * time.Second}
+	w := NewWindow(a.Window)
+	now := time.Unix(1000, 0)
+	for range 50 {
+		w.Request(now)
+	}
+	for range 2 {
+		must.True(t, w.Spend(now, a))
+	}
+	now = now.Add(time.Second)
+	a.Window = 4 * time.Second
+	must.False(t, w.Spend(now, a))
+	must.False(t, w.Room(now.Add(3*time.Second), a))
+	must.True(t, w.Room(now.Add(4*time.Second), a))
+}
+
 func since(times []time.Time, from time.Time) int {
 	n := 0
 	for _, at := range times {
--- a/serving/evidence.go
+++ b/serving/evidence.go
@@ -27,7 +27,7 @@
 // judge counts a verdict that rests on old evidence, and returns the answer to give,
 // nil if the request goes on.
 func (e *exchange) judge(v catalog.Verdict, answers evidenceAnswers) *fault {
-	if e.server.opts.Evidence.Old(e.age()) {
+	if e.server.opts.Evidence().Old(e.age()) {
 		e.server.opts.Counters.oldEvidence[v].Inc()
 	}
 	switch v {
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -36,7 +36,7 @@
 	s := NewServer(Options{
 		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now),
 		Catalogs:  &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
-		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
+		Counters: NewCounters(metrics.NewSet()), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
 		Allowance: func() retry.Allowance { return retry.Allowance{Window: time.Second} },
 		Asked:     func(load.Model, time.Duration) {},
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return false }, MostRequests: 10,
--- a/serving/server.go
+++ b/serving/server.go
@@ -27,8 +27,8 @@
 	// Placement decides where requests may run.
 	Placement Placement
 	Counters  *Counters
-	// Evidence says what may be decided on how old evidence.
-	Evidence catalog.EvidencePolicy
+	// Evidence says what may be decided on how old evidence. It may change at any time.
+	Evidence func() catalog.EvidencePolicy
 	// Allowance returns this process's part of the retries for a service.
 	Allowance func() retry.Allowance
 	// Suspect is told each group that fails a request.
@@ -162,13 +162,13 @@
 		return &fault{status: http.StatusServiceUnavailable, reason: "too many requests are under way here", retryAfter: fullRetry}
 	}
 	route, found := c.Route(e.req.Host, e.req.Path)
-	if f := e.judge(s.opts.Evidence.Route(found, e.age()), routeAnswers); f != nil {
+	if f := e.judge(s.opts.Evidence().Route(found, e.age()), routeAnswers); f != nil {
 		return f
 	}
 	e.route = route
 	if !route.Public && c.NeedsCredential() {
 		customer, known := c.Customer(e.req.Credential)
-		if f := e.judge(s.opts.Evidence.Credential(known, e.age()), keyAnswers); f != nil {
+		if f := e.judge(s.opts.Evidence().Credential(known, e.age()), keyAnswers); f != nil {
 			return f
 		}
 		e.customer = customer
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -50,7 +50,7 @@
 	return NewServer(Options{
 		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now),
 		Catalogs:  &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
-		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
+		Counters: NewCounters(metrics.NewSet()), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 10, Window: time.Second} },
 		Asked:     func(load.Model, time.Duration) {},
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return true }, MostRequests: 10,
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -109,9 +109,11 @@
 // Daemon is a running pointpassd edge.
 type Daemon struct {
 	addr, readiness, metrics, peers string
-	command                         *exec.Cmd
-	done                            chan struct{}
-	log                             *buffer
+	// file holds the daemon's settings.
+	file    string
+	command *exec.Cmd
+	done    chan struct{}
+	log     *buffer
 }
 
 // buffer is a log that may be read while it grows.
@@ -169,12 +171,12 @@
 		}
 		*addr = free
 	}
-	file := filepath.Join(dir, name+".jsonc")
+	d.file = filepath.Join(dir, name+".jsonc")
 	text := fmt.Sprintf(settings, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store), !setup.LooseRevoke, setup.Fenced)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
 	}
-	d.command = exec.Command(program, "edge", "-config", file)
+	d.command = exec.Command(program, "edge", "-config", d.file)
 	d.command.Stdout = d.log
 	d.command.Stderr = d.log
 	if err := d.command.Start(); err != nil {
@@ -196,6 +198,12 @@
 // Signal sends the daemon a signal.
 func (d *Daemon) Signal(s syscall.Signal) { d.command.Process.Signal(s) }
 
+// Settings returns the file of the daemon's settings.
+func (d *Daemon) Settings() string { return d.file }
+
+// Exit returns the daemon's exit code once it is gone.
+func (d *Daemon) Exit() int { return d.command.ProcessState.ExitCode() }
+
 // Done is closed once the daemon is gone.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -39,6 +39,8 @@
 	CutsEvents
 	// FallsSilent sends the first two events of a stream and nothing more.
 	FallsSilent
+	// Pauses sends the first two events of a stream, and the others once the fault ends.
+	Pauses
 	// OtherID answers with the id of another request.
 	OtherID
 	// LiesBusy answers 503 without saying that the request did not run.
@@ -146,6 +148,12 @@
 	w.fault = f
 }
 
+func (w *Worker) has(f Fault) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fault == f
+}
+
 // Drain announces that the worker leaves.
 func (w *Worker) Drain() {
 	w.mu.Lock()
@@ -415,6 +423,9 @@
 			w.awaitEnd(r, run)
 			panic(http.ErrAbortHandler)
 		}
+		for fault == Pauses && i == last+3 && w.has(Pauses) && r.Context().Err() == nil {
+			time.Sleep(eventTime)
+		}
 		if fault == CutsEvents && i == last+3 {
 			fmt.Fprintf(rw, "id: %d\nda", i)
 			http.NewResponseController(rw).Flush()
