--- a/deps/cold.go
+++ b/deps/cold.go
@@ -30,7 +30,7 @@
 
 func newCold(e *Edge) *cold {
 	bounds := e.settings.Bounds()
-	c := &cold{edge: e, roster: ramp.NewRoster(e.settings.Name()), book: ramp.NewBook(e.coldUsage)}
+	c := &cold{edge: e, roster: ramp.NewRoster(e.settings.Current().Name()), book: ramp.NewBook(e.coldUsage)}
 	c.ramp = ramp.New(ramp.Options{
 		Roster: c.roster,
 		Book:   c.book,
--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -88,7 +88,7 @@
 		Peers:     peers{w},
 		Upstreams: func() []relay.Member { return w.addrs[:min(i, 2)] },
 		MostAge:   func(string) time.Duration { return mostAge },
-		InTouch:   4 * time.Second,
+		InTouch:   func() time.Duration { return 4 * time.Second },
 		Now:       w.clock,
 		Log:       &log.Logger{Level: log.PanicLevel},
 	})
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -107,7 +107,7 @@
 	f.server = NewServer(Options{
 		Placement: placement.NewDecider(fleetHalls, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &f.catalogs, Workers: registry.View, Upstream: f, Balancer: NewBalancer("h1"),
-		Counters: NewCounters(f.set), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
+		Counters: NewCounters(f.set), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 1000, Window: time.Second} },
 		Asked:     func(m load.Model, _ time.Duration) { f.asked = append(f.asked, m) },
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return true }, MostRequests: 10,
