replica: Have a warm member head a group

Cause: only a group's head gets requests, so that the bound on cold workers binds a whole group whose head is cold, whoever its other members are. Change: the member that is cold the least heads; the planner is told how long each is cold.

--- a/deps/cold.go
+++ b/deps/cold.go
@@ -69,6 +69,16 @@
 	c.note(c.book.Opened(hall, seen, time.Now()))
 }
 
+// left returns how much longer a worker is cold.
+func (c *cold) left(worker string) time.Duration {
+	now := time.Now()
+	w, is := c.book.At(worker, now)
+	if !is {
+		return 0
+	}
+	return w.Until.Sub(now)
+}
+
 // note logs who became cold.
 func (c *cold) note(began []ramp.Cold) {
 	if len(began) == 0 {
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -149,6 +149,7 @@
 		Dead:      e.noteDead,
 		StoreBack: e.lastBack,
 		Load:      e.loads.Known,
+		ColdLeft:  e.cold.left,
 		Idle:      func() bool { return e.settings.FirstStart() && !e.begun.Load() },
 		Metrics:   e.Metrics,
 		Now:       time.Now,
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -32,10 +32,12 @@
 	// StoreBack returns when the store last answered again after it had not.
 	StoreBack func() time.Time
 	// Load returns what callers ask for, as far as it is known.
-	Load    func() load.Sum
-	Metrics *metrics.Set
-	Now     func() time.Time
-	Log     *log.Logger
+	Load func() load.Sum
+	// ColdLeft returns how much longer a worker bears little, 0 if it is warm.
+	ColdLeft func(worker string) time.Duration
+	Metrics  *metrics.Set
+	Now      func() time.Time
+	Log      *log.Logger
 }
 
 // Controller gives the orders that a planner decides on while the lease is held.
@@ -177,6 +179,7 @@
 		Failing:   c.failing,
 		StoreBack: c.opts.StoreBack(),
 		Load:      c.opts.Load(),
+		ColdLeft:  c.opts.ColdLeft,
 	})
 	c.logPlan(term)
 	return orders
--- a/replica/form.go
+++ b/replica/form.go
@@ -37,6 +37,7 @@
 	r.formed++
 	id := workers.NewGroupID(model.Name, r.term*epochsPerTerm+r.formed)
 	f := &formation{id: id, service: r.service.Name, model: model, begun: r.now, joins: map[string]int{}}
+	members = r.warmHeadFirst(members)
 	for _, w := range members {
 		f.members = append(f.members, w.ID)
 		if preparationOf(w, model.Name) == fromStore {
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -112,6 +112,9 @@
 	StoreBack time.Time
 	// Load is what callers ask for, the zero value if that isn't known.
 	Load load.Sum
+	// ColdLeft returns how much longer a worker bears little since it has just started,
+	// 0 if it is warm. Nil stands for workers that all are.
+	ColdLeft func(worker string) time.Duration
 }
 
 // formation is a group that the planner is forming.
@@ -170,7 +173,7 @@
 // Plan returns the orders to give now. All of them count as under way until
 // Result tells what came of them.
 func (p *Planner) Plan(s Situation) []Order {
-	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack}
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, coldLeft: s.ColdLeft}
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
 	p.forgetEndings(s.Now)
@@ -299,6 +302,7 @@
 	orders  []Order
 
 	storeBack time.Time
+	coldLeft  func(worker string) time.Duration
 }
 
 // give adds an order, unless one to the same worker is under way.
