testbed: Judge what cold workers get; restart all daemons at once

Cause: the bound on cold workers had no test with real daemons. Change: workers of the stand-in tell how long they are cold, the judge counts what reaches them within a second; one test with four daemons whose callers ask for far more, before and after all of them start again at once.

--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -53,6 +53,9 @@
 type Service struct {
 	Name    string   `json:"name"`
 	Runtime *Runtime `json:"runtime,omitempty"`
+	// ColdS and ColdPerS say how workers are used that have just started.
+	ColdS    float64 `json:"coldS,omitempty"`
+	ColdPerS float64 `json:"coldPerS,omitempty"`
 }
 
 // Runtime says how model workers run.
@@ -89,6 +92,7 @@
 // Apply writes a configuration to the store.
 func (s *Store) Apply(c Config) {
 	for _, service := range c.Services {
+		s.judge.setColdBound(service.Name, service.ColdPerS)
 		if service.Runtime != nil {
 			s.judge.setSizes(service.Runtime.Models)
 		}
@@ -136,7 +140,7 @@
 const settings = `{
   "name": %q, "hall": "z1", "first_start": %t,
   "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
-  "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10, "revoke_strict": %t, "fenced": %t},
+  "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10, "revoke_strict": %t, "fenced": %t, "cold_overrun": 1.5, "cold_slack": 5},
 }`
 
 // Setup is how a daemon is started.
--- /dev/null
+++ b/testbed/standin/cold_test.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// coldDaemons are few enough that each may send to each cold worker.
+	coldDaemons = 4
+	// coldCallers ask each daemon at a time, far more than a cold worker bears.
+	coldCallers = 8
+	// moreThan is what a cold worker gets in two seconds and more.
+	moreThan = 40
+)
+
+// TestCold_AllDaemonsKeepTheBound: callers ask for far more than a cold worker bears, also
+// after all daemons have started again at once. The judge counts what it gets.
+func TestCold_AllDaemonsKeepTheBound(t *testing.T) {
+	s := newStage(t, 0)
+	s.config.Version++
+	s.config.Services[0].ColdS = 60
+	s.config.Services[0].ColdPerS = 18
+	s.store.Apply(s.config)
+	for i := range coldDaemons {
+		s.start(i == 0)
+	}
+	s.addWorker("cold", "app", "").SetCold(time.Minute)
+	stop := s.askAll()
+	eventually(t, "the cold worker gets requests", func() bool { return s.store.Judge().Arrivals("cold") > moreThan })
+	stop()
+	before := s.store.Judge().Arrivals("cold")
+	s.restartAll()
+	stop = s.askAll()
+	defer stop()
+	eventually(t, "it gets some again", func() bool { return s.store.Judge().Arrivals("cold") > before+moreThan })
+}
+
+// askAll has callers ask all daemons until stop is called.
+func (s *stage) askAll() (stop func()) {
+	done := make(chan struct{})
+	var asking sync.WaitGroup
+	var ids sync.Mutex
+	for _, d := range s.daemons {
+		for range coldCallers {
+			asking.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(10 * time.Millisecond):
+					}
+					ids.Lock()
+					a := s.ask(http.MethodPost, "/get/x")
+					ids.Unlock()
+					d.Send(s.t.Context(), a)
+				}
+			})
+		}
+	}
+	return func() {
+		close(done)
+		asking.Wait()
+	}
+}
+
+// restartAll kills all daemons and starts them again under their names.
+func (s *stage) restartAll() {
+	for _, d := range s.daemons {
+		d.Kill()
+	}
+	for i := range s.daemons {
+		d, kill, err := Start(program, s.t.TempDir(), fmt.Sprint("edge-", i), s.store, Setup{})
+		must.NoError(s.t, err)
+		s.t.Cleanup(kill)
+		s.daemons[i] = d
+	}
+	for _, d := range s.daemons {
+		eventually(s.t, "a daemon gets ready", d.Ready)
+	}
+}
--- a/testbed/standin/judge.go
+++ b/testbed/standin/judge.go
@@ -17,10 +17,14 @@
 	ready  map[string]bool
 	loads  []time.Time
 	broken []string
+	// coldBounds are how many requests a cold worker of a service may get within a second,
+	// arrivals when each cold worker got some.
+	coldBounds map[string]int
+	arrivals   map[string][]time.Time
 }
 
 func newJudge() *Judge {
-	return &Judge{sizes: map[string]int{}, open: map[string]bool{}, ready: map[string]bool{}}
+	return &Judge{sizes: map[string]int{}, open: map[string]bool{}, ready: map[string]bool{}, coldBounds: map[string]int{}, arrivals: map[string][]time.Time{}}
 }
 
 // Broken returns the rules broken so far.
@@ -101,6 +105,42 @@
 	}
 }
 
+// What a cold worker may get beyond what it bears.
+const (
+	coldOverrun = 1.5
+	coldSlack   = 5
+)
+
+func (j *Judge) setColdBound(service string, bears float64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.coldBounds[service] = int(bears*coldOverrun + coldSlack)
+}
+
+// arrives judges a request that reaches a cold worker: FAILBACK.
+func (j *Judge) arrives(id, service string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	j.arrivals[id] = append(j.arrivals[id], now)
+	n := 0
+	for _, at := range j.arrivals[id] {
+		if now.Sub(at) <= time.Second {
+			n++
+		}
+	}
+	if most := j.coldBounds[service]; n > most {
+		j.broken = append(j.broken, fmt.Sprintf("FAILBACK: %s got %d requests within a second, allowed %d", id, n, most))
+	}
+}
+
+// Arrivals returns how many requests a worker got while it was cold.
+func (j *Judge) Arrivals(id string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.arrivals[id])
+}
+
 // runs judges a request that a head begins to run: PARTIAL.
 func (j *Judge) runs(g *groupState, model string, members []string) {
 	j.mu.Lock()
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -72,6 +72,7 @@
 	Domain  string      `json:"domain"`
 	Slots   int         `json:"slots"`
 	State   string      `json:"state"`
+	ColdMs  float64     `json:"coldLeftMs,omitempty"`
 	Staged  []string    `json:"staged,omitempty"`
 	Group   *groupState `json:"group,omitempty"`
 }
@@ -105,6 +106,8 @@
 	orders   []string
 	runs     []*Run
 	released chan struct{} // closed when a stall ends
+	// coldUntil is until when the worker bears little.
+	coldUntil time.Time
 }
 
 // NewWorker starts a worker whose entry is in the store, and returns it with a
@@ -154,6 +157,14 @@
 	w.publish()
 }
 
+// SetCold has the worker be cold for a while, as if it had just started.
+func (w *Worker) SetCold(d time.Duration) {
+	w.mu.Lock()
+	w.coldUntil = time.Now().Add(d)
+	w.mu.Unlock()
+	w.publish()
+}
+
 // Runs returns the requests that the worker ran.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
@@ -207,6 +218,7 @@
 		Domain:  w.domain,
 		Slots:   4,
 		State:   "ready",
+		ColdMs:  max(0, float64(time.Until(w.coldUntil).Milliseconds())),
 		Staged:  slices.Clone(w.staged),
 	}
 	if w.draining {
@@ -326,11 +338,15 @@
 	head := w.group != nil && w.group.State == "open"
 	grouped := w.group != nil
 	group, model, members := w.group, w.model, w.members
+	cold := time.Now().Before(w.coldUntil)
 	w.mu.Unlock()
 	if r.Header.Get(headerExpect) != w.id || (grouped && !head) {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if cold {
+		w.store.judge.arrives(w.id, w.service)
+	}
 	if fault == Full {
 		rw.Header().Set(headerNotRun, "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
