ramp, deps: Have views of the daemons come without a gap

Cause: behind two daemons that relay, what is known of the lease's table may be 3.15 s old while the store answers, and at a daemon alone in its hall it is over 7 s: such daemons would never send to a cold worker. Halls that open: their workers are held cold before a request may go there, not after. Who stays cold a little longer than it told did not turn cold.

--- a/deps/cold.go
+++ b/deps/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -53,6 +54,15 @@
 	return s.Cold
 }
 
+// needed tells whether the workers of some service start cold.
+func (c *cold) needed() bool {
+	current := c.edge.Catalogs.Current().Catalog
+	if current == nil {
+		return false
+	}
+	return slices.ContainsFunc(current.Services(), func(s *catalog.Service) bool { return s.Cold.PerSecond > 0 })
+}
+
 // learnDaemons takes in which daemons announced themselves.
 func (c *cold) learnDaemons(rows map[string]uint64, u store.Update) {
 	c.roster.Learn(ramp.View{Rows: rows, Evidence: u.Evidence}, time.Now())
@@ -125,11 +135,11 @@
 func (c *cold) gauges() {
 	c.edge.Metrics.NewGauge("pointpass_workers_cold", func() float64 { return float64(len(c.book.All(time.Now()))) })
 	c.edge.Metrics.NewGauge("pointpass_ramp_active", func() float64 { return asNumber(c.roster.Standing(time.Now()) == ramp.Active) })
-	c.edge.Metrics.NewGauge("pointpass_ramp_taken", func() float64 {
+	c.edge.Metrics.NewGauge("pointpass_ramp_taken_total", func() float64 {
 		taken, _ := c.ramp.Counts()
 		return float64(taken)
 	})
-	c.edge.Metrics.NewGauge("pointpass_ramp_refused", func() float64 {
+	c.edge.Metrics.NewGauge("pointpass_ramp_refused_total", func() float64 {
 		_, refused := c.ramp.Counts()
 		return float64(refused)
 	})
--- a/deps/following.go
+++ b/deps/following.go
@@ -196,12 +196,19 @@
 	switch {
 	case !f.reader.Direct():
 		return min(most, p.relayedHold)
-	case f.control.Load().relays:
+	case f.control.Load().relays || f.asRelay(table):
 		return min(most, p.relayingHold)
 	}
 	return most
 }
 
+// asRelay tells whether a daemon that follows the store alone asks for a table as often as
+// one that relays: where workers start cold, what is known of other daemons has to be
+// young, at 0.5 calls a second more.
+func (f *following) asRelay(table string) bool {
+	return table == replica.LeaseTable && f.edge.cold.needed()
+}
+
 // configWait returns how long the store holds a question for a newer
 // configuration. Each answer is evidence that there is none as of the moment the
 // question was sent: while the store answers, evidence is at most twice as old,
@@ -219,7 +226,7 @@
 		return holderGather
 	case !f.reader.Direct():
 		return p.relayedGather
-	case f.control.Load().relays:
+	case f.control.Load().relays || f.asRelay(table):
 		return p.relayingGather
 	}
 	return p.aloneGather
--- a/deps/halls.go
+++ b/deps/halls.go
@@ -15,15 +15,14 @@
 	if err != nil {
 		e.Log.Error().Str("event", "hall_unreadable").Err(err).Msg("")
 	}
-	before := e.Placement.Facts()
-	closed, opened := e.Placement.Apply(placement.Update{Changes: changes, Full: u.Full, Version: u.Version, Evidence: u.Evidence})
+	update := placement.Update{Changes: changes, Full: u.Full, Version: u.Version, Evidence: u.Evidence}
+	e.coolOpened(update)
+	closed, opened := e.Placement.Apply(update)
 	for _, c := range closed {
 		e.Log.Warn().Str("event", "hall_closed").Str("hall", c.Hall).Uint64("store_version", c.Version).
 			Dur("evidence_age", time.Since(u.Evidence)).Int("under_way", e.underWayIn(c.Hall)).Msg("its workers get no further requests")
 	}
 	for _, r := range opened {
-		_, seen := before.Closed(r.Hall)
-		e.cold.learnOpening(r.Hall, seen)
 		e.Log.Info().Str("event", "hall_opened").Str("hall", r.Hall).Uint64("store_version", r.Version).
 			Dur("evidence_age", time.Since(u.Evidence)).Msg("")
 	}
@@ -32,6 +31,17 @@
 	}
 }
 
+// coolOpened has the workers of halls that an update opens be cold, before any request may
+// go there.
+func (e *Edge) coolOpened(u placement.Update) {
+	before := e.Placement.Facts()
+	_, _, opened := before.Apply(u, time.Now())
+	for _, r := range opened {
+		_, seen := before.Closed(r.Hall)
+		e.cold.learnOpening(r.Hall, seen)
+	}
+}
+
 // underWayIn returns how many requests of this daemon run at workers of a hall.
 func (e *Edge) underWayIn(hall string) int {
 	heads := map[string]workers.Worker{}
--- a/ramp/book.go
+++ b/ramp/book.go
@@ -95,7 +95,8 @@
 		return Cold{}, false
 	}
 	c := Cold{Worker: w.ID, Service: w.Service, Hall: w.Hall, By: ByEntry, Since: now, Until: now.Add(w.ColdLeft)}
-	if _, listed := b.listed[w.ID]; listed && open(w.Hall) {
+	before, listed := b.listed[w.ID]
+	if listed && before.ColdLeft <= 0 && open(w.Hall) {
 		c.By = ByTurn
 		c.HeldUntil = now.Add(heldAfterTurn)
 	}
--- a/ramp/book_test.go
+++ b/ramp/book_test.go
@@ -47,6 +47,15 @@
 	must.Eq(t, noon.Add(heldAfterTurn), began[0].HeldUntil)
 }
 
+// TestBook_WhoStaysColdALittleLongerDidNotTurn: the last entry told an earlier end.
+func TestBook_WhoStaysColdALittleLongerDidNotTurn(t *testing.T) {
+	b := learned()
+	b.Entries([]workers.Worker{entry("b", time.Second)}, nil, false, open, noon)
+	began := b.Entries([]workers.Worker{entry("b", time.Second/10)}, nil, false, open, second(1.1))
+	must.EqOp(t, ByEntry, began[0].By)
+	must.True(t, began[0].HeldUntil.IsZero())
+}
+
 // TestBook_InAClosedHallNobodyIsLeftAlone: nothing goes there in any case.
 func TestBook_InAClosedHallNobodyIsLeftAlone(t *testing.T) {
 	b := learned()
--- a/ramp/doc.go
+++ b/ramp/doc.go
@@ -9,7 +9,7 @@
 //
 // # Why the parts add up
 //
-// Let E be evidenceAge, M margin. A view is dated by its evidence: it shows the table as
+// Let E be EvidenceAge, M margin. A view is dated by its evidence: it shows the table as
 // it was at some moment between the evidence and its receipt. A row stays until its
 // daemon takes it back, perhaps late; rows written anew have another version. A daemon is
 // active at t if
--- a/ramp/roster.go
+++ b/ramp/roster.go
@@ -8,17 +8,18 @@
 
 // Bounds of what a daemon knows of the others; the package comment has the proof.
 const (
-	// evidenceAge is how old the newest view may be. While the store answers, views are
-	// younger than 2.2 s, also behind daemons that relay.
-	evidenceAge = 3 * time.Second
+	// EvidenceAge is how old the newest view may be. It is above what views are while the
+	// store answers, also behind daemons that relay. Each second more has a daemon that
+	// starts stay away from cold workers for two.
+	EvidenceAge = 3300 * time.Millisecond
 	// margin is above countedWithin and mostSendDelay, with room for clocks that run
 	// unlike.
 	margin = 2 * time.Second
 	// keepGone is how long a daemon counts after its row is gone, and least how long
 	// views have to come without a gap.
-	keepGone = evidenceAge + margin
+	keepGone = EvidenceAge + margin
 	// leastListed is how long a daemon's own row has to be seen.
-	leastListed = 2*evidenceAge + margin
+	leastListed = 2*EvidenceAge + margin
 )
 
 // View is what an answer tells of the daemons that announced themselves.
@@ -56,7 +57,7 @@
 func (r *Roster) Learn(v View, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.evidence) > evidenceAge {
+	if now.Sub(r.evidence) > EvidenceAge {
 		r.informed = now
 	}
 	if v.Evidence.After(r.evidence) {
@@ -116,7 +117,7 @@
 
 func (r *Roster) standing(now time.Time) Standing {
 	switch {
-	case now.Sub(r.evidence) > evidenceAge:
+	case now.Sub(r.evidence) > EvidenceAge:
 		return Uninformed
 	case now.Sub(r.informed) < keepGone:
 		return Resuming
