--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -96,3 +96,15 @@
 	must.EqOp(t, Cold, d.Send(Request{}, in("h1")).Reason)
 	must.True(t, d.Send(Request{}, workers.Worker{ID: "other", Hall: "h1"}).Allowed())
 }
+
+// halfRamp is a ramp where "w" is cold and has room.
+type halfRamp struct{ fullRamp }
+
+func (halfRamp) Room(w workers.Worker, _ time.Time) (cold, room bool) { return w.ID == "w", true }
+func (halfRamp) Weight(workers.Worker, time.Time) float64             { return 0.5 }
+
+func TestDecider_TellsWhatWorkAtAColdWorkerCounts(t *testing.T) {
+	d := NewDecider(halls, halfRamp{}, time.Now)
+	must.Eq(t, Verdict{Weight: 0.5, Hall: "h1", Region: "north"}, d.Judge(Request{}, in("h1")))
+	must.EqOp(t, 1, d.Judge(Request{}, workers.Worker{ID: "other"}).Weight)
+}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -32,6 +32,24 @@
 	must.EqOp(t, "near", third.Key)
 }
 
+// TestChoose_WorkWhereFewMaySendCountsLess: a daemon that sends to a cold worker for three
+// others gives it four of five requests, wherever it is.
+func TestChoose_WorkWhereFewMaySendCountsLess(t *testing.T) {
+	b := NewBalancer("z1")
+	cold := target("cold", "z2")
+	cold.Weight = 0.25
+	targets := []Target{target("warm", "z1"), cold}
+	n := map[string]int{}
+	for range 50 {
+		chosen, _ := b.Choose(targets, nil, noon)
+		n[chosen.Key]++
+	}
+	must.Between(t, 38, n["cold"], 42)
+	b.Fail("cold", noon)
+	chosen, _ := b.Choose(targets, nil, noon)
+	must.EqOp(t, "warm", chosen.Key, must.Sprint("suspicion counts in full"))
+}
+
 func TestChoose_LeavesOutTriedAndSuspectTargets(t *testing.T) {
 	b := NewBalancer("z1")
 	targets := []Target{target("a", "z1"), target("b", "z1")}
