--- a/deps/edge.go
+++ b/deps/edge.go
@@ -154,6 +154,7 @@
 		Dead:      e.noteDead,
 		StoreBack: e.lastBack,
 		Load:      e.loads.Known,
+		ColdLeft:  e.cold.left,
 		Halls:     func() replica.Halls { return e.Placement.Facts() },
 		Region:    func(hall string) string { return e.Placement.Facts().Region(hall) },
 		Idle:      func() bool { return e.settings.Current().FirstStart() && !e.begun.Load() },
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -108,3 +108,15 @@
 	must.EqOp(t, Allowed, d.Judge(bound, workers.Worker{Hall: "h1"}).Reason)
 	must.EqOp(t, HallClosed, d.Judge(bound, workers.Worker{Hall: "h2"}).Reason)
 }
+
+// halfRamp is a ramp where "w" is cold and has room.
+type halfRamp struct{ fullRamp }
+
+func (halfRamp) Room(w workers.Worker, _ time.Time) (cold, room bool) { return w.ID == "w", true }
+func (halfRamp) Weight(workers.Worker, time.Time) float64             { return 0.5 }
+
+func TestDecider_TellsWhatWorkAtAColdWorkerCounts(t *testing.T) {
+	d := NewDecider(halls, halfRamp{}, time.Now)
+	must.Eq(t, Verdict{Weight: 0.5, Hall: "h1", Region: "north"}, d.Judge(Request{}, in("h1")))
+	must.EqOp(t, 1, d.Judge(Request{}, workers.Worker{ID: "other"}).Weight)
+}
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -38,10 +38,12 @@
 	// Halls returns which data halls are open to requests.
 	Halls func() Halls
 	// Region returns the region of a data hall, "" if it isn't known.
-	Region  func(hall string) string
-	Metrics *metrics.Set
-	Now     func() time.Time
-	Log     *log.Logger
+	Region func(hall string) string
+	// ColdLeft returns how much longer a worker bears little, 0 if it is warm.
+	ColdLeft func(worker string) time.Duration
+	Metrics  *metrics.Set
+	Now      func() time.Time
+	Log      *log.Logger
 }
 
 // Controller gives the orders that a planner decides on while the lease is held.
@@ -183,6 +185,7 @@
 		Load:      c.opts.Load(),
 		Halls:     c.opts.Halls(),
 		Region:    c.opts.Region,
+		ColdLeft:  c.opts.ColdLeft,
 	}
 	c.probeDoubtful(ctx, term, s)
 	orders := c.planner.Plan(s)
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -120,6 +120,9 @@
 	// Region returns the region of a data hall, "" if it isn't known; nil puts all halls
 	// in one.
 	Region func(hall string) string
+	// ColdLeft returns how much longer a worker bears little since it has just started,
+	// 0 if it is warm. Nil stands for workers that all are.
+	ColdLeft func(worker string) time.Duration
 }
 
 // formation is a group that the planner is forming.
@@ -322,13 +325,15 @@
 	orders   []Order
 
 	storeBack time.Time
+	// coldLeft returns how much longer a worker bears little.
+	coldLeft func(worker string) time.Duration
 	// usable tells whether a worker's data hall is open to requests.
 	usable part
 }
 
 // newRound returns what one plan looks at.
 func (p *Planner) newRound(s Situation) *round {
-	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable, regionOf: s.Region}
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable, regionOf: s.Region, coldLeft: s.ColdLeft}
 	if r.regionOf == nil {
 		r.regionOf = func(string) string { return "" }
 	}
