placement: Have the histories' store answer in order of version

Traced: the test's store gave a map's order, where the platform's feed gives that of versions; the relay's cache looks changes up by a binary search and missed one. Ruled out: a fault of relay.Cache, whose readers get changes in order. Change: the test's store sorts as the platform does. Conclusion: the check stays as it was.

--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -1,9 +1,11 @@
 package placement_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -149,6 +151,7 @@
 	for _, r := range last {
 		s.Rows = append(s.Rows, r)
 	}
+	slices.SortFunc(s.Rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
 	w.pass()
 	return s, nil
 }
