--- a/placement/standstill.go
+++ b/placement/standstill.go
@@ -13,9 +13,9 @@
 	standstillLimit = 2 * time.Second
 	// StandstillTick is how often Tick has to be called while nothing else happens.
 	StandstillTick = 500 * time.Millisecond
-	// settleTime bounds how long a request waits for the store's answer. One that the
-	// store turns away hears nothing sooner, and goes by what is known.
-	settleTime = 600 * time.Millisecond
+	// settleTime bounds how long a request waits for the store's answer. A question that
+	// the store leaves unanswered fails after 1.2 s, and then what is known has to do.
+	settleTime = 2 * time.Second
 )
 
 // Standstill notices that this process stood still, as a VM that was paused does: what it
--- a/testbed/standin/halls_test.go
+++ b/testbed/standin/halls_test.go
@@ -15,8 +15,10 @@
 
 const secondHall = "z2"
 
-// newHalls starts a stage with plain workers and one group in each of two halls.
+// newHalls starts a stage with plain workers and one group in each of two halls. Tests that
+// use it run side by side.
 func newHalls(t *testing.T) *stage {
+	t.Parallel()
 	s := newStage(t, 2)
 	for i := range 2 {
 		s.addWorkerIn(fmt.Sprint("b", i), "app", "", secondHall)
