--- a/replica/halls_test.go
+++ b/replica/halls_test.go
@@ -107,6 +107,18 @@
 	must.EqOp(t, 1, r.closedPool().forming)
 }
 
+// TestRound_SpreadsWorkOverOpenHalls: a region whose halls are closed has no workers to do
+// work, but is planned for.
+func TestRound_SpreadsWorkOverOpenHalls(t *testing.T) {
+	w, h := settledWorld(3)
+	h.halls["d1"] = true
+	h.halls["d2"] = true
+	regions := map[string]string{"d0": "north", "d1": "north", "d2": "south"}
+	r := h.planner.newRound(Situation{Now: w.now, View: w.view, Halls: h.halls, Region: func(hall string) string { return regions[hall] }})
+	must.SliceContainsAll(t, []string{"north", "south"}, r.regionsOf("llm"))
+	must.Eq(t, map[string]int{"north": 19, "south": 0}, r.supply)
+}
+
 // TestPlanner_NothingIsRetiredInAClosedHall changes the shares, with all hosts prepared for
 // both models. Open halls give groups of the large one up for the small one.
 func TestPlanner_NothingIsRetiredInAClosedHall(t *testing.T) {
