--- a/replica/controller.go
+++ b/replica/controller.go
@@ -33,6 +33,8 @@
 	StoreBack func() time.Time
 	// Load returns what callers ask for, as far as it is known.
 	Load func() load.Sum
+	// Halls returns which data halls are open to requests.
+	Halls func() Halls
 	// Region returns the region of a data hall, "" if it isn't known.
 	Region  func(hall string) string
 	Metrics *metrics.Set
@@ -168,19 +170,19 @@
 	if c.planner == nil || c.planner.Term() != term {
 		c.planner = NewPlanner(term, c.opts.Ceiling)
 	}
-	now := c.opts.Now()
-	view := c.opts.Workers()
-	c.probeFailing(ctx, term, view, now)
-	orders := c.planner.Plan(Situation{
-		Now:       now,
-		View:      view,
+	s := Situation{
+		Now:       c.opts.Now(),
+		View:      c.opts.Workers(),
 		Services:  current.Services(),
 		Idle:      c.opts.Idle(),
 		Failing:   c.failing,
 		StoreBack: c.opts.StoreBack(),
 		Load:      c.opts.Load(),
+		Halls:     c.opts.Halls(),
 		Region:    c.opts.Region,
-	})
+	}
+	c.probeDoubtful(ctx, term, s)
+	orders := c.planner.Plan(s)
 	c.logPlan(term)
 	return orders
 }
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -114,6 +114,8 @@
 	StoreBack time.Time
 	// Load is what callers ask for, the zero value if that isn't known.
 	Load load.Sum
+	// Halls tells which data halls are open to requests. Nil stands for all.
+	Halls Halls
 	// Region returns the region of a data hall, "" if it isn't known; nil puts all halls
 	// in one.
 	Region func(hall string) string
@@ -176,10 +178,7 @@
 // Plan returns the orders to give now. All of them count as under way until
 // Result tells what came of them.
 func (p *Planner) Plan(s Situation) []Order {
-	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, regionOf: s.Region}
-	if r.regionOf == nil {
-		r.regionOf = func(string) string { return "" }
-	}
+	r := p.newRound(s)
 	p.plans++
 	p.forget(s.View, s.Now)
 	p.forgetRetired(s.View)
@@ -193,7 +192,7 @@
 		r.tendGroups()
 		for _, region := range r.regionsOf(service.Name) {
 			r.region = region
-			r.form()
+			r.formGroups()
 			r.stage()
 		}
 	}
@@ -316,6 +315,17 @@
 	orders   []Order
 
 	storeBack time.Time
+	// usable tells whether a worker's data hall is open to requests.
+	usable part
+}
+
+// newRound returns what one plan looks at.
+func (p *Planner) newRound(s Situation) *round {
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable, regionOf: s.Region}
+	if r.regionOf == nil {
+		r.regionOf = func(string) string { return "" }
+	}
+	return r
 }
 
 // give adds an order, unless one to the same worker is under way.
--- a/replica/regions_test.go
+++ b/replica/regions_test.go
@@ -246,11 +246,12 @@
 	w, h := newRegions(1, 2)
 	calm(w, h, 6*time.Second, true)
 	must.MapNotEmpty(t, h.planner.forming)
-	r := &round{Planner: h.planner, now: w.now, view: w.view, service: w.service, regionOf: h.region}
+	r := h.planner.newRound(Situation{Now: w.now, View: w.view, Region: h.region})
+	r.service = w.service
 	r.regionsOf("llm")
 	for region, domains := range map[string]int{"a": 1, "b": 2} {
 		r.region = region
-		p := r.newPool()
+		p := r.openPool()
 		must.EqOp(t, 19*domains, p.total)
 		must.LessEq(t, p.total, p.counts["m.large"]+p.counts["small"])
 	}
