--- a/testbed/standin/cold_test.go
+++ b/testbed/standin/cold_test.go
@@ -31,18 +31,18 @@
 		s.start(i == 0)
 	}
 	s.addWorker("cold", "app", "").SetCold(time.Minute)
-	stop := s.askAll()
+	stop := s.keepAsking()
 	eventually(t, "the cold worker gets requests", func() bool { return s.store.Judge().Arrivals("cold") > moreThan })
 	stop()
 	before := s.store.Judge().Arrivals("cold")
 	s.restartAll()
-	stop = s.askAll()
+	stop = s.keepAsking()
 	defer stop()
 	eventually(t, "it gets some again", func() bool { return s.store.Judge().Arrivals("cold") > before+moreThan })
 }
 
-// askAll has callers ask all daemons until stop is called.
-func (s *stage) askAll() (stop func()) {
+// keepAsking has callers ask all daemons until stop is called.
+func (s *stage) keepAsking() (stop func()) {
 	done := make(chan struct{})
 	var asking sync.WaitGroup
 	var ids sync.Mutex
