--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -13,13 +13,15 @@
 
 	"github.com/pointpass/pointpass/common/histories"
 	"github.com/pointpass/pointpass/placement"
-	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/store"
 )
 
 func TestMain(m *testing.M) { os.Exit(histories.Run(m)) }
 
+// table is the one whose rows close halls, each by the hall's name.
+const table = "halls"
+
 // Times of the histories.
 const (
 	// bound is how long after its closing a hall may get requests.
@@ -33,7 +35,7 @@
 )
 
 var (
-	hallsPlayed = []string{"evacuate/h1", "evacuate/h2"}
+	hallsPlayed = []string{"h1", "h2"}
 	errCut      = errors.New("cut")
 )
 
@@ -79,7 +81,7 @@
 // start returns a daemon that knows nothing.
 func (w *world) start(i int) *daemon {
 	d := &daemon{
-		cache:      relay.NewCache(platform.ConfigTable, mostAge, w.clock),
+		cache:      relay.NewCache(table, mostAge, w.clock),
 		decider:    placement.NewDecider(nil, placement.NoRamp{}, w.clock),
 		standstill: placement.NewStandstill(w.clock, func(time.Duration) {}),
 	}
@@ -188,9 +190,9 @@
 	var s store.Snapshot
 	var err error
 	if full {
-		s, err = d.reader.Rows(context.Background(), platform.ConfigTable)
+		s, err = d.reader.Rows(context.Background(), table)
 	} else {
-		s, err = d.reader.Changes(context.Background(), platform.ConfigTable, d.since, time.Second)
+		s, err = d.reader.Changes(context.Background(), table, d.since, time.Second)
 	}
 	var lost *store.HistoryLostError
 	if errors.As(err, &lost) {
@@ -207,8 +209,10 @@
 		u.Evidence = s.Evidence
 	}
 	d.cache.Apply(u)
-	changes, err := platform.Halls(u.Rows)
-	must.NoError(w.draw, err)
+	var changes []placement.Change
+	for _, r := range u.Rows {
+		changes = append(changes, placement.Change{Hall: r.Key, Closed: !r.Deleted, Version: r.Version})
+	}
 	d.decider.Apply(placement.Update{Changes: changes, Full: full, Version: u.Version, Evidence: u.Evidence})
 	d.since = max(d.since, s.Version)
 	d.ready = true
@@ -240,10 +244,9 @@
 		return
 	}
 	facts := d.decider.Facts()
-	for _, key := range hallsPlayed {
-		hall := key[len("evacuate/"):]
-		_, closed := w.rows[key]
-		since := w.since[key]
+	for _, hall := range hallsPlayed {
+		_, closed := w.rows[hall]
+		since := w.since[hall]
 		if !since.IsZero() && since.Before(facts.Evidence()) {
 			must.EqOp(w.draw, !closed, facts.Open(hall), must.Sprint("what was so when the store was asked"))
 		}
