--- a/ramp/doc.go
+++ b/ramp/doc.go
@@ -30,10 +30,10 @@
 // vanished, which is less than E+M before t. So D counts X.
 //
 // Hence all who are active within M of each other are among those that each of them
-// counts. Let there be u of them that send to a worker. Who counts n daemons sends at most
-// most/min(n, K) in a window, and only if it is among the first K of these n, and so among
-// the first K of the u. So u <= K or some of them aren't among the first K; either way u is
-// at most each min(n, K), and the sum is at most u * most/u = most.
+// counts. Let u of them send to a worker. Who counts n daemons sends only if it is among
+// the first min(n, K) of these, and so among the first min(n, K) of the u; as that holds
+// for the last of them too, u is at most each min(n, K). Each sends at most most/min(n, K)
+// in a window, which is at most most/u, and all together at most most.
 //
 // A daemon that was started again is active only after 2E+M, when what its earlier life
 // sent is past. The window is the second in which requests are counted and the time that
