--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -182,6 +182,17 @@
 	return list
 }
 
+// StartsCold tells whether the workers of some service need care when they have just
+// started.
+func (c *Catalog) StartsCold() bool {
+	for _, s := range c.services {
+		if s.Cold.PerSecond > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // NeedsCredential tells whether requests must name their customer.
 func (c *Catalog) NeedsCredential() bool { return len(c.customers) > 0 }
 
--- a/deps/cold.go
+++ b/deps/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/phuslu/log"
@@ -57,10 +56,7 @@
 // needed tells whether the workers of some service start cold.
 func (c *cold) needed() bool {
 	current := c.edge.Catalogs.Current().Catalog
-	if current == nil {
-		return false
-	}
-	return slices.ContainsFunc(current.Services(), func(s *catalog.Service) bool { return s.Cold.PerSecond > 0 })
+	return current != nil && current.StartsCold()
 }
 
 // learnDaemons takes in which daemons announced themselves.
