testbed/standin: Requests bound to regions, with real daemons

Cause: regions were shown by fakes alone. Change: the stand-in has two regions of two halls each, and a hall that the settings don't know; routes and customers may be bound. Requests of all kinds stay in their regions while full workers turn them away and configurations take regions away; where none is left they are refused at once.

--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -41,6 +41,8 @@
 	Attempts  int     `json:"attempts"`
 	Public    bool    `json:"public"`
 	Resumable bool    `json:"resumable"`
+	// Regions are where its requests may run, none if anywhere.
+	Regions []string `json:"allowedRegions,omitempty"`
 }
 
 // Split is a service's part of a route.
@@ -84,6 +86,8 @@
 type Tenant struct {
 	Name string   `json:"name"`
 	Keys []string `json:"apiKeys"`
+	// Regions are where its requests may run, none if anywhere.
+	Regions []string `json:"allowedRegions,omitempty"`
 }
 
 // Apply writes a configuration to the store.
@@ -136,6 +140,7 @@
 const settings = `{
   "name": %q, "hall": "z1", "first_start": %t,
   "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
+  "hall_regions": {"z1": "r1", "z2": "r1", "z3": "r2", "z4": "r2"},
   "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10, "revoke_strict": %t, "fenced": %t},
 }`
 
