--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -1,9 +1,11 @@
 package placement_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,7 +90,7 @@
 		Peers:     peers{w},
 		Upstreams: func() []relay.Member { return w.addrs[:min(i, 2)] },
 		MostAge:   func(string) time.Duration { return mostAge },
-		InTouch:   4 * time.Second,
+		InTouch:   func() time.Duration { return 4 * time.Second },
 		Now:       w.clock,
 		Log:       &log.Logger{Level: log.PanicLevel},
 	})
@@ -149,6 +151,7 @@
 	for _, r := range last {
 		s.Rows = append(s.Rows, r)
 	}
+	slices.SortFunc(s.Rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
 	w.pass()
 	return s, nil
 }
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -19,9 +19,11 @@
 	Prober   Prober
 	Workers  func() *workers.View
 	Catalogs *catalog.Holder
-	Ceiling  LoadCeiling
-	// Fenced tells that workers refuse orders with an old fencing token.
-	Fenced bool
+	// Ceiling returns the bound on loads. It may change at any time.
+	Ceiling func() LoadCeiling
+	// Fenced tells whether workers refuse orders with an old fencing token. It may change
+	// at any time.
+	Fenced func() bool
 	// Idle tells that nobody has been served yet, so that loads disturb nobody.
 	Idle func() bool
 	// Failing tells whether a group has failed requests since it last sent
@@ -36,10 +38,12 @@
 	// Halls returns which data halls are open to requests.
 	Halls func() Halls
 	// Region returns the region of a data hall, "" if it isn't known.
-	Region  func(hall string) string
-	Metrics *metrics.Set
-	Now     func() time.Time
-	Log     *log.Logger
+	Region func(hall string) string
+	// ColdLeft returns how much longer a worker bears little, 0 if it is warm.
+	ColdLeft func(worker string) time.Duration
+	Metrics  *metrics.Set
+	Now      func() time.Time
+	Log      *log.Logger
 }
 
 // Controller gives the orders that a planner decides on while the lease is held.
@@ -138,7 +142,7 @@
 }
 
 func (c *Controller) take(r result) {
-	if outranked(r.order, r.outcome, c.opts.Fenced) {
+	if outranked(r.order, r.outcome) {
 		c.opts.Lease.Outranked(r.term)
 	}
 	if c.planner != nil && c.planner.Term() == r.term {
@@ -168,8 +172,9 @@
 		return nil
 	}
 	if c.planner == nil || c.planner.Term() != term {
-		c.planner = NewPlanner(term, c.opts.Ceiling)
+		c.planner = NewPlanner(term, c.opts.Ceiling())
 	}
+	c.planner.Bound(c.opts.Ceiling())
 	s := Situation{
 		Now:       c.opts.Now(),
 		View:      c.opts.Workers(),
@@ -180,6 +185,7 @@
 		Load:      c.opts.Load(),
 		Halls:     c.opts.Halls(),
 		Region:    c.opts.Region,
+		ColdLeft:  c.opts.ColdLeft,
 	}
 	c.probeDoubtful(ctx, term, s)
 	orders := c.planner.Plan(s)
@@ -195,7 +201,7 @@
 	}
 	for _, s := range c.planner.ShareChanges() {
 		c.opts.Log.Info().Str("event", "model_shares").Str("service", s.Service).Str("region", s.Region).Any("shares", s.Shares).Any("asked", s.Asked).
-			Bool("measured", s.Measured).Uint64("term", term).Msg("")
+			Dur("memory", s.Memory).Bool("measured", s.Measured).Uint64("term", term).Msg("")
 	}
 }
 
@@ -207,7 +213,9 @@
 	if held, ok := c.opts.Lease.Held(); ok && held == term {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		o.Fence = term
+		if c.opts.Fenced() {
+			o.Fence = term
+		}
 		outcome, err = c.opts.Orders.Give(ctx, o)
 	}
 	c.orders.Inc()
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -39,6 +39,8 @@
 	CutsEvents
 	// FallsSilent sends the first two events of a stream and nothing more.
 	FallsSilent
+	// Pauses sends the first two events of a stream, and the others once the fault ends.
+	Pauses
 	// OtherID answers with the id of another request.
 	OtherID
 	// LiesBusy answers 503 without saying that the request did not run.
@@ -72,6 +74,7 @@
 	Domain  string      `json:"domain"`
 	Slots   int         `json:"slots"`
 	State   string      `json:"state"`
+	ColdMs  float64     `json:"coldLeftMs,omitempty"`
 	Staged  []string    `json:"staged,omitempty"`
 	Group   *groupState `json:"group,omitempty"`
 }
@@ -106,6 +109,8 @@
 	orders   []string
 	runs     []*Run
 	released chan struct{} // closed when a stall ends
+	// coldUntil is until when the worker bears little.
+	coldUntil time.Time
 }
 
 // NewWorker starts a worker whose entry is in the store, and returns it with a
@@ -155,6 +160,12 @@
 	w.fault = f
 }
 
+func (w *Worker) has(f Fault) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fault == f
+}
+
 // Drain announces that the worker leaves.
 func (w *Worker) Drain() {
 	w.mu.Lock()
@@ -163,6 +174,14 @@
 	w.publish()
 }
 
+// SetCold has the worker be cold for a while, as if it had just started.
+func (w *Worker) SetCold(d time.Duration) {
+	w.mu.Lock()
+	w.coldUntil = time.Now().Add(d)
+	w.mu.Unlock()
+	w.publish()
+}
+
 // Runs returns the requests that the worker ran.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
@@ -216,6 +235,7 @@
 		Domain:  w.domain,
 		Slots:   4,
 		State:   "ready",
+		ColdMs:  max(0, float64(time.Until(w.coldUntil).Milliseconds())),
 		Staged:  slices.Clone(w.staged),
 	}
 	if w.draining {
@@ -335,12 +355,16 @@
 	head := w.group != nil && w.group.State == "open"
 	grouped := w.group != nil
 	group, model, members := w.group, w.model, w.members
+	cold := time.Now().Before(w.coldUntil)
 	w.mu.Unlock()
 	if r.Header.Get(headerExpect) != w.id || (grouped && !head) {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	w.store.judge.arrives(w.id, w.hall)
+	if cold {
+		w.store.judge.arrivesCold(w.id, w.service)
+	}
 	if fault == Full {
 		rw.Header().Set(headerNotRun, "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
@@ -425,6 +449,9 @@
 			w.awaitEnd(r, run)
 			panic(http.ErrAbortHandler)
 		}
+		for fault == Pauses && i == last+3 && w.has(Pauses) && r.Context().Err() == nil {
+			time.Sleep(eventTime)
+		}
 		if fault == CutsEvents && i == last+3 {
 			fmt.Fprintf(rw, "id: %d\nda", i)
 			http.NewResponseController(rw).Flush()
