admission, load, serving: A daemon's part of the groups' time binds while first events are late

Cause: in a surge the windows of 90 daemons, which see five requests a second each, neither cut enough nor soon. Logs of the requests of a tenth of the daemons show why: overdue requests count at most as one goal, so that a queue of 1.9 s cuts 5 in 100; at a group where a daemon has one request, that request's own silence looked like a dead group, so that it never counted, not even by its late first event; requests of urgent customers pass the queue and tell that all is well. A caller who comes back after a refusal is late and takes the place of one who could be in time.

While first events are late (two of the last three, or many waiting) that part binds as a token bucket in seconds of one group; queues run empty by the daemon's own waiting work, which tells how long they are now. Who is refused is decided by a hash of the request that is the same at all daemons for 10 s. A late first event counts though its group was silent. Refusals are logged with what they were decided by.

--- /dev/null
+++ b/admission/share_test.go
@@ -0,0 +1,193 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// usualWork is the work of a request in these tests: five a second at testRate.
+const (
+	usualWork = 40 * time.Millisecond
+	testRate  = 0.2
+)
+
+// sharing is a request at a daemon that knows its share.
+func sharing(now time.Time) Entry {
+	return Entry{At: now, Goal: testGoal, Work: usualWork, Rate: testRate, Load: 2}
+}
+
+// late returns a share that binds, with queues as they are aimed for.
+func late(now time.Time) *share {
+	s := &share{usual: usualWork.Seconds()}
+	s.noteLate(now)
+	s.waiting = time.Duration(aimedDelay * testRate * float64(testGoal))
+	return s
+}
+
+// taken has requests ask for a share, 20 a second for 10 s, and returns how many of those
+// with each rank were let in, of 20 of each.
+func taken(s *share, now time.Time, change func(e *Entry, i int)) [10]int {
+	var in [10]int
+	for i := range 200 {
+		e := sharing(now.Add(time.Duration(i) * 50 * time.Millisecond))
+		e.Rank = float64(i*7%10) / 10
+		change(&e, i)
+		if s.take(e) {
+			in[i*7%10]++
+		}
+	}
+	return in
+}
+
+func sum(in [10]int) int {
+	n := 0
+	for _, count := range in {
+		n += count
+	}
+	return n
+}
+
+func TestShare_BindsNobodyWhileFirstEventsAreInTime(t *testing.T) {
+	must.EqOp(t, 200, sum(taken(&share{}, time.Unix(1000, 0), func(*Entry, int) {})))
+}
+
+func TestShare_LetsInWhatTheGroupsCanDo(t *testing.T) {
+	now := time.Unix(1000, 0)
+	in := taken(late(now), now, func(*Entry, int) {})
+	must.Between(t, 45, sum(in), 55, must.Sprint("five a second, and what was saved up"))
+	// Whoever was refused is refused again wherever it comes back to.
+	must.EqOp(t, 20, in[0])
+	must.EqOp(t, 0, in[5]+in[6]+in[7]+in[8]+in[9])
+}
+
+func TestShare_LargeRequestsAreNotStarved(t *testing.T) {
+	now := time.Unix(1000, 0)
+	large, small := 0, 0
+	s := late(now)
+	for i := range 400 {
+		e := sharing(now.Add(time.Duration(i) * 50 * time.Millisecond))
+		e.Rank = float64(i*3%7) / 7
+		e.Work = usualWork / 2
+		if i%2 == 0 {
+			e.Work = 2 * usualWork
+		}
+		switch in := s.take(e); {
+		case in && e.Work > usualWork:
+			large++
+		case in:
+			small++
+		}
+	}
+	must.Between(t, 0.7, float64(large)/float64(small), 1.4)
+}
+
+func TestShare_LetsInLittleWhileQueuesAreLong(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := late(now)
+	s.waiting = time.Duration(testRate * float64(2*time.Second))
+	must.Between(t, 4, sum(taken(s, now, func(*Entry, int) {})), 12)
+	s = late(now)
+	s.waiting = 0
+	must.Between(t, 65, sum(taken(s, now, func(*Entry, int) {})), 80, must.Sprint("the runtime tells usual times"))
+}
+
+func TestShare_BindsNoLongerOnceWhatComesFits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		load  float64
+		after time.Duration
+		want  bool
+	}{
+		{fittingLoad - 0.01, looseAfter + 1, false},
+		{fittingLoad - 0.01, looseAfter, true},
+		{fittingLoad, looseAfter + 1, true},
+		{Unknown, looseAfter + 1, true},
+	} {
+		s := late(now)
+		s.tokens = 0
+		s.filled = now.Add(c.after)
+		e := sharing(now.Add(c.after))
+		e.Load = c.load
+		must.EqOp(t, !c.want, s.take(e))
+		must.EqOp(t, c.want, s.binds)
+	}
+	for load, want := range map[float64]bool{excessLoad - 0.01: false, excessLoad: true, Unknown: false} {
+		s := late(now)
+		for i := range 40 { // far fewer than the share has room for
+			e := sharing(now.Add(time.Duration(i) * time.Second))
+			e.Load = load
+			s.take(e)
+		}
+		must.EqOp(t, want, s.binds, must.Sprintf("saved up at a load of %.2f", load))
+	}
+}
+
+func TestShare_BindsOnceManyWait(t *testing.T) {
+	for _, c := range []struct {
+		waiting int
+		rate    float64
+		want    bool
+	}{{4, testRate, false}, {5, testRate, true}, {5, 2 * testRate, false}} {
+		s := &share{usual: usualWork.Seconds(), waiting: time.Duration(c.waiting) * usualWork}
+		e := sharing(time.Unix(1000, 0))
+		e.Rate = c.rate
+		s.take(e)
+		must.EqOp(t, c.want, s.binds, must.Sprintf("%d waiting", c.waiting))
+	}
+}
+
+// sendShared has a request enter and get its first event after took.
+func sendShared(w *Window, now time.Time, took time.Duration) {
+	p := w.Enter(sharing(now))
+	if p == nil {
+		return
+	}
+	p.Sent(now, "g")
+	p.FirstEvent(now.Add(took))
+	p.Leave(now.Add(took))
+}
+
+func TestWindow_ItsShareBindsOnceTwoOfThreeAreLate(t *testing.T) {
+	w := NewWindow(alive{})
+	now := time.Unix(1000, 0)
+	for range 20 {
+		sendShared(w, now, 210*time.Millisecond)
+		sendShared(w, now, 210*time.Millisecond)
+		sendShared(w, now, 900*time.Millisecond)
+	}
+	must.False(t, w.State().Binds, must.Sprint("one of three may be held up by a fault"))
+	for range 3 {
+		sendShared(w, now, 900*time.Millisecond)
+	}
+	must.True(t, w.State().Binds)
+	limit, _ := w.Limit()
+	must.Greater(t, 1e9, limit, must.Sprint("the share takes the place of the limit"))
+}
+
+// TestWindow_ALateFirstEventCountsAfterSilence: a daemon that has one request at a group
+// hears nothing from it while it queues, and can't tell a queue from a dead group. The
+// first event tells.
+func TestWindow_ALateFirstEventCountsAfterSilence(t *testing.T) {
+	for _, c := range []struct {
+		answered, want bool
+	}{{true, true}, {false, false}} {
+		w := NewWindow(dead{})
+		now := time.Unix(1000, 0)
+		for range 6 {
+			p := w.Enter(sharing(now))
+			p.Sent(now, "g")
+			now = now.Add(2 * time.Second)
+			w.Enter(sharing(now)).Leave(now) // notices what is overdue
+			if c.answered {
+				p.FirstEvent(now)
+			}
+			p.Leave(now)
+			if w.State().Binds {
+				break
+			}
+		}
+		must.EqOp(t, c.want, w.State().Binds)
+	}
+}
--- a/admission/window.go
+++ b/admission/window.go
@@ -32,15 +32,21 @@
 	// silentPart divides a goal: a group that has sent nothing to anybody for this part
 	// of it isn't queueing.
 	silentPart = 2
+	// lateOutOf is how many of the newest first events are looked at for the share to bind,
+	// and mostLate how many of them may be late, so that one that was held up by a fault
+	// doesn't look like load.
+	lateOutOf = 3
+	mostLate  = 1
 	// usualDuration is how long requests are taken to last before one has ended.
 	usualDuration = time.Second
 )
 
 // Window bounds how many requests one daemon has under way at the groups of a model,
-// so that they don't wait there in a queue until all are late. It knows nothing of
-// other daemons: like TCP Vegas (Brakmo and Peterson, 1995) it follows the delay of
-// first events, which tells how long the queues are that all daemons fill together.
-// It has no bound until first events come late. It is safe for use by many
+// so that they don't wait there in a queue until all are late. It has no bound until
+// first events come late. Then the daemon's share of what the groups can do bounds what
+// comes, where that is known. Where it isn't, the window knows nothing of other daemons:
+// like TCP Vegas (Brakmo and Peterson, 1995) it follows the delay of first events, which
+// tells how long the queues are that all daemons fill together. It is safe for use by many
 // goroutines.
 type Window struct {
 	mu       sync.Mutex
@@ -56,6 +62,31 @@
 	// waiting are the requests without a first event, in order of their last sending.
 	waiting list.List
 	signs   Signs
+	// share bounds what comes instead of the limit where the daemon's part of the groups
+	// is known, and shared tells that it was when the newest request came.
+	share  share
+	shared bool
+	// lateOnes tells which of the newest first events were late, the newest first.
+	lateOnes [lateOutOf]bool
+}
+
+// Entry is a request that wants to enter a window.
+type Entry struct {
+	At time.Time
+	// Goal is what its first event should take, 0 if nobody says.
+	Goal time.Duration
+	// Work is what it takes of the time of one group.
+	Work time.Duration
+	// Rate is how many seconds of one group there are for the daemon's callers in a
+	// second, or Unknown.
+	Rate float64
+	// Load is what all callers ask of the groups as a part of what they can do, or
+	// Unknown.
+	Load float64
+	// Random, in [0, 1), decides on the fraction of a place that a limit leaves.
+	Random float64
+	// Rank, in [0, 1), is lower for requests that are let in first where not all can be.
+	Rank float64
 }
 
 // Signs tells of the groups that requests are sent to.
@@ -76,23 +107,37 @@
 	// waiting is the place's element among those that wait, nil once it had its first
 	// event or was counted as late.
 	waiting *list.Element
+	// doubtful tells that it wasn't counted when it was overdue, since its group might have
+	// been dead.
+	doubtful bool
+	// unserved is its work while it has had no first event.
+	unserved time.Duration
 }
 
 // NewWindow returns a window without a bound.
 func NewWindow(signs Signs) *Window { return &Window{limit: math.Inf(1), signs: signs} }
 
 // Enter counts a request as under way if there is room for it, and returns its place,
-// nil if there was none. Goal is what its first event should take, 0 if nobody says.
-// Random, in [0, 1), decides on the fraction of a place that a limit leaves.
-func (w *Window) Enter(now time.Time, goal time.Duration, random float64) *Place {
+// nil if there was none.
+func (w *Window) Enter(e Entry) *Place {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.noteOverdue(now)
-	if float64(w.underWay)+random >= w.limit {
+	w.noteOverdue(e.At)
+	if !w.fits(e) {
 		return nil
 	}
 	w.underWay++
-	return &Place{window: w, goal: goal, entered: now}
+	w.share.waiting += e.Work
+	return &Place{window: w, goal: e.Goal, entered: e.At, unserved: e.Work}
+}
+
+// fits tells whether there is room for a request.
+func (w *Window) fits(e Entry) bool {
+	w.shared = e.Rate != Unknown && e.Work > 0 && e.Goal > 0
+	if w.shared {
+		return w.share.take(e)
+	}
+	return float64(w.underWay)+e.Random < w.limit
 }
 
 // Sent notes that the request was sent to a group. Its first event is awaited anew.
@@ -101,6 +146,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopWaiting(p)
+	p.doubtful = false
 	p.sent = now
 	p.group = group
 	if p.goal > 0 {
@@ -115,6 +161,7 @@
 	defer w.mu.Unlock()
 	w.stopWaiting(p)
 	w.underWay--
+	p.served()
 	w.duration.Add(now.Sub(p.entered))
 }
 
@@ -124,13 +171,21 @@
 	w := p.window
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if p.waiting == nil {
+	p.served()
+	if p.waiting == nil && !p.doubtful {
 		return // counted before
 	}
+	p.doubtful = false
 	w.stopWaiting(p)
 	w.count(now, now.Sub(p.sent), p.goal)
 }
 
+// served ends the count of the request's work as waiting.
+func (p *Place) served() {
+	p.window.share.waiting -= p.unserved
+	p.unserved = 0
+}
+
 // stopWaiting takes a place off those that wait.
 func (w *Window) stopWaiting(p *Place) {
 	if p.waiting != nil {
@@ -153,7 +208,9 @@
 		w.stopWaiting(p)
 		if w.signs.Silence(p.group, p.sent, now) < p.goal/silentPart {
 			w.count(now, waited, p.goal)
+			continue
 		}
+		p.doubtful = true
 	}
 }
 
@@ -164,6 +221,14 @@
 	}
 	delay := min(took.Seconds()/goal.Seconds(), mostCounted)
 	w.delay += delayWeight * (delay - w.delay)
+	copy(w.lateOnes[1:], w.lateOnes[:])
+	w.lateOnes[0] = took >= goal
+	if w.shared {
+		if w.delay > mostDelay && w.late() > mostLate {
+			w.share.noteLate(now)
+		}
+		return
+	}
 	if w.delay > mostDelay {
 		w.cut(now, goal)
 		return
@@ -173,6 +238,17 @@
 	}
 }
 
+// late returns how many of the newest first events were late.
+func (w *Window) late() int {
+	n := 0
+	for _, late := range w.lateOnes {
+		if late {
+			n++
+		}
+	}
+	return n
+}
+
 // cut makes the window smaller by what waits in queues beyond the wanted delay: by
 // Little's law that is the delay's excess times the rate at which requests end.
 func (w *Window) cut(now time.Time, goal time.Duration) {
@@ -195,6 +271,26 @@
 	return time.Duration(max(1-w.delay, 0) * float64(goal))
 }
 
+// State is what a window decides by.
+type State struct {
+	// Delay is the average time to a first event, as a part of its goal.
+	Delay float64
+	// Limit is how many requests may be under way, infinite if there is no bound.
+	Limit float64
+	// Binds tells that the daemon's share bounds what comes, Part which part of the share
+	// is let in, and Queue how long the groups' queues are, in seconds.
+	Binds       bool
+	Part, Queue float64
+}
+
+// State returns what the window decides by at present.
+func (w *Window) State() State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := &w.share
+	return State{Delay: w.delay, Limit: w.limit, Binds: s.binds, Part: s.part, Queue: s.queue}
+}
+
 // Limit returns how many requests may be under way, infinite if there is no bound,
 // and how many are.
 func (w *Window) Limit() (limit float64, underWay int) {
--- a/admission/window_test.go
+++ b/admission/window_test.go
@@ -23,12 +23,15 @@
 
 const testGoal = 300 * time.Millisecond
 
+// entry is a request at a daemon that doesn't know its part of the groups.
+func entry(now time.Time, goal time.Duration) Entry { return Entry{At: now, Goal: goal, Rate: Unknown} }
+
 // play has requests enter a window and get their first events after took, one each
 // step.
 func play(w *Window, now time.Time, n int, step, took time.Duration) time.Time {
 	for range n {
 		now = now.Add(step)
-		if p := w.Enter(now.Add(-took), testGoal, 0); p != nil {
+		if p := w.Enter(entry(now.Add(-took), testGoal)); p != nil {
 			p.Sent(now.Add(-took), "g")
 			p.FirstEvent(now)
 			p.Leave(now)
@@ -49,7 +52,7 @@
 	w := NewWindow(alive{})
 	now := time.Unix(1000, 0)
 	for range 20 {
-		p := w.Enter(now, 0, 0)
+		p := w.Enter(Entry{At: now, Rate: Unknown})
 		p.Sent(now, "g")
 		now = now.Add(time.Minute)
 		p.FirstEvent(now)
@@ -65,7 +68,7 @@
 	now := time.Unix(1000, 0)
 	var places []*Place
 	for range 10 {
-		p := w.Enter(now, testGoal, 0)
+		p := w.Enter(entry(now, testGoal))
 		p.Sent(now, "g")
 		places = append(places, p)
 	}
@@ -76,11 +79,11 @@
 	limit, underWay := w.Limit()
 	must.EqOp(t, 10, underWay)
 	must.Between(t, deepestCut*10, limit, 10)
-	must.Nil(t, w.Enter(now, testGoal, 0))
+	must.Nil(t, w.Enter(entry(now, testGoal)))
 	for _, p := range places[:3] {
 		p.Leave(now)
 	}
-	must.NotNil(t, w.Enter(now, testGoal, 0))
+	must.NotNil(t, w.Enter(entry(now, testGoal)))
 }
 
 // TestWindow_LateOnesCountBeforeTheirFirstEvent has requests wait that get no first
@@ -95,7 +98,7 @@
 		refused := false
 		for range 50 {
 			now = now.Add(20 * time.Millisecond)
-			if p := w.Enter(now, testGoal, 0); p != nil {
+			if p := w.Enter(entry(now, testGoal)); p != nil {
 				p.Sent(now, "g")
 				continue
 			}
@@ -110,7 +113,7 @@
 	w := NewWindow(alive{})
 	now := time.Unix(1000, 0)
 	for range 50 {
-		p := w.Enter(now, testGoal, 0)
+		p := w.Enter(entry(now, testGoal))
 		p.Sent(now, "dead")
 		p.Sent(now.Add(time.Second), "alive")
 		now = now.Add(time.Second + 150*time.Millisecond)
@@ -124,7 +127,7 @@
 func TestWindow_NeverShrinksToNothing(t *testing.T) {
 	w := NewWindow(alive{})
 	now := play(w, time.Unix(1000, 0), 100, time.Second, 900*time.Millisecond)
-	must.NotNil(t, w.Enter(now, testGoal, 0.5))
+	must.NotNil(t, w.Enter(entry(now, testGoal)))
 }
 
 // TestWindow_SurgeIsServedInTime plays daemons with uneven traffic before groups with
@@ -239,7 +242,7 @@
 		if !bounded {
 			window = NewWindow(alive{})
 		}
-		place := window.Enter(now, testGoal, random.Float64())
+		place := window.Enter(Entry{At: now, Goal: testGoal, Rate: Unknown, Random: random.Float64()})
 		if place == nil {
 			return
 		}
@@ -272,7 +275,7 @@
 	now := time.Unix(1000, 0)
 	b.ReportAllocs()
 	for b.Loop() {
-		if p := w.Enter(now, testGoal, 0); p != nil {
+		if p := w.Enter(entry(now, testGoal)); p != nil {
 			p.Sent(now, "g")
 			p.FirstEvent(now)
 			p.Leave(now)
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -124,6 +124,7 @@
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
 		Asked:        e.loads.ask,
+		Part:         e.loads.Part,
 		Informed:     e.following.informed,
 		FirstUse:     e.firstUse,
 		MostRequests: mostRequests,
@@ -319,7 +320,7 @@
 func (r reports) Begun() { r.begun.Store(true) }
 
 // Load takes in what callers ask for at other daemons.
-func (r reports) Load(reporter string, s load.Sum) { r.loads.take(reporter, s) }
+func (r reports) Load(reporter string, s load.Sum) load.Sum { return r.loads.take(reporter, s) }
 
 // lastBack returns when the workers' table could be read again after it could not.
 func (e *Edge) lastBack() time.Time {
--- a/deps/loads.go
+++ b/deps/loads.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pointpass/pointpass/load"
@@ -17,18 +18,65 @@
 	peers    *relay.Client
 	meter    *load.Meter
 	gatherer *load.Gatherer
+	// all is the sum over all daemons as it was last told, and parts which part of it is
+	// this daemon's.
+	all   atomic.Pointer[load.Sum]
+	parts *load.Parts
+	// told is what this daemon was asked for when it reported last, and before the time
+	// before.
+	told, before load.Offered
 }
 
 func newLoads(e *Edge, peers *relay.Client) *loads {
-	return &loads{edge: e, peers: peers, meter: load.NewMeter(), gatherer: load.NewGatherer()}
+	l := &loads{edge: e, peers: peers, meter: load.NewMeter(), gatherer: load.NewGatherer(), parts: load.NewParts()}
+	l.all.Store(&load.Sum{})
+	return l
 }
 
 // ask notes that a caller asks for work of a model.
 func (l *loads) ask(m load.Model, work time.Duration) { l.meter.Ask(time.Now(), m, work) }
 
-// take takes in what another daemon reports.
-func (l *loads) take(reporter string, s load.Sum) {
+// take takes in what another daemon reports, and returns the sum over all as it is known
+// here.
+func (l *loads) take(reporter string, s load.Sum) load.Sum {
 	l.gatherer.Take(reporter, s, l.edge.Lease.Nodes())
+	if l.edge.following.isHolder() {
+		l.learn(l.Known())
+	}
+	return *l.all.Load()
+}
+
+// learn takes in a sum over all daemons, if it is newer than the last.
+func (l *loads) learn(s load.Sum) {
+	if s.Daemons > 0 && s.At.After(l.all.Load().At) {
+		l.all.Store(&s)
+	}
+}
+
+// partLife is for how long a daemon's part counts after the sum that it is a part of. Which
+// callers a daemon has changes slowly, and the sum takes up to three seconds to come here.
+const partLife = 10 * time.Second
+
+// Part returns this daemon's part of what callers ask of a model, and how much all ask,
+// false if that isn't known.
+func (l *loads) Part(m load.Model) (part, asked float64, known bool) {
+	all := l.all.Load()
+	if time.Since(all.At) > partLife {
+		return 0, 0, false
+	}
+	part, known = l.parts.Part(m)
+	return part, all.Offered[m], known
+}
+
+// notePart notes which part of the sum is this daemon's: of what it reported before the
+// last time, which is about as old as the sum. In a surge a newer figure would make the
+// part too large.
+func (l *loads) notePart(here load.Offered) {
+	l.before, l.told = l.told, here
+	if l.before != nil {
+		all := l.all.Load()
+		l.parts.Note(l.before, all.Offered, all.Daemons)
+	}
 }
 
 // Total returns what callers ask for here and at the daemons that report here: at all of
@@ -63,16 +111,23 @@
 
 // report tells the next daemon on the way to the holder what is asked for here.
 func (l *loads) report(ctx context.Context) {
-	if l.edge.following.isHolder() || !l.edge.begun.Load() {
+	if !l.edge.begun.Load() {
 		return
 	}
 	told := l.Total()
+	here := l.meter.Offered(told.At)
+	defer l.notePart(here)
+	if l.edge.following.isHolder() {
+		l.learn(l.Known())
+		return
+	}
 	if !l.edge.following.control.Load().relays {
-		told = load.Sum{Offered: l.meter.Offered(told.At), Daemons: 1, At: told.At}
+		told = load.Sum{Offered: here, Daemons: 1, At: told.At}
 	}
 	for _, m := range l.edge.following.gatherers() {
-		err := l.peers.Load(ctx, m.Addr, l.edge.settings.Name(), told)
+		all, err := l.peers.Load(ctx, m.Addr, l.edge.settings.Name(), told)
 		if err == nil {
+			l.learn(all)
 			return
 		}
 		l.edge.Log.Warn().Str("event", "load_report_failed").Str("to", m.Name).Err(err).Msg("")
--- a/relay/load.go
+++ b/relay/load.go
@@ -2,32 +2,53 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/rpc"
 )
 
-// Load takes in what callers ask for at a daemon and at those that tell it. It is dated
-// by when this call arrived: the caller's own clock may differ.
+// Load takes in what a daemon is asked for, and answers with the sum over all.
 func (s *Server) Load(_ context.Context, m *rpc.LoadRequest) (*rpc.LoadReply, error) {
-	offered := load.Offered{}
-	for _, l := range m.Models {
-		offered[load.Model{Service: l.Service, Name: l.Model}] += l.Offered
-	}
-	s.reports.Load(m.Reporter, load.Sum{Offered: offered, Daemons: int(m.Daemons), At: s.now()})
-	return &rpc.LoadReply{}, nil
+	now := s.now()
+	told := load.Sum{Offered: offeredOf(m.Models), Daemons: int(m.Daemons), At: now}
+	total := s.reports.Load(m.Reporter, told)
+	return &rpc.LoadReply{
+		Models:  modelLoads(total.Offered),
+		Daemons: int32(total.Daemons),
+		AgeUs:   max(now.Sub(total.At), 0).Microseconds(),
+	}, nil
 }
 
-// Load tells another daemon what callers ask for at reporter and those that tell it.
-func (c *Client) Load(ctx context.Context, addr, reporter string, sum load.Sum) error {
+// Load tells another daemon what reporter is asked for, and returns the sum over all as
+// it is known there. It is dated by when this call was sent.
+func (c *Client) Load(ctx context.Context, addr, reporter string, s load.Sum) (load.Sum, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	request := &rpc.LoadRequest{Reporter: reporter, Daemons: int32(sum.Daemons)}
-	for m, work := range sum.Offered {
-		request.Models = append(request.Models, &rpc.ModelLoad{Service: m.Service, Model: m.Name, Offered: work})
+	sent := c.now()
+	reply, err := c.stub(addr).Load(ctx, &rpc.LoadRequest{Reporter: reporter, Models: modelLoads(s.Offered), Daemons: int32(s.Daemons)})
+	if err != nil {
+		return load.Sum{}, &CallError{Addr: addr, Err: err}
+	}
+	return load.Sum{
+		Offered: offeredOf(reply.Models),
+		Daemons: int(reply.Daemons),
+		At:      sent.Add(-time.Duration(reply.AgeUs) * time.Microsecond),
+	}, nil
+}
+
+func offeredOf(models []*rpc.ModelLoad) load.Offered {
+	offered := load.Offered{}
+	for _, m := range models {
+		offered[load.Model{Service: m.Service, Name: m.Model}] += m.Offered
 	}
-	if _, err := c.stub(addr).Load(ctx, request); err != nil {
-		return &CallError{Addr: addr, Err: err}
+	return offered
+}
+
+func modelLoads(offered load.Offered) []*rpc.ModelLoad {
+	var models []*rpc.ModelLoad
+	for m, work := range offered {
+		models = append(models, &rpc.ModelLoad{Service: m.Service, Model: m.Name, Offered: work})
 	}
-	return nil
+	return models
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -188,8 +188,9 @@
 
 func (r reported) Begun() { r <- "begun" }
 
-func (r reported) Load(reporter string, s load.Sum) {
+func (r reported) Load(reporter string, s load.Sum) load.Sum {
 	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons, " ", s.Offered)
+	return load.Sum{Offered: load.Offered{{Service: "llm", Name: "m"}: 80}, Daemons: 90, At: s.At.Add(-time.Second)}
 }
 
 // serve serves a cache as a daemon would, whose clock is ahead of the caller's.
@@ -247,9 +248,14 @@
 	must.NoError(t, newTestClient(t, time.Now).Begun(t.Context(), addr))
 	must.EqOp(t, "begun", <-reports)
 	told := load.Sum{Offered: load.Offered{{Service: "llm", Name: "m"}: 2.5}, Daemons: 7, At: time.Now()}
-	must.NoError(t, newTestClient(t, time.Now).Load(t.Context(), addr, "e1", told))
+	all, err := newTestClient(t, time.Now).Load(t.Context(), addr, "e1", told)
+	must.NoError(t, err)
 	must.EqOp(t, "load of e1 7 map[{llm m}:2.5]", <-reports)
+	must.EqOp(t, 90, all.Daemons)
+	must.Eq(t, load.Offered{{Service: "llm", Name: "m"}: 80}, all.Offered)
+	must.True(t, time.Since(all.At) >= time.Second, must.Sprint("a sum is never younger than it was"))
 	var failed *CallError
-	must.True(t, errors.As(newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told), &failed))
+	_, err = newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told)
+	must.True(t, errors.As(err, &failed))
 	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", Report{Group: "m.7"}), &failed))
 }
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -40,7 +40,8 @@
 	// Begun takes in that callers are being served somewhere.
 	Begun()
 	// Load takes in what callers ask for at a daemon and at those that tell it.
-	Load(reporter string, s load.Sum)
+	// It returns the sum over all daemons as it is known here.
+	Load(reporter string, s load.Sum) load.Sum
 }
 
 // Report is what a daemon found of a group that failed a request.
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -280,6 +280,20 @@
 	b.of(key).errors = 0
 }
 
+// Sound returns how many of some targets get new requests now.
+func (b *Balancer) Sound(targets []Target, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, t := range targets {
+		l, known := b.loads[t.Key]
+		if !known || !now.Before(l.suspectUntil) && !now.Before(l.warnedUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // Suspects returns the targets that get no new requests now.
 func (b *Balancer) Suspects(now time.Time) []string {
 	b.mu.Lock()
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -32,6 +32,8 @@
 	tried []string
 	// mayHaveRun tells that a worker may have run the request, now or later.
 	mayHaveRun bool
+	// noRoom is why the request was refused for want of room, nil if it wasn't.
+	noRoom *noRoom
 	// barred is why the request may not run where it could, the zero value if it may.
 	barred placement.Verdict
 	// overBudget tells that the request was not sent again for want of budget.
--- a/serving/overload.go
+++ b/serving/overload.go
@@ -1,6 +1,8 @@
 package serving
 
 import (
+	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -42,16 +44,70 @@
 		return nil
 	}
 	key := load.Model{Service: e.service.Name, Name: model.Name}
-	e.server.opts.Asked(key, e.service.Runtime.Work(model, e.req.Prompt, e.req.Answer))
+	work := e.service.Runtime.Work(model, e.req.Prompt, e.req.Answer)
+	e.server.opts.Asked(key, work)
+	entry := e.entry(key, work)
 	w := e.server.window(key)
-	e.place = w.Enter(e.arrived, e.route.Goal, rand.Float64())
-	if e.place == nil {
-		e.server.opts.Counters.overload.Inc()
-		part := leastReturn + (mostReturn-leastReturn)*rand.Float64()
-		wait := time.Duration(part * float64(w.Slack(e.route.Goal)))
-		return &fault{status: http.StatusServiceUnavailable, reason: "the model's groups are fully used", retryAfter: wait}
+	e.place = w.Enter(entry)
+	if e.place != nil {
+		return nil
+	}
+	e.noRoom = &noRoom{entry: entry, state: w.State()}
+	e.server.opts.Counters.overload.Inc()
+	part := leastReturn + (mostReturn-leastReturn)*rand.Float64()
+	wait := time.Duration(part * float64(w.Slack(e.route.Goal)))
+	return &fault{status: http.StatusServiceUnavailable, reason: "the model's groups are fully used", retryAfter: wait}
+}
+
+// entry is what the request asks of its model's window.
+func (e *exchange) entry(key load.Model, work time.Duration) admission.Entry {
+	rate, asked := e.supply(key)
+	return admission.Entry{
+		At: e.arrived, Goal: e.route.Goal, Work: work, Rate: rate, Load: asked,
+		Random: rand.Float64(), Rank: e.rank(),
+	}
+}
+
+// supply returns how many seconds of one group there are for this daemon's callers of a
+// model in a second, its part of the groups where the request may run now, and what all
+// callers ask of these as a part of what they can do.
+func (e *exchange) supply(key load.Model) (rate, asked float64) {
+	part, work, known := e.server.opts.Part(key)
+	if !known {
+		return admission.Unknown, admission.Unknown
 	}
-	return nil
+	targets, _ := e.permitted()
+	groups := float64(e.server.opts.Balancer.Sound(targets, e.arrived))
+	return part * groups, work / max(groups, 1)
+}
+
+// rankTime is for how long a request keeps its rank: much longer than a caller takes to
+// come back, and short enough that nobody who asks for the same again and again is always
+// refused.
+const rankTime = 10 * time.Second
+
+// rank returns a number in [0, 1) that is the same at all daemons when the caller comes
+// back with the request, and otherwise as good as chance.
+func (e *exchange) rank() float64 {
+	h := fnv.New64a()
+	period := e.arrived.Unix() / int64(rankTime/time.Second)
+	fmt.Fprint(h, period, e.req.Target, e.req.Credential, e.req.Parts, e.req.Prompt, e.req.Answer, len(e.req.Body))
+	return float64(mixed(h.Sum64())>>11) / (1 << 53)
+}
+
+// mixed spreads the bits of a hash (the finalizer of MurmurHash3, Appleby).
+func mixed(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// noRoom is what a refusal for want of room was decided by.
+type noRoom struct {
+	entry admission.Entry
+	state admission.State
 }
 
 // leave ends the count that enter began.
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/phuslu/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/placement"
@@ -39,6 +41,7 @@
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Window: time.Second} },
 		Asked:     func(load.Model, time.Duration) {},
+		Part:      func(load.Model) (float64, float64, bool) { return 0, 0, false },
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return false }, MostRequests: 10,
 		Now: func() time.Time { return noon }, Log: &log.Logger{Level: log.PanicLevel},
 	})
@@ -50,3 +53,58 @@
 	_, underWay := s.window(load.Model{Service: "llm", Name: "m"}).Limit()
 	must.EqOp(t, 0, underWay)
 }
+
+// TestSupply_IsThePartOfTheGroupsThatMayServeNow closes a hall and has a group fail: both
+// are no supply from that moment on.
+func TestSupply_IsThePartOfTheGroupsThatMayServeNow(t *testing.T) {
+	service := &catalog.Service{Name: "llm", Runtime: &catalog.Runtime{Models: []catalog.Model{{Name: "m", Size: 2}}}}
+	registry := workers.NewRegistry(func(*workers.View) {})
+	var all []workers.Worker
+	for epoch, hall := range []string{"h1", "h1", "h1", "h2"} {
+		for _, w := range group("m", uint64(epoch+1), workers.Open, 2) {
+			w.Hall = hall
+			all = append(all, w)
+		}
+	}
+	registry.Apply(all, nil, true)
+	places := placement.NewDecider(nil, placement.NoRamp{}, func() time.Time { return noon })
+	balancer := NewBalancer("h1")
+	known := true
+	s := NewServer(Options{
+		Placement: places, Workers: registry.View, Balancer: balancer,
+		Part: func(load.Model) (float64, float64, bool) { return 0.1, 6, known },
+	})
+	e := &exchange{server: s, service: service, route: &catalog.Route{}, req: &Request{Model: "m"}, arrived: noon}
+	check := func(wantRate, wantAsked float64) {
+		t.Helper()
+		rate, asked := e.supply(load.Model{Service: "llm", Name: "m"})
+		must.InDelta(t, wantRate, rate, 1e-9)
+		must.InDelta(t, wantAsked, asked, 1e-9)
+	}
+	check(0.4, 1.5)
+	balancer.Fail(workers.NewGroupID("m", 1).Name, noon)
+	check(0.3, 2)
+	places.Apply(placement.Update{Changes: []placement.Change{{Hall: "h2", Closed: true, Version: 2}}, Version: 2})
+	check(0.2, 3)
+	known = false
+	check(admission.Unknown, admission.Unknown)
+}
+
+// TestRank_IsTheSameWhenACallerComesBack: every try has an id, a deadline and a daemon of
+// its own.
+func TestRank_IsTheSameWhenACallerComesBack(t *testing.T) {
+	request := func(id, parts string, wait time.Duration, at time.Time) float64 {
+		e := &exchange{req: &Request{ID: id, Target: "/x", Parts: parts, Prompt: 674, Answer: 150, Wait: wait}, arrived: at}
+		return e.rank()
+	}
+	first := request("1", "5c1e:40,a1:634", time.Second, noon)
+	must.EqOp(t, first, request("2", "5c1e:40,a1:634", 900*time.Millisecond, noon.Add(100*time.Millisecond)))
+	must.NotEqOp(t, first, request("1", "5c1e:40,a1:634", time.Second, noon.Add(rankTime)), must.Sprint("nobody is refused for good"))
+	var tenths [10]int
+	for i := range 10000 {
+		tenths[int(10*request("1", strconv.Itoa(i), time.Second, noon))]++
+	}
+	for _, n := range tenths {
+		must.Between(t, 900, n, 1100)
+	}
+}
--- a/serving/record.go
+++ b/serving/record.go
@@ -103,6 +103,11 @@
 			entry = entry.Dur("fact_age", now.Sub(v.Known))
 		}
 	}
+	if r := e.noRoom; r != nil {
+		entry = entry.Float64("window", min(r.state.Limit, math.MaxInt32)).Float64("delay", r.state.Delay).
+			Bool("share_binds", r.state.Binds).Float64("share_part", r.state.Part).Float64("queue_s", r.state.Queue).
+			Float64("share", r.entry.Rate).Float64("asked", r.entry.Load).Dur("work", r.entry.Work).Float64("rank", r.entry.Rank)
+	}
 	if f != nil {
 		entry = entry.Str("reason", reason).Bool("aborted", f.aborted).Bool("caller_gone", ctx.Err() != nil).Bool("over_budget", e.overBudget).Dur("retry_after", f.retryAfter)
 	}
--- a/serving/request.go
+++ b/serving/request.go
@@ -31,6 +31,8 @@
 	// and the most that may be generated.
 	Model          string
 	Prompt, Answer int
+	// Parts names the parts of the prompt, "" if nobody says.
+	Parts string
 	// LastEvent is the id of the last event that the caller has of a stream that
 	// it resumes, "" if it has none.
 	LastEvent string
--- a/serving/server.go
+++ b/serving/server.go
@@ -35,6 +35,9 @@
 	Suspect func(group string, failure Failure)
 	// Asked is told the work that each request asks of a model, also if it is refused.
 	Asked func(m load.Model, work time.Duration)
+	// Part returns this process's part of what callers ask of a model, and how much all of
+	// them ask, false if that isn't known.
+	Part func(m load.Model) (part, asked float64, known bool)
 	// Informed tells whether warnings of other daemons about groups come in.
 	Informed func() bool
 	// FirstUse is told once, when the first request comes.
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -53,6 +53,7 @@
 		Counters: NewCounters(metrics.NewSet()), Evidence: catalog.NewEvidencePolicy(time.Minute, time.Minute),
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 10, Window: time.Second} },
 		Asked:     func(load.Model, time.Duration) {},
+		Part:      func(load.Model) (float64, float64, bool) { return 0, 0, false },
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return true }, MostRequests: 10,
 		Now: time.Now, Log: &log.Logger{Level: log.PanicLevel},
 	})
