admission: A share that is saved up binds no longer, whatever the told load

Cause: the told load is two to three seconds old. Groups do about a seventh more than the runtime's times tell.

Change: no such bound; at most 1.6 of the share.

--- a/admission/share.go
+++ b/admission/share.go
@@ -21,7 +21,7 @@
 	// leastPart and mostPart bound how much of the share is let in for that. More than all
 	// of it is let in where next to nobody waits: the runtime tells usual times.
 	leastPart = 0.1
-	mostPart  = 1.4
+	mostPart  = 1.6
 	// manyWaiting is how many usual requests of one daemon must wait for a first event for
 	// longWait goals for the share to bind whatever first events tell. A daemon that gets
 	// one request a second for a model hears of a queue of two seconds too late.
@@ -29,10 +29,8 @@
 	longWait    = 2.0
 	// fittingLoad is what all callers may ask of the groups, as a part of what they can do
 	// by the runtime's times, for a share to bind no longer once nothing was late for
-	// looseAfter. Groups do about a seventh more than these tell. While callers ask for
-	// more than excessLoad a share goes on to bind, though it happens to be saved up.
+	// looseAfter. Groups do about a seventh more than these tell.
 	fittingLoad = 1.05
-	excessLoad  = 1.3
 	looseAfter  = 1500 * time.Millisecond
 	// leastRate keeps rates above 0, in seconds of one group a second.
 	leastRate = 0.001
@@ -114,7 +112,7 @@
 // fits tells whether what comes fits into the share again: it is saved up, or all callers
 // together ask for no more than the groups can do and nothing is late.
 func (s *share) fits(e Entry) bool {
-	if s.tokens >= shareDepth*s.usual && e.Load < excessLoad {
+	if s.tokens >= shareDepth*s.usual {
 		return true
 	}
 	return e.Load != Unknown && e.Load < fittingLoad && e.At.Sub(s.late) > looseAfter
