--- a/serving/record.go
+++ b/serving/record.go
@@ -55,13 +55,21 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`pointpass_refused_placement_total{reason=%q}`, string(reason))).Inc()
 }
 
-// gaugeWindow shows how many requests a model's window lets be under way.
+// gaugeWindow shows how many requests a model's window lets be under way, and whether the
+// daemon's share of the groups bounds what comes.
 func (c *Counters) gaugeWindow(key load.Model, w *admission.Window) {
 	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q}`, key.Service, key.Name)
 	c.set.GetOrCreateGauge(name, func() float64 {
 		limit, _ := w.Limit()
 		return min(limit, math.MaxInt32) // no bound shows as a large number
 	})
+	name = fmt.Sprintf(`pointpass_share_binds{service=%q,model=%q}`, key.Service, key.Name)
+	c.set.GetOrCreateGauge(name, func() float64 {
+		if w.State().Binds {
+			return 1
+		}
+		return 0
+	})
 }
 
 // record writes the request's line in the log and counts its outcome.
