serving: A model whose groups all failed has no share, rather than one of nothing

Before, a share that bound while all of a model's groups were suspect refused every request, where trying one of them tells first that it is back.

--- a/serving/overload.go
+++ b/serving/overload.go
@@ -77,8 +77,11 @@
 		return admission.Unknown, admission.Unknown
 	}
 	targets, _ := e.permitted()
-	groups := float64(e.server.opts.Balancer.Sound(targets, e.arrived))
-	return part * groups, work / max(groups, 1)
+	groups := e.server.opts.Balancer.Sound(targets, e.arrived)
+	if groups == 0 { // trying one of those that failed is better than refusing all
+		return admission.Unknown, admission.Unknown
+	}
+	return part * float64(groups), work / float64(groups)
 }
 
 // rankTime is for how long a request keeps its rank: much longer than a caller takes to
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -86,6 +86,13 @@
 	check(0.3, 2)
 	places.Apply(placement.Update{Changes: []placement.Change{{Hall: "h2", Closed: true, Version: 2}}, Version: 2})
 	check(0.2, 3)
+	for _, epoch := range []uint64{2, 3} {
+		balancer.Fail(workers.NewGroupID("m", epoch).Name, noon)
+	}
+	check(admission.Unknown, admission.Unknown) // none is left: nobody is refused for that
+	balancer = NewBalancer("h1")
+	s.opts.Balancer = balancer
+	check(0.3, 2)
 	known = false
 	check(admission.Unknown, admission.Unknown)
 }
