--- a/catalog/regions.go
+++ b/catalog/regions.go
@@ -49,6 +49,14 @@
 	return s.names == "" || strings.Contains(s.names, regionSeparator+region+regionSeparator)
 }
 
+// Overlaps tells whether some region is in both sets.
+func (s RegionSet) Overlaps(other RegionSet) bool {
+	if s.names == "" || other.names == "" {
+		return true
+	}
+	return slices.ContainsFunc(other.Names(), s.Allow)
+}
+
 // Names returns the regions in order, none if nothing is bounded.
 func (s RegionSet) Names() []string {
 	if s.names == "" {
--- a/deps/cold_test.go
+++ b/deps/cold_test.go
@@ -1,6 +1,8 @@
 package deps
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -22,7 +24,9 @@
 // newColdEdge returns a daemon that knows a service whose workers start cold, and a warm
 // worker of it in a closed hall.
 func newColdEdge(t *testing.T) (*Edge, workers.Worker) {
-	settings, err := node.Parse("settings", []byte(coldSettings))
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	must.NoError(t, os.WriteFile(file, []byte(coldSettings), 0o600))
+	settings, err := node.Open(file)
 	must.NoError(t, err)
 	e, free := NewEdge(settings, &log.Logger{Level: log.PanicLevel})
 	t.Cleanup(free)
--- a/load/meter.go
+++ b/load/meter.go
@@ -36,6 +36,18 @@
 	}
 }
 
+// Beside returns the work that callers ask of a model and that may run in one of the
+// regions of m at least: what the groups there have to do beside each other.
+func (o Offered) Beside(m Model) float64 {
+	sum := 0.0
+	for other, work := range o {
+		if other.anywhere() == m.anywhere() && other.Regions.Overlaps(m.Regions) {
+			sum += work
+		}
+	}
+	return sum
+}
+
 // memory is the time constant of a meter. Work that was asked for that long ago counts
 // 0.37 of what is asked for now. It is as long as the pause between reports; what needs
 // longer averages makes them from these.
