--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -110,6 +110,7 @@
 		Counters: NewCounters(f.set), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 1000, Window: time.Second} },
 		Asked:     func(m load.Model, _ time.Duration) { f.asked = append(f.asked, m) },
+		Part:      func(load.Model) (part, asked float64, known bool) { return 0, 0, false },
 		Suspect:   func(string, Failure) {}, FirstUse: func() {}, Informed: func() bool { return true }, MostRequests: 10,
 		Now: time.Now, Log: &log.Logger{Level: log.ErrorLevel, Writer: log.IOWriter{Writer: &f.log}},
 	})
