replica: Let releases not hold up groups that are given up for others

Cause: with 3 in 100 as the change that counts, a release that replaces nine of 178 VMs each 0.8 s would have held up every retirement while it lasts. Change: a tenth of the workers has to come or go. A hall of three is a third; what of it is left when the last tenth is noted goes within the pause.

--- a/replica/planner.go
+++ b/replica/planner.go
@@ -39,9 +39,10 @@
 	// movePart, as a part of it, before groups are given up for others. The entries of a
 	// data hall's 57 VMs went over 1.3 s: midway one model seemed to lack groups and then
 	// the other, and three groups of what was left were given up for nothing, in the
-	// seconds of the most work. A crash of a VM or two of a hundred doesn't count.
+	// seconds of the most work. Crashes of single VMs don't count, nor do releases, which
+	// replace some at a time.
 	movePause = time.Second
-	movePart  = 0.03
+	movePart  = 0.1
 	// probeWait is how long the members of a failing group may take to be asked: two
 	// tries of 300 ms, and as long as a report takes.
 	probeWait = 900 * time.Millisecond
