duty: Count successors as having waited though another ended the lease

Cause: the duties of a dead holder go to several successors. The first to take some removes the holder's row; the others then found the duty's holder unlisted, took it as not waited for, and answered "unknown" for all keys made until twice key_ahead later. In the unit test that is so at each takeover by two. Ruled out: having the scenario wait (callers were told "unknown" for keys that nobody had used); taking any unlisted holder for lapsed (one that gives up its lease removes its row itself, and a duty that it never knew of may come from somebody who gave it up just before); a mark in the table (more writes, and rows to clean up). Change: a removed row is kept as it was last seen while a duty names its holder. The duty is taken once that and the duty's row have stood still for the lease and the margin, by reads of the table, and counts as waited for. A daemon that never saw the row does as before.

--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -57,6 +58,7 @@
 type dutyState struct {
 	row     dutyRow
 	version uint64
+	since   time.Time // when this version was first known
 }
 
 // Taken tells how this daemon came by a duty.
@@ -125,8 +127,11 @@
 	sent    map[uint64]time.Time
 	lease   lease
 	nodes   map[string]observation
-	duties  map[string]dutyState
-	taken   map[string]uint64 // duty to the epoch that OnTaken was called for
+	// ended are leases whose rows were removed while a duty still names their holder, as
+	// they were last seen: another daemon took some of the holder's duties.
+	ended  map[string]observation
+	duties map[string]dutyState
+	taken  map[string]uint64 // duty to the epoch that OnTaken was called for
 	// waited maps a duty to the epoch that we asked for once the last holder's lease
 	// had lapsed. Our rows may be read back before the transaction that took the
 	// duty returns, or without its answer.
@@ -142,6 +147,7 @@
 		opts:   opts,
 		store:  store,
 		nodes:  map[string]observation{},
+		ended:  map[string]observation{},
 		duties: map[string]dutyState{},
 		taken:  map[string]uint64{},
 	}
@@ -262,7 +268,7 @@
 	for _, row := range rows {
 		name := strings.TrimPrefix(row.Key(), NodePrefix)
 		if row.Deleted() {
-			delete(k.nodes, name)
+			k.noteEnded(name)
 			continue
 		}
 		var n nodeRow
@@ -273,12 +279,31 @@
 	}
 }
 
+// noteEnded moves a lease whose row was removed to those that ended. The caller holds the
+// lock.
+func (k *Keeper) noteEnded(holder string) {
+	if seen, listed := k.nodes[holder]; listed {
+		k.ended[holder] = seen
+	}
+	delete(k.nodes, holder)
+}
+
+// forgetEnded drops ended leases that no duty names any more. The caller holds the lock.
+func (k *Keeper) forgetEnded() {
+	named := map[string]bool{}
+	for _, d := range k.duties {
+		named[d.row.Holder] = true
+	}
+	maps.DeleteFunc(k.ended, func(holder string, _ observation) bool { return !named[holder] })
+}
+
 // Observed is to be called after each good read of the table, once its rows were
 // applied, with the moment at which the read was begun.
 func (k *Keeper) Observed(begun time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.read = begun
+	k.forgetEnded()
 }
 
 // Resumed starts all waiting for leases to lapse anew. It is to be called when
@@ -304,7 +329,7 @@
 		if row.Decode(&d) != nil || row.Version() <= k.duties[name].version {
 			continue
 		}
-		k.duties[name] = dutyState{row: d, version: row.Version()}
+		k.duties[name] = dutyState{row: d, version: row.Version(), since: k.opts.Now()}
 		news = k.noteTaken(news, name, d)
 	}
 	k.mu.Unlock()
@@ -341,6 +366,16 @@
 	k.opts.Log.Info().Strs("duties", names).Msg("duties taken")
 }
 
+// endedLapsedLocked tells whether the lease of a duty's holder has certainly run out,
+// though its row is gone: it can't be renewed without its row, and stood still for long
+// enough before our last read. So did the duty's row: a holder that gives up its lease
+// gives up all duties that it knows of, and one that it never knew of may have come from
+// somebody who gave it up just before.
+func (k *Keeper) endedLapsedLocked(d dutyState) bool {
+	seen, ended := k.ended[d.row.Holder]
+	return ended && seen.lapsed(k.read, k.opts.Lease, k.opts.Margin) && k.read.Sub(d.since) > k.opts.Lease+k.opts.Margin
+}
+
 // lapsedLocked tells whether a holder's lease has certainly run out by itself.
 func (k *Keeper) lapsedLocked(holder string) bool {
 	seen, ok := k.nodes[holder]
--- a/duty/keeper_test.go
+++ b/duty/keeper_test.go
@@ -355,3 +355,69 @@
 		must.EqOp(t, ranked[0], Rank(subject, left)[0])
 	})
 }
+
+// TestKeeper_AllSuccessorsWaited: the duties of a holder that died go to several
+// successors. The first to take some ends the dead holder's lease in the table; the others
+// have waited for it as well, as far as they have read the table meanwhile.
+func TestKeeper_AllSuccessorsWaited(t *testing.T) {
+	c := newCluster(3)
+	var wanted []string
+	for i := range 12 {
+		wanted = append(wanted, fmt.Sprint("d", i))
+	}
+	for _, m := range c.members {
+		m.keeper.opts.Wanted = func() []string { return wanted }
+	}
+	c.run(10 * time.Second)
+	old := c.members[0]
+	must.SliceNotEmpty(t, old.taken)
+	c.run(testLease+testMargin+3*time.Second, old)
+	for _, next := range c.members[1:] {
+		second := 0
+		for _, taken := range next.taken {
+			if taken.Epoch() == 2 {
+				second++
+				must.True(t, taken.Lapsed(), must.Sprint(taken.Name()))
+			}
+		}
+		must.Positive(t, second, must.Sprint("both take some"))
+	}
+}
+
+// TestKeeper_EndedLeasesAreWaitedFor: a duty whose holder's row is gone is taken once that
+// row and the duty's have stood still for the lease and the margin; at once, and as not
+// waited for, by a daemon that never saw the holder's row.
+func TestKeeper_EndedLeasesAreWaitedFor(t *testing.T) {
+	const whole = testLease + testMargin
+	for _, c := range []struct {
+		name         string
+		seen         bool
+		lease, duty  time.Duration // how long they had stood still at the last read
+		free, waited bool
+	}{
+		{"both stood still", true, whole + 1, whole + 1, true, true},
+		{"the lease may still hold", true, whole, whole + 1, false, false},
+		{"the duty just came to the holder", true, whole + 1, whole, false, false},
+		{"the holder was never seen", false, 0, whole + 1, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := newCluster(1)
+			k := cl.members[0].keeper
+			k.read = cl.now
+			k.duties["d"] = dutyState{row: dutyRow{Holder: "x.1", Epoch: 3}, version: 7, since: cl.now.Add(-c.duty)}
+			if c.seen {
+				k.nodes["x.1"] = observation{version: 5, since: cl.now.Add(-c.lease)}
+			}
+			k.noteEnded("x.1")
+			f, isFree := k.freeLocked("d")
+			must.EqOp(t, c.free, isFree)
+			must.EqOp(t, c.waited, f.waited)
+			must.EqOp(t, "", f.dead)
+			k.forgetEnded()
+			must.EqOp(t, c.seen, len(k.ended) == 1)
+			delete(k.duties, "d")
+			k.forgetEnded()
+			must.MapEmpty(t, k.ended)
+		})
+	}
+}
--- a/duty/take.go
+++ b/duty/take.go
@@ -37,6 +37,7 @@
 	state   dutyState
 	dead    string // holder whose lapsed lease must be ended first
 	version uint64 // of the dead holder's row
+	waited  bool   // the last holder's lease has lapsed
 }
 
 // takeFree takes, in one transaction, the duties that nobody holds and that
@@ -74,7 +75,7 @@
 // has lapsed.
 func (k *Keeper) noteWaited(chosen []free) {
 	for _, f := range chosen {
-		if f.dead != "" {
+		if f.waited {
 			k.waited[f.name] = f.state.row.Epoch + 1
 		} else {
 			delete(k.waited, f.name)
@@ -84,7 +85,7 @@
 
 func reason(chosen []free) string {
 	for _, f := range chosen {
-		if f.dead != "" {
+		if f.waited {
 			return "lease lapsed"
 		}
 	}
@@ -109,7 +110,7 @@
 				continue
 			}
 			d := dutyRow{Holder: self.holder(), Addr: self.Addr, Epoch: f.state.row.Epoch + 1}
-			k.duties[f.name] = dutyState{row: d, version: version}
+			k.duties[f.name] = dutyState{row: d, version: version, since: k.opts.Now()}
 			news = k.noteTaken(news, f.name, d)
 		}
 	}
@@ -162,16 +163,28 @@
 	}
 	seen, listed := k.nodes[holder]
 	if !listed {
-		return f, true
+		return k.freeOfEndedLocked(f)
 	}
 	if !k.lapsedLocked(holder) {
 		return free{}, false
 	}
 	f.dead = holder
+	f.waited = true
 	f.version = seen.version
 	return f, true
 }
 
+// freeOfEndedLocked is freeLocked for a holder whose row is gone. Who has seen that row
+// waits for what is left of the lease and the margin, a read of the table or two as a
+// rule, rather than know nothing of the keys made since.
+func (k *Keeper) freeOfEndedLocked(f free) (free, bool) {
+	if _, seen := k.ended[f.state.row.Holder]; !seen {
+		return f, true
+	}
+	f.waited = k.endedLapsedLocked(f.state)
+	return f, f.waited
+}
+
 // liveLocked returns the candidates whose lease this daemon has seen renewed
 // lately, itself included.
 func (k *Keeper) liveLocked(candidates []string) []string {
