node, retry, replica: Test that settings read again reach all who keep them

Cause: of 13 mutations of how settings are followed, that of the planner's ceiling stayed green, as did one that keeps the old parts of a retry window; one that hears no signal hung. One more, that tells nobody of what a look found, is seen by the test with a real daemon alone. Change: the tests look at both, and at signals with a limit. No test asks for less.

--- a/node/holder_test.go
+++ b/node/holder_test.go
@@ -147,8 +147,14 @@
 	e.change(`"grace_s": 8`, `"grace_s": 9`)
 	signals <- os.Interrupt
 	signals <- os.Interrupt
-	must.EqOp(t, Changed, (<-readings).Outcome)
-	must.EqOp(t, Unchanged, (<-readings).Outcome)
+	for _, want := range []Outcome{Changed, Unchanged} {
+		select {
+		case r := <-readings:
+			must.EqOp(t, want, r.Outcome)
+		case <-time.After(10 * time.Second):
+			t.Fatal("a signal was not heard")
+		}
+	}
 	e.change(`"grace_s": 8`, `"grace_s": 10`)
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return e.Bounds().Grace == 10*time.Second }), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
 	cancel()
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -86,6 +86,9 @@
 	lease.renew(ctx)
 	act()
 	must.MapNotEmpty(t, orders.lists)
+	c.opts.Ceiling = func() LoadCeiling { return LoadCeiling{Window: time.Second} }
+	act()
+	must.EqOp(t, time.Second, c.planner.ceiling.Window, must.Sprint("the planner follows the ceiling"))
 
 	table.now = table.now.Add(leaseLength)
 	_, held = lease.Held()
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -69,6 +69,14 @@
 	must.False(t, w.Spend(now, a))
 	must.False(t, w.Room(now.Add(3*time.Second), a))
 	must.True(t, w.Room(now.Add(4*time.Second), a))
+	now = now.Add(5 * time.Second)
+	for range 2 {
+		must.True(t, w.Spend(now, a))
+	}
+	a.Window = 20 * time.Second
+	now = now.Add(time.Second)
+	must.False(t, w.Spend(now, a))
+	must.True(t, w.Room(now.Add(20*time.Second), a), must.Sprint("nothing counts for longer than the window"))
 }
 
 func since(times []time.Time, from time.Time) int {
