--- a/testbed/engine/engine.go
+++ b/testbed/engine/engine.go
@@ -42,15 +42,13 @@
 // Start starts a stand-in on a free port of loopback. It keeps the port through restarts,
 // so that the port must not be one that the system gives to connections meanwhile.
 func Start(f *Fabric, opts Options) (*Engine, error) {
-	addr, err := loopback.FreeAddr()
+	listener, err := loopback.Listen()
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{fabric: f, opts: opts, addr: addr}
+	e := &Engine{fabric: f, opts: opts, addr: listener.Addr().String()}
 	e.thawed = sync.NewCond(&e.mu)
-	if err := e.Restart(); err != nil {
-		return nil, err
-	}
+	e.serve(listener)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.engines[opts.VM] = e
@@ -66,9 +64,14 @@
 	if err != nil {
 		return err
 	}
+	e.serve(listener)
+	return nil
+}
+
+// serve begins a life of the VM at a listener.
+func (e *Engine) serve(listener net.Listener) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.addr = listener.Addr().String()
 	e.up = true
 	e.boot = uuid.NewString()
 	e.forget()
@@ -78,7 +81,6 @@
 	}
 	e.server = &http.Server{Handler: e.handler()}
 	go e.server.Serve(listener)
-	return nil
 }
 
 func (e *Engine) forget() {
--- a/testbed/loopback/loopback.go
+++ b/testbed/loopback/loopback.go
@@ -39,19 +39,28 @@
 // FreeAddr returns an address on loopback where nobody listens, each one once, and never
 // one that another test program was given and may still use.
 func FreeAddr() (string, error) {
+	l, err := Listen()
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// Listen listens on an address that FreeAddr might have returned.
+func Listen() (net.Listener, error) {
 	blocks.mu.Lock()
 	defer blocks.mu.Unlock()
 	for {
 		if blocks.next == blocks.end {
 			if err := takeBlock(); err != nil {
-				return "", err
+				return nil, err
 			}
 		}
 		port := blocks.next
 		blocks.next++
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
-			return l.Addr().String(), l.Close()
+			return l, nil
 		}
 	}
 }
