--- a/deps/following.go
+++ b/deps/following.go
@@ -121,7 +121,7 @@
 		Peers:     peers,
 		Upstreams: func() []relay.Member { return f.control.Load().upstreams },
 		MostAge:   func(table string) time.Duration { return paceOf(table).mostAge },
-		InTouch:   e.settings.Bounds().InTouch,
+		InTouch:   func() time.Duration { return e.settings.Bounds().InTouch },
 		Now:       time.Now,
 		Log:       e.Log,
 	})
@@ -130,6 +130,7 @@
 		Peers:     peers,
 		Upstreams: f.warners,
 		MostAge:   func(string) time.Duration { return health.MostAge },
+		InTouch:   func() time.Duration { return 0 },
 		Now:       time.Now,
 		Log:       e.Log,
 	})
@@ -148,7 +149,7 @@
 // Run follows all tables until ctx ends, first that which tells of other daemons.
 func (f *following) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	if f.edge.settings.FirstStart() {
+	if f.edge.settings.Current().FirstStart() {
 		pause(ctx, settleTime)
 	}
 	running.Go(func() { f.follower(replica.LeaseTable, f.applyControl).Run(ctx) })
@@ -157,7 +158,7 @@
 	case <-ctx.Done():
 	case <-time.After(mostBlind):
 	}
-	running.Go(func() { f.follower(platform.ConfigTable, f.edge.applyConfig).Run(ctx) })
+	running.Go(func() { f.settlingFollower().Run(ctx) })
 	running.Go(func() { f.follower(platform.WorkersTable, f.edge.applyWorkers).Run(ctx) })
 	running.Go(func() { f.followWarnings(ctx) })
 	running.Wait()
@@ -191,17 +192,27 @@
 	p := paceOf(table)
 	most := p.aloneHold
 	if table == platform.ConfigTable {
+		if !f.edge.standstill.Settled() {
+			return 0 // requests wait for the answer
+		}
 		most = configWait(min(mostAge(f.edge.settings.Bounds().Revoke), denyAge))
 	}
 	switch {
 	case !f.reader.Direct():
 		return min(most, p.relayedHold)
-	case f.control.Load().relays:
+	case f.control.Load().relays || f.asRelay(table):
 		return min(most, p.relayingHold)
 	}
 	return most
 }
 
+// asRelay tells whether a daemon that follows the store alone asks for a table as often as
+// one that relays: where workers start cold, what is known of other daemons has to be
+// young, at 0.5 calls a second more.
+func (f *following) asRelay(table string) bool {
+	return table == replica.LeaseTable && f.edge.cold.needed()
+}
+
 // configWait returns how long the store holds a question for a newer
 // configuration. Each answer is evidence that there is none as of the moment the
 // question was sent: while the store answers, evidence is at most twice as old,
@@ -219,7 +230,7 @@
 		return holderGather
 	case !f.reader.Direct():
 		return p.relayedGather
-	case f.control.Load().relays:
+	case f.control.Load().relays || f.asRelay(table):
 		return p.relayingGather
 	}
 	return p.aloneGather
--- a/deps/halls.go
+++ b/deps/halls.go
@@ -1,12 +1,12 @@
 package deps
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/store"
-	"github.com/pointpass/pointpass/workers"
 )
 
 // applyHalls takes in which data halls are closed to requests.
@@ -15,15 +15,16 @@
 	if err != nil {
 		e.Log.Error().Str("event", "hall_unreadable").Err(err).Msg("")
 	}
-	before := e.Placement.Facts()
-	closed, opened := e.Placement.Apply(placement.Update{Changes: changes, Full: u.Full, Version: u.Version, Evidence: u.Evidence})
+	update := placement.Update{Changes: changes, Full: u.Full, Version: u.Version, Evidence: u.Evidence}
+	e.coolOpened(update)
+	closed, opened := e.Placement.Apply(update)
 	for _, c := range closed {
 		e.Log.Warn().Str("event", "hall_closed").Str("hall", c.Hall).Uint64("store_version", c.Version).
 			Dur("evidence_age", time.Since(u.Evidence)).Int("under_way", e.underWayIn(c.Hall)).Msg("its workers get no further requests")
+		e.Metrics.GetOrCreateGauge(hallGauge(c.Hall), func() float64 { return float64(e.underWayIn(c.Hall)) })
 	}
 	for _, r := range opened {
-		_, seen := before.Closed(r.Hall)
-		e.cold.learnOpening(r.Hall, seen)
+		e.Metrics.UnregisterMetric(hallGauge(r.Hall))
 		e.Log.Info().Str("event", "hall_opened").Str("hall", r.Hall).Uint64("store_version", r.Version).
 			Dur("evidence_age", time.Since(u.Evidence)).Msg("")
 	}
@@ -32,24 +33,29 @@
 	}
 }
 
+// coolOpened has the workers of halls that an update opens be cold, before any request may
+// go there.
+func (e *Edge) coolOpened(u placement.Update) {
+	before := e.Placement.Facts()
+	_, _, opened := before.Apply(u, time.Now())
+	for _, r := range opened {
+		_, seen := before.Closed(r.Hall)
+		e.cold.learnOpening(r.Hall, seen)
+	}
+}
+
 // underWayIn returns how many requests of this daemon run at workers of a hall.
 func (e *Edge) underWayIn(hall string) int {
-	heads := map[string]workers.Worker{}
-	view := e.Workers.View()
-	for _, g := range view.Groups() {
-		if head, found := g.Head(); found {
-			heads[g.ID.Name] = head
-		}
-	}
 	n := 0
-	for key, count := range e.Balancer.UnderWay() {
-		w, found := heads[key]
-		if !found {
-			w, _ = view.Worker(key)
-		}
-		if w.Hall == hall {
-			n += count
+	for _, t := range e.Balancer.UnderWay() {
+		if t.Worker.Hall == hall {
+			n += t.Requests
 		}
 	}
 	return n
 }
+
+// hallGauge is the name of the gauge of requests under way in a closed hall.
+func hallGauge(hall string) string {
+	return fmt.Sprintf(`pointpass_closed_hall_requests_under_way{hall=%q}`, hall)
+}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,9 +73,9 @@
 	Weight(w workers.Worker, now time.Time) float64
 }
 
-// Decider decides where requests may run. It is safe for use by many goroutines; only
-// one may call Apply.
+// Decider decides where requests may run. It is safe for use by many goroutines.
 type Decider struct {
+	mu    sync.Mutex // of changes
 	facts atomic.Pointer[Facts]
 	ramp  Ramp
 	now   func() time.Time
@@ -93,17 +95,25 @@
 // Apply takes in what the store tells of halls, and returns those that it closed and
 // opened.
 func (d *Decider) Apply(u Update) (closed []Closing, opened []Reopening) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	next, closed, opened := d.Facts().Apply(u, d.now())
 	d.facts.Store(next)
 	return closed, opened
 }
 
-// Open tells whether a hall is open to requests.
-func (d *Decider) Open(hall string) bool {
-	_, closed := d.Facts().Closed(hall)
-	return !closed
+// SetRegions takes in the region of each hall, for all that is decided from now on.
+func (d *Decider) SetRegions(regions map[string]string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := *d.Facts()
+	next.regions = maps.Clone(regions)
+	d.facts.Store(&next)
 }
 
+// Open tells whether a hall is open to requests.
+func (d *Decider) Open(hall string) bool { return d.Facts().Open(hall) }
+
 // Judge says whether a request may be planned for a worker. Nothing is counted.
 func (d *Decider) Judge(r Request, w workers.Worker) Verdict {
 	v := d.judgeHall(r, w)
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -19,9 +19,11 @@
 	Prober   Prober
 	Workers  func() *workers.View
 	Catalogs *catalog.Holder
-	Ceiling  LoadCeiling
-	// Fenced tells that workers refuse orders with an old fencing token.
-	Fenced bool
+	// Ceiling returns the bound on loads. It may change at any time.
+	Ceiling func() LoadCeiling
+	// Fenced tells whether workers refuse orders with an old fencing token. It may change
+	// at any time.
+	Fenced func() bool
 	// Idle tells that nobody has been served yet, so that loads disturb nobody.
 	Idle func() bool
 	// Failing tells whether a group has failed requests since it last sent
@@ -33,11 +35,15 @@
 	StoreBack func() time.Time
 	// Load returns what callers ask for, as far as it is known.
 	Load func() load.Sum
+	// Halls returns which data halls are open to requests.
+	Halls func() Halls
 	// Region returns the region of a data hall, "" if it isn't known.
-	Region  func(hall string) string
-	Metrics *metrics.Set
-	Now     func() time.Time
-	Log     *log.Logger
+	Region func(hall string) string
+	// ColdLeft returns how much longer a worker bears little, 0 if it is warm.
+	ColdLeft func(worker string) time.Duration
+	Metrics  *metrics.Set
+	Now      func() time.Time
+	Log      *log.Logger
 }
 
 // Controller gives the orders that a planner decides on while the lease is held.
@@ -136,7 +142,7 @@
 }
 
 func (c *Controller) take(r result) {
-	if outranked(r.order, r.outcome, c.opts.Fenced) {
+	if outranked(r.order, r.outcome) {
 		c.opts.Lease.Outranked(r.term)
 	}
 	if c.planner != nil && c.planner.Term() == r.term {
@@ -166,21 +172,23 @@
 		return nil
 	}
 	if c.planner == nil || c.planner.Term() != term {
-		c.planner = NewPlanner(term, c.opts.Ceiling)
-	}
-	now := c.opts.Now()
-	view := c.opts.Workers()
-	c.probeFailing(ctx, term, view, now)
-	orders := c.planner.Plan(Situation{
-		Now:       now,
-		View:      view,
+		c.planner = NewPlanner(term, c.opts.Ceiling())
+	}
+	c.planner.Bound(c.opts.Ceiling())
+	s := Situation{
+		Now:       c.opts.Now(),
+		View:      c.opts.Workers(),
 		Services:  current.Services(),
 		Idle:      c.opts.Idle(),
 		Failing:   c.failing,
 		StoreBack: c.opts.StoreBack(),
 		Load:      c.opts.Load(),
+		Halls:     c.opts.Halls(),
 		Region:    c.opts.Region,
-	})
+		ColdLeft:  c.opts.ColdLeft,
+	}
+	c.probeDoubtful(ctx, term, s)
+	orders := c.planner.Plan(s)
 	c.logPlan(term)
 	return orders
 }
@@ -193,7 +201,7 @@
 	}
 	for _, s := range c.planner.ShareChanges() {
 		c.opts.Log.Info().Str("event", "model_shares").Str("service", s.Service).Str("region", s.Region).Any("shares", s.Shares).Any("asked", s.Asked).
-			Bool("measured", s.Measured).Uint64("term", term).Msg("")
+			Dur("memory", s.Memory).Bool("measured", s.Measured).Uint64("term", term).Msg("")
 	}
 }
 
@@ -205,7 +213,9 @@
 	if held, ok := c.opts.Lease.Held(); ok && held == term {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		o.Fence = term
+		if c.opts.Fenced() {
+			o.Fence = term
+		}
 		outcome, err = c.opts.Orders.Give(ctx, o)
 	}
 	c.orders.Inc()
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/pointpass/pointpass/catalog"
@@ -14,8 +15,13 @@
 	// counts are the workers in whole groups and in those being formed, by model.
 	counts map[string]int
 	total  int
-	// shares are the parts of the workers that the models should have.
-	shares map[string]float64
+	// forming are how many groups are being formed.
+	forming int
+	// shares are the parts of the workers that the models should have by what callers
+	// ask for, and lasting those by what they have asked for in the longer run.
+	shares, lasting map[string]float64
+	// alike and near are how many groups of a model each domain and hall has.
+	alike, near map[modelAt]int
 	// whole are the groups that serve or could, by domain.
 	whole map[string][]*workers.Group
 	// leaving are the workers that were told to leave a group and will soon be free,
@@ -25,6 +31,8 @@
 
 func (p *pool) take(model catalog.Model, members []workers.Worker) {
 	p.counts[model.Name] += model.Size
+	p.count(model.Name, members[0])
+	p.forming++
 	domain := members[0].Domain
 	p.free[domain] = slices.DeleteFunc(p.free[domain], func(w workers.Worker) bool {
 		return slices.ContainsFunc(members, func(m workers.Worker) bool { return m.ID == w.ID })
@@ -32,8 +40,11 @@
 }
 
 // fill tells how well a model is supplied: its workers for its share.
-func (p *pool) fill(m catalog.Model, more int) float64 {
-	return float64(p.counts[m.Name]+more) / max(p.shares[m.Name], leastShare)
+func (p *pool) fill(m catalog.Model, more int) float64 { return p.fillOf(p.shares, m, more) }
+
+// fillOf is fill by other shares.
+func (p *pool) fillOf(shares map[string]float64, m catalog.Model, more int) float64 {
+	return float64(p.counts[m.Name]+more) / max(shares[m.Name], leastShare)
 }
 
 // aboveShare tells whether a model would have too much of the workers with another
@@ -43,20 +54,32 @@
 	return wouldHave > mostAboveShare*p.shares[m.Name]*float64(p.total)
 }
 
-func (r *round) newPool() *pool {
-	p := &pool{free: r.freeByDomain(), counts: map[string]int{}, whole: map[string][]*workers.Group{}, leaving: r.leavingByDomain()}
+// bySupply returns the models in order of how well they are supplied, the worst first.
+func (p *pool) bySupply(models []catalog.Model) []catalog.Model {
+	sorted := slices.Clone(models)
+	slices.SortStableFunc(sorted, func(a, b catalog.Model) int { return cmp.Compare(p.fill(a, 0), p.fill(b, 0)) })
+	return sorted
+}
+
+// newPool returns the pool of a part of the workers.
+func (r *round) newPool(in part) *pool {
+	p := &pool{free: r.freeByDomain(in), counts: map[string]int{}, whole: map[string][]*workers.Group{}, leaving: r.leavingByDomain(in)}
+	p.alike = map[modelAt]int{}
+	p.near = map[modelAt]int{}
+	r.countGroups(p)
 	for _, list := range p.free {
 		p.total += len(list)
 	}
 	for _, f := range r.forming {
-		if f.service == r.service.Name && f.region == r.region {
+		if f.service == r.service.Name && f.region == r.region && r.holds(in, f) {
 			p.counts[f.model.Name] += f.model.Size
 			p.total += f.model.Size
+			p.forming++
 		}
 	}
 	for _, g := range r.view.Groups() {
 		_, forming := r.forming[g.ID]
-		if g.Service != r.service.Name || forming || !g.Whole || !r.here(g.Members[0]) {
+		if g.Service != r.service.Name || forming || !g.Whole || !in(g.Members[0]) {
 			continue
 		}
 		p.total += g.Size()
@@ -66,12 +89,11 @@
 		p.counts[g.ID.Model()] += g.Size()
 		p.whole[g.Members[0].Domain] = append(p.whole[g.Members[0].Domain], g)
 	}
-	p.shares = r.demand.shares(r.service, supply{region: r.region, workers: p.total, regions: r.supply})
 	return p
 }
 
 // freeByDomain returns the workers that may join a group.
-func (r *round) freeByDomain() map[string][]workers.Worker {
+func (r *round) freeByDomain(in part) map[string][]workers.Worker {
 	taken := map[string]bool{}
 	for _, f := range r.forming {
 		for _, id := range f.members {
@@ -80,7 +102,7 @@
 	}
 	free := map[string][]workers.Worker{}
 	for _, w := range r.view.Of(r.service.Name) {
-		if !taken[w.ID] && r.here(w) && r.free(w) {
+		if in(w) && !taken[w.ID] && r.free(w) {
 			free[w.Domain] = append(free[w.Domain], w)
 		}
 	}
@@ -89,15 +111,12 @@
 
 // leavingByDomain returns the workers that were told lately to leave a group that is
 // no more.
-func (r *round) leavingByDomain() map[string][]workers.Worker {
+func (r *round) leavingByDomain(in part) map[string][]workers.Worker {
 	leaving := map[string][]workers.Worker{}
 	for _, w := range r.view.Of(r.service.Name) {
-		if !r.here(w) {
-			continue
-		}
 		rec := r.record(w.ID)
 		told := rec.last.Op == Leave && rec.last.Group == w.Membership.Group && w.Membership.Group.Name != ""
-		if told && rec.left != rec.last.Group && !w.Draining && !r.unreachable(w.ID) && r.now.Sub(rec.leaveBegun) < leavePatience {
+		if told && in(w) && rec.left != rec.last.Group && !w.Draining && !r.unreachable(w.ID) && r.now.Sub(rec.leaveBegun) < leavePatience {
 			leaving[w.Domain] = append(leaving[w.Domain], w)
 		}
 	}
--- a/replica/regions.go
+++ b/replica/regions.go
@@ -27,7 +27,11 @@
 func (r *round) regionsOf(service string) []string {
 	r.supply = map[string]int{}
 	for _, w := range r.view.Of(service) {
-		r.supply[r.regionOf(w.Hall)]++
+		region := r.regionOf(w.Hall)
+		r.supply[region] += 0 // it may have closed halls alone
+		if r.usable(w) {
+			r.supply[region]++
+		}
 	}
 	if len(r.supply) == 0 {
 		return []string{""}
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -53,6 +53,9 @@
 type Service struct {
 	Name    string   `json:"name"`
 	Runtime *Runtime `json:"runtime,omitempty"`
+	// ColdS and ColdPerS say how workers are used that have just started.
+	ColdS    float64 `json:"coldS,omitempty"`
+	ColdPerS float64 `json:"coldPerS,omitempty"`
 }
 
 // Runtime says how model workers run.
@@ -89,6 +92,7 @@
 // Apply writes a configuration to the store.
 func (s *Store) Apply(c Config) {
 	for _, service := range c.Services {
+		s.judge.setColdBound(service.Name, service.ColdPerS)
 		if service.Runtime != nil {
 			s.judge.setSizes(service.Runtime.Models)
 		}
@@ -109,9 +113,11 @@
 // Daemon is a running pointpassd edge.
 type Daemon struct {
 	addr, readiness, metrics, peers string
-	command                         *exec.Cmd
-	done                            chan struct{}
-	log                             *buffer
+	// file holds the daemon's settings.
+	file    string
+	command *exec.Cmd
+	done    chan struct{}
+	log     *buffer
 }
 
 // buffer is a log that may be read while it grows.
@@ -136,7 +142,7 @@
 const settings = `{
   "name": %q, "hall": "z1", "first_start": %t,
   "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
-  "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10, "revoke_strict": %t, "fenced": %t},
+  "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10, "revoke_strict": %t, "fenced": %t, "cold_overrun": 1.5, "cold_slack": 5},
 }`
 
 // Setup is how a daemon is started.
@@ -169,12 +175,12 @@
 		}
 		*addr = free
 	}
-	file := filepath.Join(dir, name+".jsonc")
+	d.file = filepath.Join(dir, name+".jsonc")
 	text := fmt.Sprintf(settings, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store), !setup.LooseRevoke, setup.Fenced)
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
 	}
-	d.command = exec.Command(program, "edge", "-config", file)
+	d.command = exec.Command(program, "edge", "-config", d.file)
 	d.command.Stdout = d.log
 	d.command.Stderr = d.log
 	if err := d.command.Start(); err != nil {
@@ -196,6 +202,12 @@
 // Signal sends the daemon a signal.
 func (d *Daemon) Signal(s syscall.Signal) { d.command.Process.Signal(s) }
 
+// Settings returns the file of the daemon's settings.
+func (d *Daemon) Settings() string { return d.file }
+
+// Exit returns the daemon's exit code once it is gone.
+func (d *Daemon) Exit() int { return d.command.ProcessState.ExitCode() }
+
 // Done is closed once the daemon is gone.
 func (d *Daemon) Done() <-chan struct{} { return d.done }
 
@@ -223,6 +235,17 @@
 	return string(text)
 }
 
+// Status returns what the daemon tells operators, as JSON.
+func (d *Daemon) Status() string {
+	resp, err := http.Get("http://" + d.metrics + "/status")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return string(text)
+}
+
 // Ask is a request of a caller.
 type Ask struct {
 	ID, Method, Host, Path, Key, Body string
