--- a/deps/edgestatus.go
+++ b/deps/edgestatus.go
@@ -41,8 +41,8 @@
 func (e *Edge) Status(now time.Time) EdgeStatus {
 	facts := e.Placement.Facts()
 	s := EdgeStatus{
-		Node:          e.settings.Name(),
-		Hall:          e.settings.Hall(),
+		Node:          e.settings.Current().Name(),
+		Hall:          e.settings.Current().Hall(),
 		Version:       Version,
 		Ready:         e.Ready(),
 		EvidenceAgeMs: -1,
--- a/replica/halls.go
+++ b/replica/halls.go
@@ -28,7 +28,9 @@
 // are parts of them.
 func (r *round) openPool() *pool {
 	p := r.newPool(func(w workers.Worker) bool { return r.here(w) && r.usable(w) })
-	p.shares = r.demand.shares(r.service, supply{region: r.region, workers: p.total, regions: r.supply})
+	have := supply{region: r.region, workers: p.total, regions: r.supply}
+	p.shares = r.demand.shares(r.service, have)
+	p.lasting = r.lasting.shares(r.service, have)
 	return p
 }
 
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -77,7 +77,8 @@
 	// retiring are whole groups that give their workers to another model, with
 	// the time since when.
 	retiring map[workers.GroupID]time.Time
-	demand   *demand
+	// demand is what callers ask for now, and lasting what in the longer run.
+	demand, lasting *demand
 	// plans counts the plans made.
 	plans int
 	// failingFrom is since when groups with lost members fail requests.
@@ -119,6 +120,9 @@
 	// Region returns the region of a data hall, "" if it isn't known; nil puts all halls
 	// in one.
 	Region func(hall string) string
+	// ColdLeft returns how much longer a worker bears little since it has just started,
+	// 0 if it is warm. Nil stands for workers that all are.
+	ColdLeft func(worker string) time.Duration
 }
 
 // formation is a group that the planner is forming.
@@ -165,13 +169,18 @@
 		closing: map[workers.GroupID]time.Time{},
 
 		retiring: map[workers.GroupID]time.Time{},
-		demand:   newDemand(),
+		demand:   newDemand(demandMemory),
+		lasting:  newDemand(lastingMemory),
 
 		failingFrom: map[workers.GroupID]time.Time{},
 		dissolving:  map[workers.GroupID]time.Time{},
 	}
 }
 
+// Bound puts another bound on loads in force, from the next plan on. Loads are known for
+// as long as the bounds before asked.
+func (p *Planner) Bound(ceiling LoadCeiling) { p.ceiling = ceiling }
+
 // Term returns the planner's term.
 func (p *Planner) Term() uint64 { return p.term }
 
@@ -186,6 +195,7 @@
 	r.noteLoads()
 	p.noteGrowth(s.View, s.Now)
 	p.demand.note(s.Now, s.Load)
+	p.lasting.note(s.Now, s.Load)
 	for _, service := range s.Services {
 		r.service = service
 		r.advanceFormations()
@@ -315,13 +325,15 @@
 	orders   []Order
 
 	storeBack time.Time
+	// coldLeft returns how much longer a worker bears little.
+	coldLeft func(worker string) time.Duration
 	// usable tells whether a worker's data hall is open to requests.
 	usable part
 }
 
 // newRound returns what one plan looks at.
 func (p *Planner) newRound(s Situation) *round {
-	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable, regionOf: s.Region}
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable, regionOf: s.Region, coldLeft: s.ColdLeft}
 	if r.regionOf == nil {
 		r.regionOf = func(string) string { return "" }
 	}
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -17,8 +17,11 @@
 	total  int
 	// forming are how many groups are being formed.
 	forming int
-	// shares are the parts of the workers that the models should have.
-	shares map[string]float64
+	// shares are the parts of the workers that the models should have by what callers
+	// ask for, and lasting those by what they have asked for in the longer run.
+	shares, lasting map[string]float64
+	// alike and near are how many groups of a model each domain and hall has.
+	alike, near map[modelAt]int
 	// whole are the groups that serve or could, by domain.
 	whole map[string][]*workers.Group
 	// leaving are the workers that were told to leave a group and will soon be free,
@@ -28,6 +31,7 @@
 
 func (p *pool) take(model catalog.Model, members []workers.Worker) {
 	p.counts[model.Name] += model.Size
+	p.count(model.Name, members[0])
 	p.forming++
 	domain := members[0].Domain
 	p.free[domain] = slices.DeleteFunc(p.free[domain], func(w workers.Worker) bool {
@@ -36,8 +40,11 @@
 }
 
 // fill tells how well a model is supplied: its workers for its share.
-func (p *pool) fill(m catalog.Model, more int) float64 {
-	return float64(p.counts[m.Name]+more) / max(p.shares[m.Name], leastShare)
+func (p *pool) fill(m catalog.Model, more int) float64 { return p.fillOf(p.shares, m, more) }
+
+// fillOf is fill by other shares.
+func (p *pool) fillOf(shares map[string]float64, m catalog.Model, more int) float64 {
+	return float64(p.counts[m.Name]+more) / max(shares[m.Name], leastShare)
 }
 
 // aboveShare tells whether a model would have too much of the workers with another
@@ -57,6 +64,9 @@
 // newPool returns the pool of a part of the workers.
 func (r *round) newPool(in part) *pool {
 	p := &pool{free: r.freeByDomain(in), counts: map[string]int{}, whole: map[string][]*workers.Group{}, leaving: r.leavingByDomain(in)}
+	p.alike = map[modelAt]int{}
+	p.near = map[modelAt]int{}
+	r.countGroups(p)
 	for _, list := range p.free {
 		p.total += len(list)
 	}
