--- a/catalog/regions_test.go
+++ b/catalog/regions_test.go
@@ -22,6 +22,15 @@
 	must.True(t, RegionSet{}.Allow(""))
 }
 
+func TestRegionSet_Overlaps(t *testing.T) {
+	north, both, south := NewRegionSet([]string{"north"}), NewRegionSet([]string{"south", "north"}), NewRegionSet([]string{"south"})
+	must.True(t, north.Overlaps(both))
+	must.True(t, both.Overlaps(south))
+	must.False(t, north.Overlaps(south))
+	must.True(t, RegionSet{}.Overlaps(south))
+	must.True(t, south.Overlaps(RegionSet{}))
+}
+
 func TestShared_BothBind(t *testing.T) {
 	for _, c := range []struct {
 		a, b Regions
--- a/serving/overload.go
+++ b/serving/overload.go
@@ -1,6 +1,8 @@
 package serving
 
 import (
+	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -58,16 +60,64 @@
 		return nil
 	}
 	key := load.Model{Service: e.service.Name, Name: model.Name, Regions: regions}
-	e.server.opts.Asked(key, e.service.Runtime.Work(model, e.req.Prompt, e.req.Answer))
+	work := e.service.Runtime.Work(model, e.req.Prompt, e.req.Answer)
+	e.server.opts.Asked(key, work)
+	entry := e.entry(key, work)
 	w := e.server.window(key)
-	e.place = w.Enter(e.arrived, e.route.Goal, rand.Float64())
-	if e.place == nil {
-		e.server.opts.Counters.overload.Inc()
-		part := leastReturn + (mostReturn-leastReturn)*rand.Float64()
-		wait := time.Duration(part * float64(w.Slack(e.route.Goal)))
-		return &fault{status: http.StatusServiceUnavailable, reason: "the model's groups are fully used", retryAfter: wait}
+	e.place = w.Enter(entry)
+	if e.place != nil {
+		return nil
+	}
+	e.noRoom = &noRoom{entry: entry, state: w.State()}
+	e.server.opts.Counters.overload.Inc()
+	part := leastReturn + (mostReturn-leastReturn)*rand.Float64()
+	wait := time.Duration(part * float64(w.Slack(e.route.Goal)))
+	return &fault{status: http.StatusServiceUnavailable, reason: "the model's groups are fully used", retryAfter: wait}
+}
+
+// entry is what the request asks of its model's window.
+func (e *exchange) entry(key load.Model, work time.Duration) admission.Entry {
+	rate, asked := e.supply(key)
+	return admission.Entry{
+		At: e.arrived, Goal: e.route.Goal, Work: work, Rate: rate, Load: asked,
+		Random: rand.Float64(), Rank: e.rank(),
 	}
-	return nil
+}
+
+// supply returns how many seconds of one group there are for this daemon's callers of a
+// model in a second, its part of the groups where the request may run now, and what all
+// callers ask of these as a part of what they can do.
+func (e *exchange) supply(key load.Model) (rate, asked float64) {
+	part, work, known := e.server.opts.Part(key)
+	if !known {
+		return admission.Unknown, admission.Unknown
+	}
+	targets, _ := e.permitted()
+	groups := e.server.opts.Balancer.Sound(targets, e.arrived)
+	if groups == 0 { // trying one of those that failed is better than refusing all
+		return admission.Unknown, admission.Unknown
+	}
+	return part * float64(groups), work / float64(groups)
+}
+
+// rankTime is for how long a request keeps its rank: much longer than a caller takes to
+// come back, and short enough that nobody who asks for the same again and again is always
+// refused.
+const rankTime = 10 * time.Second
+
+// rank returns a number in [0, 1) that is the same at all daemons when the caller comes
+// back with the request, and otherwise as good as chance.
+func (e *exchange) rank() float64 {
+	h := fnv.New64a()
+	period := e.arrived.Unix() / int64(rankTime/time.Second)
+	fmt.Fprint(h, period, e.req.Target, e.req.Credential, e.req.Parts, e.req.Prompt, e.req.Answer, len(e.req.Body))
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// noRoom is what a refusal for want of room was decided by.
+type noRoom struct {
+	entry admission.Entry
+	state admission.State
 }
 
 // leave ends the count that enter began.
--- a/serving/record.go
+++ b/serving/record.go
@@ -59,13 +59,21 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`pointpass_refused_placement_total{reason=%q}`, string(reason))).Inc()
 }
 
-// gaugeWindow shows how many requests a model's window lets be under way.
+// gaugeWindow shows how many requests a model's window lets be under way, and whether the
+// daemon's share of the groups bounds what comes.
 func (c *Counters) gaugeWindow(key load.Model, w *admission.Window) {
 	name := fmt.Sprintf(`pointpass_window_limit{service=%q,model=%q,regions=%q}`, key.Service, key.Name, strings.Join(key.Regions.Names(), " "))
 	c.set.GetOrCreateGauge(name, func() float64 {
 		limit, _ := w.Limit()
 		return min(limit, math.MaxInt32) // no bound shows as a large number
 	})
+	name = fmt.Sprintf(`pointpass_share_binds{service=%q,model=%q}`, key.Service, key.Name)
+	c.set.GetOrCreateGauge(name, func() float64 {
+		if w.State().Binds {
+			return 1
+		}
+		return 0
+	})
 }
 
 // record writes the request's line in the log and counts its outcome.
@@ -108,6 +116,11 @@
 		}
 		entry = entry.Strs("route_regions", e.barredRegions.Route).Strs("customer_regions", e.barredRegions.Customer)
 	}
+	if r := e.noRoom; r != nil {
+		entry = entry.Float64("window", min(r.state.Limit, math.MaxInt32)).Float64("delay", r.state.Delay).
+			Bool("share_binds", r.state.Binds).Float64("share_part", r.state.Part).Float64("queue_s", r.state.Queue).
+			Float64("share", r.entry.Rate).Float64("asked", r.entry.Load).Dur("work", r.entry.Work).Float64("rank", r.entry.Rank)
+	}
 	if f != nil {
 		entry = entry.Str("reason", reason).Bool("aborted", f.aborted).Bool("caller_gone", ctx.Err() != nil).Bool("over_budget", e.overBudget).Dur("retry_after", f.retryAfter)
 	}
