ramp: Ask the settings in force what cold workers may get

Cause: settings may change while a daemon runs; the bound was copied at its start. Change: the ramp asks each time. Conclusion: as before where settings don't change.

--- a/deps/cold.go
+++ b/deps/cold.go
@@ -29,17 +29,22 @@
 }
 
 func newCold(e *Edge) *cold {
-	bounds := e.settings.Bounds()
 	c := &cold{edge: e, roster: ramp.NewRoster(e.settings.Current().Name()), book: ramp.NewBook(e.coldUsage)}
 	c.ramp = ramp.New(ramp.Options{
 		Roster: c.roster,
 		Book:   c.book,
 		Usage:  e.coldUsage,
-		Limits: ramp.Limits{Overrun: bounds.ColdOverrun, Slack: bounds.ColdSlack},
+		Limits: e.coldLimits,
 	})
 	return c
 }
 
+// coldLimits returns what cold workers may get, by the settings in force.
+func (e *Edge) coldLimits() ramp.Limits {
+	bounds := e.settings.Bounds()
+	return ramp.Limits{Overrun: bounds.ColdOverrun, Slack: bounds.ColdSlack}
+}
+
 // coldUsage returns how a service's workers are to be used when they have just started.
 func (e *Edge) coldUsage(service string) catalog.Cold {
 	current := e.Catalogs.Current().Catalog
--- a/ramp/histories_test.go
+++ b/ramp/histories_test.go
@@ -102,7 +102,7 @@
 // start starts a daemon, or starts it again. It announces itself unless its row is there.
 func (w *world) start(name string, lag time.Duration) {
 	d := &daemon{name: name, roster: NewRoster(name), book: NewBook(usage), lag: lag, next: w.now}
-	d.ramp = New(Options{Roster: d.roster, Book: d.book, Usage: usage, Limits: w.limits})
+	d.ramp = New(Options{Roster: d.roster, Book: d.book, Usage: usage, Limits: func() Limits { return w.limits }})
 	d.book.Entries([]workers.Worker{{ID: "w", ColdLeft: time.Hour}}, nil, true, open, w.now)
 	w.daemons[name] = d
 	if w.rows[name] == 0 {
--- a/ramp/ramp.go
+++ b/ramp/ramp.go
@@ -33,7 +33,7 @@
 	Book   *Book
 	// Usage returns how a service's workers are to be used when they have just started.
 	Usage  func(service string) catalog.Cold
-	Limits Limits
+	Limits func() Limits
 }
 
 // Ramp implements placement.Ramp.
@@ -161,7 +161,8 @@
 		return part{}, false
 	}
 	bears := r.opts.Usage(c.Service).PerSecond
-	most := int(caution * (bears*r.opts.Limits.Overrun + r.opts.Limits.Slack))
+	limits := r.opts.Limits()
+	most := int(caution * (bears*limits.Overrun + limits.Slack))
 	return partOf(most, bears, rank, count)
 }
 
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -22,7 +22,7 @@
 	for _, at := range steps(0, 10, 0.5) {
 		r.Learn(View{Rows: rows, Evidence: second(at)}, second(at))
 	}
-	return New(Options{Roster: r, Book: b, Usage: usage, Limits: limits}), second(10)
+	return New(Options{Roster: r, Book: b, Usage: usage, Limits: func() Limits { return limits }}), second(10)
 }
 
 func takeAll(r *Ramp, w workers.Worker, now time.Time) int {
@@ -63,7 +63,7 @@
 func TestRamp_GivesNothingWhileOthersAreUnknown(t *testing.T) {
 	b := learned()
 	b.Entries([]workers.Worker{entry("b", 20*time.Second)}, nil, false, open, noon)
-	r := New(Options{Roster: NewRoster("x"), Book: b, Usage: usage, Limits: limits})
+	r := New(Options{Roster: NewRoster("x"), Book: b, Usage: usage, Limits: func() Limits { return limits }})
 	must.EqOp(t, 0, takeAll(r, entry("b", 0), noon))
 }
 
@@ -91,7 +91,7 @@
 func TestRamp_ServicesThatNeedNoCare(t *testing.T) {
 	b := learned()
 	b.Entries([]workers.Worker{entry("b", time.Hour)}, nil, false, open, noon)
-	r := New(Options{Roster: NewRoster("x"), Book: b, Usage: func(string) catalog.Cold { return catalog.Cold{For: time.Second} }, Limits: limits})
+	r := New(Options{Roster: NewRoster("x"), Book: b, Usage: func(string) catalog.Cold { return catalog.Cold{For: time.Second} }, Limits: func() Limits { return limits }})
 	must.EqOp(t, 1000, takeAll(r, entry("b", 0), noon))
 }
 
