--- a/load/load_test.go
+++ b/load/load_test.go
@@ -112,3 +112,14 @@
 	m.Regions = catalog.NewRegionSet([]string{strconv.Itoa(region)})
 	return m
 }
+
+// TestOffered_BesideIsWhatTheSameGroupsHaveToDo: work bound to other regions doesn't count.
+func TestOffered_BesideIsWhatTheSameGroupsHaveToDo(t *testing.T) {
+	in := func(regions ...string) Model {
+		return Model{Service: "llm", Name: "chat", Regions: catalog.NewRegionSet(regions)}
+	}
+	o := Offered{in(): 1, in("north"): 2, in("south"): 4, in("north", "south"): 8, {Service: "llm", Name: "draft"}: 100}
+	must.EqOp(t, 11, o.Beside(in("north")))
+	must.EqOp(t, 13, o.Beside(in("south")))
+	must.EqOp(t, 15, o.Beside(in()))
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -189,11 +189,14 @@
 
 func (r reported) Begun() { r <- "begun" }
 
-func (r reported) Load(reporter string, s load.Sum) {
+func (r reported) Load(reporter string, s load.Sum) load.Sum {
 	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons)
+	all := load.Sum{Offered: load.Offered{}, Daemons: 90, At: s.At.Add(-time.Second)}
 	for m, work := range s.Offered {
 		r <- fmt.Sprint(m.Service, " ", m.Name, " in ", m.Regions.Names(), ": ", work)
+		all.Offered[m] = 80
 	}
+	return all
 }
 
 // serve serves a cache as a daemon would, whose clock is ahead of the caller's.
@@ -254,11 +257,16 @@
 	for _, regions := range [][]string{{}, {"north"}, {"north", "south"}} {
 		m := load.Model{Service: "llm", Name: "m", Regions: catalog.NewRegionSet(regions)}
 		told = load.Sum{Offered: load.Offered{m: 2.5}, Daemons: 7, At: time.Now()}
-		must.NoError(t, newTestClient(t, time.Now).Load(t.Context(), addr, "e1", told))
+		all, err := newTestClient(t, time.Now).Load(t.Context(), addr, "e1", told)
+		must.NoError(t, err)
 		must.EqOp(t, "load of e1 7", <-reports)
 		must.EqOp(t, fmt.Sprint("llm m in ", regions, ": 2.5"), <-reports)
+		must.EqOp(t, 90, all.Daemons)
+		must.Eq(t, load.Offered{m: 80}, all.Offered)
+		must.True(t, time.Since(all.At) >= time.Second, must.Sprint("a sum is never younger than it was"))
 	}
 	var failed *CallError
-	must.True(t, errors.As(newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told), &failed))
+	_, err := newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told)
+	must.True(t, errors.As(err, &failed))
 	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", Report{Group: "m.7"}), &failed))
 }
