admission: Play a lasting loss at 30 daemons; known red

Cause: the case had been left out of a new load test, since shares lose there more than the test allows. A case that shows a fault stays. Conclusion: open, to be mended first.

--- a/admission/surge_test.go
+++ b/admission/surge_test.go
@@ -344,7 +344,7 @@
 		{"a surge with a third lost", fleetDay{usual: 0.6, most: 1.5, lost: 0.34}, 0.05},
 		{"a third lost", fleetDay{usual: 0.83, most: 0.83, lost: 0.34}, -0.05},
 	} {
-		for _, daemons := range []int{7, 90} {
+		for _, daemons := range []int{7, 30, 90} {
 			t.Run(fmt.Sprint(c.name, " at ", daemons), func(t *testing.T) {
 				play := func(gates func(*played, int) gate) fleetResult {
 					day := c.day
