--- /dev/null
+++ b/replica/round.go
@@ -0,0 +1,76 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// round is one call of Plan.
+type round struct {
+	*Planner
+	now     time.Time
+	view    *workers.View
+	service *catalog.Service
+	// region is planned for, and supply has the service's workers in each.
+	region   string
+	supply   map[string]int
+	regionOf func(hall string) string
+	idle     bool
+	failing  func(group string) bool
+	orders   []Order
+
+	storeBack time.Time
+	// coldLeft returns how much longer a worker bears little.
+	coldLeft func(worker string) time.Duration
+	// usable tells whether a worker's data hall is open to requests.
+	usable part
+}
+
+// newRound returns what one plan looks at.
+func (p *Planner) newRound(s Situation) *round {
+	r := &round{Planner: p, now: s.Now, view: s.View, idle: s.Idle, failing: s.Failing, storeBack: s.StoreBack, usable: s.usable, regionOf: s.Region, coldLeft: s.ColdLeft}
+	if r.regionOf == nil {
+		r.regionOf = func(string) string { return "" }
+	}
+	return r
+}
+
+// give adds an order, unless one to the same worker is under way.
+func (r *round) give(o Order) {
+	rec := r.record(o.Worker.ID)
+	if rec.inFlight {
+		return
+	}
+	rec.inFlight = true
+	rec.answered = false
+	if o.Op == Leave && (rec.last.Op != Leave || rec.last.Group != o.Group) {
+		rec.leaveBegun = r.now
+	}
+	if o.Op != Stage {
+		rec.last = o
+		rec.lastAt = r.now
+	}
+	r.orders = append(r.orders, o)
+}
+
+// gaveLately tells whether the same order was given to the worker within d. Orders
+// without an answer are repeated sooner: to a worker that took them they change
+// nothing.
+func (r *round) gaveLately(id string, op Op, group workers.GroupID, d time.Duration) bool {
+	rec := r.record(id)
+	if !rec.inFlight && rec.outcome == Unanswered && !r.unreachable(id) {
+		d = min(d, unansweredPause)
+	}
+	return rec.last.Op == op && rec.last.Group == group && !rec.lastAt.IsZero() && r.now.Sub(rec.lastAt) < d
+}
+
+// membership returns the group that a worker is in, the zero value if none.
+func (r *round) membership(w workers.Worker) workers.Membership {
+	rec := r.record(w.ID)
+	if w.Membership.Group == rec.left {
+		return workers.Membership{}
+	}
+	return w.Membership
+}
