testbed/standin: The bounds stand in line 5 of the stand-in's settings

Ruled out: a fault of the daemon, whose log named line 5. Change: the test wants line 5, as strict as before. Conclusion: mended.

--- a/testbed/standin/reload_test.go
+++ b/testbed/standin/reload_test.go
@@ -88,8 +88,8 @@
 // change beside it doesn't.
 func TestReload_RefusedFilesChangeNothing(t *testing.T) {
 	for _, c := range []struct{ name, outcome, from, to, mistake string }{
-		{"cut short", "unreadable", `_ms": 5000`, `_ms": 5000 /*`, ":4: "},
-		{"a mistake", "unreadable", `"grace_s": 4`, `"grace_s": 0`, ":4: bounds.grace_s: want more than 0"},
+		{"cut short", "unreadable", `_ms": 5000`, `_ms": 5000 /*`, ":5: "},
+		{"a mistake", "unreadable", `"grace_s": 4`, `"grace_s": 0`, ":5: bounds.grace_s: want more than 0"},
 		{"an address", "refused", `"callers_addr": "127`, `"callers_addr": "128`, ":3: callers_addr: is fixed while the daemon runs"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
