node: Take out a bound that nothing reads

Cause: evacuate_ms was read from the settings and used nowhere: a closing rides on the table of the configuration, whose pace is below every bound that the sheets name. Conclusion: nothing else changes.

--- a/node/change.go
+++ b/node/change.go
@@ -53,7 +53,6 @@
 	{"bounds.load_overrun", func(s *Settings) any { return s.bounds.LoadOverrun }, false},
 	{"bounds.cold_overrun", func(s *Settings) any { return s.bounds.ColdOverrun }, false},
 	{"bounds.cold_slack", func(s *Settings) any { return s.bounds.ColdSlack }, false},
-	{"bounds.evacuate_ms", func(s *Settings) any { return 1000 * s.bounds.Evacuate.Seconds() }, false},
 }
 
 // fixedMistakes names every setting of the next reading that can't change but would.
--- a/node/settings.go
+++ b/node/settings.go
@@ -59,8 +59,6 @@
 	// second from all daemons: the slack and this many times what it bears.
 	ColdOverrun float64
 	ColdSlack   float64
-	// Evacuate is how long after a data hall was closed requests may still reach it.
-	Evacuate time.Duration
 }
 
 type fileSettings struct {
@@ -93,7 +91,6 @@
 	LoadOverrun  *float64 `json:"load_overrun"`
 	ColdOverrun  *float64 `json:"cold_overrun"`
 	ColdSlack    *float64 `json:"cold_slack"`
-	EvacuateMs   *float64 `json:"evacuate_ms"`
 }
 
 // Defaults of what the file leaves out: what is safe where nothing is promised.
@@ -112,7 +109,6 @@
 	defaultLoadOverrun  = 1
 	defaultColdOverrun  = 1
 	defaultColdSlack    = 0
-	defaultEvacuateMs   = 5000
 )
 
 // Load reads a settings file. The error names every mistake with its line and
@@ -216,7 +212,6 @@
 		LoadOverrun:  c.number("bounds.load_overrun", f.LoadOverrun, defaultLoadOverrun),
 		ColdOverrun:  c.number("bounds.cold_overrun", f.ColdOverrun, defaultColdOverrun),
 		ColdSlack:    c.number("bounds.cold_slack", f.ColdSlack, defaultColdSlack),
-		Evacuate:     c.seconds("bounds.evacuate_ms", f.EvacuateMs, defaultEvacuateMs) / 1000,
 	}
 }
 
