quarantine: Name requests by a keyed fingerprint, and log it with each lost attempt

Cause: the logs named tries by their ids, which differ each time a request comes, and didn't say whether a worker had begun it when its answer was lost. Two hypotheses of the incident looked the same in them. Change: a fingerprint of customer, host, path with query and body, by HMAC-SHA256 under a key that the holder of the lease stores once in the lease's table; the stage of the attempt (queued, begun, producing). No decision uses either yet. Ruled out: the rank of overload, which is the same at all daemons, but changes every 10 s and can be guessed without a key.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -17,6 +17,7 @@
 	"github.com/pointpass/pointpass/node"
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/retry"
@@ -51,6 +52,8 @@
 	standstill *placement.Standstill
 	Server     *serving.Server
 	Ingress    http.Handler
+	// Guard knows requests again that crash workers.
+	Guard      *quarantine.Guard
 	Lease      *replica.Lease
 	Controller *replica.Controller
 	// Warnings gathers what daemons report about groups, at the holder of the lease.
@@ -64,6 +67,7 @@
 	reporter    *reporter
 	loads       *loads
 	cold        *cold
+	quarantine  *quarantined
 	workersRead atomic.Bool
 	// begun tells that callers are being served, here or elsewhere.
 	begun     atomic.Bool
@@ -78,6 +82,7 @@
 		Metrics:  metrics.NewSet(),
 		Catalogs: &catalog.Holder{},
 		Balancer: serving.NewBalancer(settings.Current().Hall()),
+		Guard:    quarantine.NewGuard(),
 		settings: settings,
 		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
@@ -101,6 +106,7 @@
 	e.Warnings = health.NewPublisher(e.following.caches[health.Table], time.Now)
 	e.reporter = newReporter(e, peers)
 	e.loads = newLoads(e, peers)
+	e.quarantine = newQuarantined(e)
 	e.wireServing(upstream)
 	e.wireControl(orders)
 	e.Peers = e.following.handler(reports{e})
@@ -128,6 +134,7 @@
 		Placement:    e.Placement,
 		Settle:       e.standstill.Settle,
 		Counters:     serving.NewCounters(e.Metrics),
+		Guard:        e.Guard,
 		Evidence:     func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
@@ -240,7 +247,7 @@
 // Run follows the store and forms groups until ctx ends.
 func (e *Edge) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run, e.watchStandstill} {
+	for _, run := range []func(context.Context){e.following.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run, e.quarantine.Run, e.watchStandstill} {
 		running.Go(func() { run(ctx) })
 	}
 	running.Wait()
--- a/deps/following.go
+++ b/deps/following.go
@@ -252,6 +252,7 @@
 	if f.isHolder() {
 		f.edge.Warnings.Begin(f.edge.Lease.Term())
 	}
+	f.edge.quarantine.learn(snapshot.Rows)
 	f.learnOnce.Do(func() { close(f.learned) })
 }
 
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/placement"
+	"github.com/pointpass/pointpass/quarantine"
 )
 
 // exchange is one request on its way.
@@ -27,6 +28,10 @@
 	// place is the request's in its model's window, nil where nothing bounds it.
 	place *admission.Place
 
+	// print is the request's fingerprint, "" before it was made.
+	print quarantine.Fingerprint
+	// stage is how far the worker is with the attempt under way.
+	stage quarantine.Stage
 	// sent is how many workers got the request, tried the targets it was sent to.
 	sent  int
 	tried []string
@@ -146,6 +151,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	e.noteSent(s.opts.Now(), target)
+	e.stage = e.firstStage()
 	watch := e.watch(target.Key, cancel)
 	defer watch.stop()
 	reply, err := s.opts.Upstream.Send(ctx, e.newAttempt(target, left))
@@ -158,6 +164,7 @@
 		return e.rejected(target, reply)
 	}
 	e.mayHaveRun = true
+	e.stage = quarantine.Begun
 	if e.route.Kind == catalog.Stream && reply.Status == http.StatusOK {
 		return e.relayStream(ctx, target, reply, watch)
 	}
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -18,6 +18,7 @@
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/placement"
+	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -105,6 +106,7 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(list, nil, true)
 	f.server = NewServer(Options{
+		Guard:     quarantine.NewGuard(),
 		Placement: placement.NewDecider(fleetHalls, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &f.catalogs, Workers: registry.View, Upstream: f, Balancer: NewBalancer("h1"),
 		Counters: NewCounters(f.set), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
--- a/serving/record.go
+++ b/serving/record.go
@@ -127,9 +127,14 @@
 	entry.Msg("")
 }
 
-// logAttempt writes a line about an attempt that failed.
+// logAttempt writes a line about an attempt that failed. The fingerprint shows whether the
+// same request failed before, here or at another daemon.
 func (e *exchange) logAttempt(target Target, err error) {
 	now := e.server.opts.Now()
-	e.server.opts.Log.Warn().Str("event", "attempt_failed").Str("id", e.req.ID).Str("target", target.Key).
-		Str("worker", target.Worker.ID).Dur("after", now.Sub(e.arrived).Round(time.Microsecond)).Err(err).Msg("")
+	entry := e.server.opts.Log.Warn().Str("event", "attempt_failed").Str("id", e.req.ID).Str("target", target.Key).
+		Str("worker", target.Worker.ID).Dur("after", now.Sub(e.arrived).Round(time.Microsecond)).Str("stage", e.stage.String())
+	if f, known := e.fingerprint(); known {
+		entry = entry.Str("fingerprint", string(f))
+	}
+	entry.Err(err).Msg("")
 }
--- a/serving/server.go
+++ b/serving/server.go
@@ -15,6 +15,7 @@
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/placement"
+	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -31,6 +32,8 @@
 	// stood still.
 	Settle   func(ctx context.Context)
 	Counters *Counters
+	// Guard knows requests again that crash workers.
+	Guard *quarantine.Guard
 	// Evidence says what may be decided on how old evidence. It may change at any time.
 	Evidence func() catalog.EvidencePolicy
 	// Allowance returns this process's part of the retries for a service.
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -7,6 +7,8 @@
 	"errors"
 	"net/http"
 	"strconv"
+
+	"github.com/pointpass/pointpass/quarantine"
 )
 
 // maxEvent bounds one event of a stream, in bytes.
@@ -31,6 +33,7 @@
 	scanner.Split(splitEvent)
 	for scanner.Scan() {
 		watch.sign()
+		e.stage = quarantine.Producing
 		if err := e.passEvent(scanner.Bytes(), reply, control); err != nil {
 			return e.streamBroken(ctx, target, err)
 		}
