testbed/standin: Play a request that crashes worker after worker; known red

Cause under test: daemons know a request by the id of one try, so that it is sent on however many workers have ended under it. Three real daemons, twelve workers in groups of two that end when they begin that request and are replaced, and callers beside it whose requests crash nothing.

--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -52,6 +52,9 @@
 		http.Error(rw, "failed", http.StatusInternalServerError)
 		return
 	}
+	if w.crashes(run) {
+		w.crash(rw)
+	}
 	if !grouped {
 		fmt.Fprintf(rw, "answer to %s of %s", id, w.id)
 		return
@@ -59,6 +62,31 @@
 	w.stream(rw, r, run, fault)
 }
 
+// crashes tells whether the worker ends under a run.
+func (w *Worker) crashes(run *Run) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashBody != "" && w.crashBody == run.Body
+}
+
+// crash ends the worker a moment after the head of an answer went out.
+func (w *Worker) crash(rw http.ResponseWriter) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	rw.WriteHeader(http.StatusOK)
+	http.NewResponseController(rw).Flush()
+	time.Sleep(eventTime)
+	w.mu.Lock()
+	first := !w.crashed
+	w.crashed = true
+	onCrash := w.onCrash
+	w.mu.Unlock()
+	if first {
+		go w.Kill() // waits for the requests under way, this one among them
+		onCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (w *Worker) begin(r *http.Request) *Run {
 	body := make([]byte, r.ContentLength+1)
 	n, _ := r.Body.Read(body)
--- /dev/null
+++ b/testbed/standin/crash_test.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Bounds of requests that crash workers, as the platform sets them.
+const (
+	// crashesBefore is how many workers such a request may crash before the daemons have
+	// to know, knownWithin how soon they all do, and retriesAfter how many times it may
+	// be sent to a worker from then on.
+	crashesBefore = 3
+	knownWithin   = 3 * time.Second
+	retriesAfter  = 3
+)
+
+// TestCrash_OneRequestFellsWorkerAfterWorker tells an incident.
+//
+// Seen: heads of groups ended one after another, up to ten in two seconds and some thirty
+// in half a minute, and a tenth to all of a model's requests failed meanwhile.
+// How it came about: one customer sent the same request again and again, to all daemons in
+// turn, each time under another id. Each worker that began it ended. Every try got to two
+// workers, and what else ran there was lost with them.
+// Cause: all that daemons knew of a request ended with the try: the bound on workers and
+// the budget of retries hold for one try each, so that the next try began with full trust.
+// Proof: the logs showed one customer's requests of one length at 17 ended workers within
+// ten seconds, where those of no other length met half as many; and this test, in which
+// nothing else is wrong.
+func TestCrash_OneRequestFellsWorkerAfterWorker(t *testing.T) {
+	const workers, callers = 12, 3
+	s := newStage(t, 0)
+	f := newFalling(s, "it crashes workers")
+	for range workers {
+		f.add()
+	}
+	for i := range 3 {
+		s.start(i == 0)
+	}
+	eventually(t, "groups open", func() bool { return f.open() >= workers/2-1 })
+	others := askBeside(s, callers)
+	f.crashThree()
+	known := time.Now().Add(knownWithin)
+	time.Sleep(time.Until(known))
+	for i := range 4 * retriesAfter {
+		eventually(t, "a group is open", func() bool { return f.open() > 0 })
+		f.send(i)
+	}
+	others.stop()
+	must.LessEq(t, retriesAfter, f.arrivalsSince(known), must.Sprint("the request was sent on after it had crashed three workers"))
+	must.Positive(t, others.whole.Load())
+	must.EqOp(t, 0, others.failed.Load(), must.Sprint("requests that crash nothing came to nothing"))
+}
+
+// falling is a set of workers, each of which ends when it begins one request. Another
+// starts in its place.
+type falling struct {
+	s     *stage
+	felon string
+
+	mu      sync.Mutex
+	workers []*Worker
+	ids     int
+}
+
+// restart is how long it takes until a worker starts in the place of one that ended.
+const restart = 500 * time.Millisecond
+
+func newFalling(s *stage, body string) *falling { return &falling{s: s, felon: body} }
+
+func (f *falling) add() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids++
+	w, kill := NewWorker(f.s.store, fmt.Sprint("c", f.ids), "llm", "d1")
+	f.s.t.Cleanup(kill)
+	w.SetCrash(f.felon, func() {
+		time.AfterFunc(restart, func() {
+			f.s.store.Put("servers", w.ID(), nil)
+			f.add()
+		})
+	})
+	f.workers = append(f.workers, w)
+}
+
+func (f *falling) all() []*Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*Worker(nil), f.workers...)
+}
+
+// open returns how many groups are open.
+func (f *falling) open() int {
+	n := 0
+	for _, w := range f.all() {
+		if w.GroupState() == "open" && !w.Crashed() {
+			n++
+		}
+	}
+	return n
+}
+
+// send sends the request once, to the daemons in turn.
+func (f *falling) send(try int) {
+	a := f.s.stream()
+	a.Body = f.felon
+	f.s.daemons[try%len(f.s.daemons)].Send(f.s.t.Context(), a)
+}
+
+// crashThree sends the request until it has crashed as many workers as it may.
+func (f *falling) crashThree() {
+	try := 0
+	eventually(f.s.t, "three workers have ended", func() bool {
+		f.send(try)
+		try++
+		return len(f.arrivals()) >= crashesBefore
+	})
+}
+
+// arrivals returns when the request came to a worker.
+func (f *falling) arrivals() []time.Time {
+	var times []time.Time
+	for _, w := range f.all() {
+		for _, r := range w.Runs() {
+			if r.Body == f.felon {
+				times = append(times, r.At)
+			}
+		}
+	}
+	return times
+}
+
+func (f *falling) arrivalsSince(at time.Time) int {
+	n := 0
+	for _, a := range f.arrivals() {
+		if a.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// beside are callers of other requests.
+type beside struct {
+	cancel        context.CancelFunc
+	running       sync.WaitGroup
+	whole, failed atomic.Int64
+}
+
+// besideTries is how often a caller sends a request before it gives up.
+const besideTries = 40
+
+// askBeside has callers at each daemon send requests that crash nothing, each one until
+// its answer is whole.
+func askBeside(s *stage, callers int) *beside {
+	ctx, cancel := context.WithCancel(s.t.Context())
+	b := &beside{cancel: cancel}
+	s.t.Cleanup(b.stop)
+	for i, d := range s.daemons {
+		for j := range callers {
+			b.running.Go(func() { b.ask(ctx, s, d, fmt.Sprintf("%02x%02x", i, j)) })
+		}
+	}
+	return b
+}
+
+func (b *beside) ask(ctx context.Context, s *stage, d *Daemon, caller string) {
+	for n := 0; ctx.Err() == nil; n++ {
+		a := Ask{Method: "POST", Host: host, Path: "/ask/q", Key: key, Body: fmt.Sprint("question ", caller, n), Wait: 5 * time.Second, Header: streamHeader()}
+		if b.untilWhole(ctx, d, a, fmt.Sprintf("b%s%08x", caller, n)) {
+			b.whole.Add(1)
+		} else if ctx.Err() == nil {
+			b.failed.Add(1)
+		}
+	}
+}
+
+func (b *beside) untilWhole(ctx context.Context, d *Daemon, a Ask, id string) bool {
+	for try := range besideTries {
+		a.ID = fmt.Sprintf("%s%03x", id, try)
+		r := d.Send(ctx, a)
+		if wholeStream(a.ID, r) {
+			return true
+		}
+		if ctx.Err() != nil || strings.Contains(r.Body, "held back") {
+			return false
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+func (b *beside) stop() {
+	b.cancel()
+	b.running.Wait()
+}
--- a/testbed/standin/stage_test.go
+++ b/testbed/standin/stage_test.go
@@ -140,10 +140,14 @@
 
 func (s *stage) stream() Ask {
 	a := s.ask(http.MethodPost, "/ask/q")
-	a.Header = http.Header{"X-Pointpass-Model": {"m1"}, "X-Pointpass-Token-Usage": {"100,40"}, "X-Pointpass-Prefix-Hash": {"5c1e:100"}}
+	a.Header = streamHeader()
 	return a
 }
 
+func streamHeader() http.Header {
+	return http.Header{"X-Pointpass-Model": {"m1"}, "X-Pointpass-Token-Usage": {"100,40"}, "X-Pointpass-Prefix-Hash": {"5c1e:100"}}
+}
+
 // runs returns all runs of a request.
 func (s *stage) runs(id string) []Run {
 	var runs []Run
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -110,6 +110,11 @@
 	released chan struct{} // closed when a stall ends
 	// coldUntil is until when the worker bears little.
 	coldUntil time.Time
+	// crashBody is the body of the request under which the worker ends, and onCrash what
+	// runs then.
+	crashBody string
+	onCrash   func()
+	crashed   bool
 }
 
 // NewWorker starts a worker whose entry is in the store, and returns it with a
@@ -159,6 +164,21 @@
 	w.fault = f
 }
 
+// SetCrash has the worker end when it begins a request with a body, and onCrash run then.
+func (w *Worker) SetCrash(body string, onCrash func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashBody = body
+	w.onCrash = onCrash
+}
+
+// Crashed tells whether the worker has ended under a request.
+func (w *Worker) Crashed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashed
+}
+
 func (w *Worker) has(f Fault) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -227,6 +247,10 @@
 // publish writes the worker's entry.
 func (w *Worker) publish() {
 	w.mu.Lock()
+	if w.crashed {
+		w.mu.Unlock()
+		return
+	}
 	e := entry{
 		Service: w.service,
 		Address: w.server.Listener.Addr().String(),
