quarantine: Hold back requests that crash the workers that run them

Cause: all that daemons knew of a request ended with the try. The bound on workers and the budget of retries hold for one try each, so a request that crashes each worker which begins it, and comes again under other ids at any daemon, began each try with full trust. Ruled out: retries that overload the groups left (heads end within 0.1 s of beginning that one request, with room to spare); groups formed too eagerly (ten heads fell before any was formed). Change: daemons tell the holder of the lease what was under way where a worker ended; it charges each crash to those requests, by how far the worker was with them, holds back the one that gets to 3, announces that, and stores a row in the lease's table. Held requests are refused before they take room.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -82,7 +82,7 @@
 		Metrics:  metrics.NewSet(),
 		Catalogs: &catalog.Holder{},
 		Balancer: serving.NewBalancer(settings.Current().Hall()),
-		Guard:    quarantine.NewGuard(),
+		Guard:    quarantine.NewGuard(time.Now),
 		settings: settings,
 		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
@@ -106,7 +106,7 @@
 	e.Warnings = health.NewPublisher(e.following.caches[health.Table], time.Now)
 	e.reporter = newReporter(e, peers)
 	e.loads = newLoads(e, peers)
-	e.quarantine = newQuarantined(e)
+	e.quarantine = newQuarantined(e, peers, upstream)
 	e.wireServing(upstream)
 	e.wireControl(orders)
 	e.Peers = e.following.handler(reports{e})
@@ -135,6 +135,7 @@
 		Settle:       e.standstill.Settle,
 		Counters:     serving.NewCounters(e.Metrics),
 		Guard:        e.Guard,
+		Crashes:      e.quarantine.sightings,
 		Evidence:     func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
@@ -348,6 +349,9 @@
 // Load takes in what callers ask for at other daemons.
 func (r reports) Load(reporter string, s load.Sum) load.Sum { return r.loads.take(reporter, s) }
 
+// Crashes takes in which workers crashed at another daemon.
+func (r reports) Crashes(report relay.CrashReport) bool { return r.quarantine.take(report) }
+
 // lastBack returns when the workers' table could be read again after it could not.
 func (e *Edge) lastBack() time.Time {
 	if at := e.storeBack.Load(); at != nil {
--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -2,64 +2,312 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
+	"time"
 
 	"github.com/pointpass/pointpass/quarantine"
+	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/store"
 )
 
+const (
+	// judgePause is how often the holder of the lease judges crashes while some wait, and
+	// tries again to store what could not be stored.
+	judgePause = 100 * time.Millisecond
+	// announceHoldAgain is how often a request is announced to be held back while there is
+	// no row of it: well within the time that an announcement counts.
+	announceHoldAgain = 3 * time.Second
+	// tidyHoldsEvery is how often rows are removed that are too old.
+	tidyHoldsEvery = time.Minute
+)
+
 // quarantined keeps what daemons share about requests that crash workers. Its rows stand
-// in the lease's table.
+// in the lease's table. The holder of the lease decides.
 type quarantined struct {
-	edge *Edge
-	// keyMissing asks for a key to be stored.
-	keyMissing chan struct{}
+	edge      *Edge
+	sightings *sightings
+	wake      chan struct{}
+
+	mu sync.Mutex
+	// board and term are those under which this daemon decides; nil while it doesn't.
+	board *quarantine.Board
+	term  uint64
+	// unstored are decisions without a row, by when they were announced last.
+	unstored map[quarantine.Fingerprint]announcement
+	// keyMissing tells that no key is stored.
+	keyMissing bool
+	tidied     time.Time
+}
+
+// announcement is a decision that is to be stored.
+type announcement struct {
+	hold quarantine.Hold
+	at   time.Time
 }
 
-func newQuarantined(e *Edge) *quarantined {
-	return &quarantined{edge: e, keyMissing: make(chan struct{}, 1)}
+func newQuarantined(e *Edge, peers *relay.Client, asks refuser) *quarantined {
+	q := &quarantined{edge: e, sightings: newSightings(e, peers, asks), wake: make(chan struct{}, 1), unstored: map[quarantine.Fingerprint]announcement{}}
+	e.Metrics.NewGauge("pointpass_requests_held_back", func() float64 { return float64(len(e.Guard.Holds())) })
+	return q
 }
 
 // learn takes in all rows of the lease's table.
 func (q *quarantined) learn(rows []store.Row) {
+	q.learnKey(rows)
+	holds, err := quarantine.HeldIn(rows)
+	if err != nil {
+		q.edge.Log.Error().Str("event", "quarantine_unreadable").Err(err).Msg("")
+	}
+	began, ended := q.edge.Guard.Learn(holds)
+	for _, h := range began {
+		q.noteHold(h, "row")
+	}
+	for _, h := range ended {
+		q.edge.Log.Info().Str("event", "request_released").Str("fingerprint", h.Fingerprint.String()).Uint64("store_version", h.Version).Msg("")
+	}
+	q.decideAsHolder(holds, ended)
+	q.sightings.kick() // the holder may be a new one
+}
+
+func (q *quarantined) learnKey(rows []store.Row) {
 	k, found, err := quarantine.KeyIn(rows)
-	switch {
-	case err != nil:
+	if err != nil {
 		q.edge.Log.Error().Str("event", "quarantine_unreadable").Err(err).Msg("")
-	case found:
+	}
+	if found {
 		q.edge.Guard.SetKey(k)
-	default:
-		q.askForKey()
 	}
+	q.mu.Lock()
+	q.keyMissing = !found && err == nil
+	q.mu.Unlock()
 }
 
-// askForKey has a key stored soon, if this daemon holds the lease.
-func (q *quarantined) askForKey() {
-	if _, held := q.edge.Lease.Held(); !held {
+// decideAsHolder begins to decide where this daemon holds the lease, and ends where it
+// doesn't. A new holder knows only the rows until the others have told it again.
+func (q *quarantined) decideAsHolder(holds, ended []quarantine.Hold) {
+	control := q.edge.following.control.Load()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.edge.following.isHolder() {
+		q.board = nil
+		clear(q.unstored)
 		return
 	}
+	if q.board == nil || q.term != control.Term {
+		q.board = quarantine.NewBoard()
+		q.term = control.Term
+	}
+	for _, h := range ended {
+		if h.Version != 0 { // an announcement that ended is given again
+			q.board.Release(h.Fingerprint)
+		}
+	}
+	for _, h := range holds {
+		q.board.Hold(h.Fingerprint)
+		delete(q.unstored, h.Fingerprint)
+	}
+	q.wakeUp()
+}
+
+// wakeUp has Run look what there is to do.
+func (q *quarantined) wakeUp() {
 	select {
-	case q.keyMissing <- struct{}{}:
+	case q.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Run stores what is to be stored until ctx ends.
+// noteHold logs that a request is held back here from now on. A daemon where it has ended
+// well knows better.
+func (q *quarantined) noteHold(h quarantine.Hold, by string) {
+	innocent := q.edge.Guard.Finished(h.Fingerprint)
+	q.edge.Log.Warn().Str("event", "request_held").Str("fingerprint", h.Fingerprint.String()).Str("by", by).
+		Uint64("store_version", h.Version).Bool("finished_here", innocent).Msg("it gets to no worker any more")
+	if innocent {
+		q.sightings.clear(h.Fingerprint)
+	}
+}
+
+// heard takes in that the holder of the lease announces a decision.
+func (q *quarantined) heard(digits string) {
+	f, ok := quarantine.ParseFingerprint(digits)
+	if !ok {
+		return
+	}
+	h := quarantine.Hold{Fingerprint: f}
+	if q.edge.Guard.Announce(h) {
+		q.noteHold(h, "announcement")
+	}
+}
+
+// take takes in a report where this daemon decides, and returns false where it doesn't.
+func (q *quarantined) take(r relay.CrashReport) bool {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.board == nil {
+		return false
+	}
+	for _, c := range r.Crashes {
+		q.board.Report(c, now)
+	}
+	for _, f := range r.Finished {
+		q.board.Clear(f)
+		q.edge.Log.Warn().Str("event", "request_cleared").Str("fingerprint", f.String()).Str("reporter", r.Reporter).Msg("it has ended well there")
+	}
+	if len(r.Finished) > 0 {
+		go q.remove(r.Finished)
+	}
+	q.wakeUp()
+	return true
+}
+
+// Run decides and stores until ctx ends.
 func (q *quarantined) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { q.sightings.Run(ctx) })
+	defer running.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-q.keyMissing:
-			q.storeKey(ctx)
+		case <-q.wake:
 		}
+		for q.work(ctx) {
+			pause(ctx, judgePause)
+		}
+	}
+}
+
+// work does what there is to do where this daemon decides, and tells whether some is left.
+func (q *quarantined) work(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	now := time.Now()
+	q.mu.Lock()
+	if q.board == nil {
+		q.mu.Unlock()
+		return false
+	}
+	verdicts := q.board.Judge(now)
+	keyMissing := q.keyMissing
+	q.mu.Unlock()
+	for _, v := range verdicts {
+		q.carryOut(v)
+	}
+	if keyMissing {
+		q.storeKey(ctx)
+	}
+	q.storeHolds(ctx, now)
+	q.tidy(ctx, now)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.board != nil && (q.board.Unjudged() || len(q.unstored) > 0)
+}
+
+// carryOut logs a verdict and announces what it holds back.
+func (q *quarantined) carryOut(v quarantine.Verdict) {
+	entry := q.edge.Log.Warn().Str("event", "worker_crashed").Str("worker", v.Worker).Dur("age", time.Since(v.At)).
+		Strs("reporters", v.Reporters).Int("requests", v.Runs)
+	for _, s := range v.Suspects[:min(len(v.Suspects), 1)] {
+		entry = entry.Str("suspect", s.Fingerprint.String()).Float64("charge", s.Charge).Strs("workers", s.Workers)
+	}
+	if len(v.Suspects) > 1 {
+		entry = entry.Float64("next_charge", v.Suspects[1].Charge)
+	}
+	entry.Msg("")
+	for _, s := range v.Hold {
+		h := quarantine.Hold{Fingerprint: s.Fingerprint, Charge: s.Charge, Workers: s.Workers, SinceMs: q.storeClock().Milliseconds()}
+		q.mu.Lock()
+		q.unstored[h.Fingerprint] = announcement{hold: h}
+		q.mu.Unlock()
 	}
 }
 
+// storeClock returns what the store's clock shows at least.
+func (q *quarantined) storeClock() time.Duration {
+	snapshot, received, known := q.edge.following.caches[replica.LeaseTable].Latest()
+	if !known {
+		return 0
+	}
+	return snapshot.Clock + time.Since(received)
+}
+
 // storeKey stores a key. Where another daemon was first, its key counts.
 func (q *quarantined) storeKey(ctx context.Context) {
 	txn := quarantine.FirstKey(replica.LeaseTable, quarantine.NewKey())
 	if _, err := q.edge.following.Commit(ctx, txn); err != nil {
 		q.edge.Log.Warn().Str("event", "quarantine_key_failed").Err(err).Msg("")
+		return
+	}
+	q.mu.Lock()
+	q.keyMissing = false
+	q.mu.Unlock()
+}
+
+// storeHolds announces decisions and stores their rows.
+func (q *quarantined) storeHolds(ctx context.Context, now time.Time) {
+	for _, h := range q.dueHolds(now) {
+		q.edge.Warnings.AnnounceHold(h.Fingerprint.String())
+		if q.edge.Guard.Announce(h) {
+			q.noteHold(h, "decision")
+		}
+		_, err := q.edge.following.Commit(ctx, quarantine.Store(replica.LeaseTable, h))
+		var conflict *store.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
+			q.edge.Log.Warn().Str("event", "hold_not_stored").Str("fingerprint", h.Fingerprint.String()).Err(err).Msg("")
+		}
+	}
+}
+
+// dueHolds returns the decisions to announce and store now. Each stays until its row shows.
+func (q *quarantined) dueHolds(now time.Time) []quarantine.Hold {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var due []quarantine.Hold
+	for f, a := range q.unstored {
+		if now.Sub(a.at) >= announceHoldAgain {
+			q.unstored[f] = announcement{hold: a.hold, at: now}
+			due = append(due, a.hold)
+		}
+	}
+	return due
+}
+
+// tidy removes rows that are too old.
+func (q *quarantined) tidy(ctx context.Context, now time.Time) {
+	q.mu.Lock()
+	due := now.Sub(q.tidied) >= tidyHoldsEvery
+	if due {
+		q.tidied = now
+	}
+	q.mu.Unlock()
+	if !due {
+		return
+	}
+	overdue := quarantine.Overdue(q.edge.Guard.Holds(), q.storeClock())
+	if len(overdue) > 0 {
+		q.removeHolds(ctx, overdue)
+	}
+}
+
+// remove ends the holds of requests that crash nothing.
+func (q *quarantined) remove(cleared []quarantine.Fingerprint) {
+	var ended []quarantine.Hold
+	q.mu.Lock()
+	for _, f := range cleared {
+		ended = append(ended, quarantine.Hold{Fingerprint: f})
+		delete(q.unstored, f)
+	}
+	q.mu.Unlock()
+	q.removeHolds(context.Background(), ended)
+}
+
+func (q *quarantined) removeHolds(ctx context.Context, ended []quarantine.Hold) {
+	if _, err := q.edge.following.Commit(ctx, quarantine.Remove(replica.LeaseTable, ended)); err != nil {
+		q.edge.Log.Warn().Str("event", "hold_not_removed").Int("rows", len(ended)).Err(err).Msg("")
 	}
 }
--- a/deps/warnings.go
+++ b/deps/warnings.go
@@ -60,13 +60,15 @@
 	now := time.Now()
 	f.warningsRead.Store(&now)
 	f.caches[health.Table].Apply(u)
-	if u.Full {
-		return // warnings of before, which were heeded then or are over
-	}
 	for _, r := range u.Rows {
-		if r.Deleted {
+		fingerprint, isHold := health.ParseHold(r)
+		switch {
+		case isHold:
+			f.edge.quarantine.heard(fingerprint)
+		case u.Full: // warnings of before, which were heeded then or are over
+		case r.Deleted:
 			f.edge.Server.TakeBackWarning(r.Key)
-		} else {
+		default:
 			f.edge.warned(health.ParseWarning(r))
 		}
 	}
--- a/health/publisher.go
+++ b/health/publisher.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -117,6 +118,29 @@
 	p.cache.Apply(store.Update{Rows: rows, Version: version, Evidence: now})
 }
 
+// holdPrefix begins the keys of rows that tell of a request which is held back.
+const holdPrefix = "hold/"
+
+// AnnounceHold tells all daemons that a request is held back, before its row in the store
+// can tell them.
+func (p *Publisher) AnnounceHold(fingerprint string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.term == 0 {
+		return
+	}
+	p.written++
+	version := p.version()
+	row := store.Row{Key: holdPrefix + fingerprint, Value: []byte("held"), Version: version}
+	p.cache.Apply(store.Update{Rows: []store.Row{row}, Version: version, Evidence: p.now()})
+}
+
+// ParseHold returns which request a row of Table tells to be held back, false if it tells
+// something else.
+func ParseHold(r store.Row) (fingerprint string, is bool) {
+	return strings.CutPrefix(r.Key, holdPrefix)
+}
+
 // ParseWarning returns the warning that a row of Table tells.
 func ParseWarning(r store.Row) Warning {
 	return parse(r.Key, string(r.Value))
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -11,14 +11,33 @@
 	"hash"
 )
 
-// Fingerprint names what a request asks, in hexadecimal digits: the same request has the
-// same one at all daemons, under whatever id it comes. Nobody without the key can tell
-// from it what was asked.
-type Fingerprint string
+// FingerprintBytes is how much of the hash is kept: of 10^9 requests two share a
+// fingerprint with a chance of 10^-21.
+const FingerprintBytes = 16
 
-// fingerprintBytes is how much of the hash is kept: at 10^9 requests a day two different
-// ones share a fingerprint once in 10^20 days.
-const fingerprintBytes = 16
+// Fingerprint names what a request asks: the same request has the same one at all daemons,
+// under whatever id it comes. Nobody without the key can tell from it what was asked.
+type Fingerprint [FingerprintBytes]byte
+
+// String returns the fingerprint in hexadecimal digits.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// ParseFingerprint returns the fingerprint that digits tell, false if they tell none.
+func ParseFingerprint(digits string) (f Fingerprint, ok bool) {
+	data, err := hex.DecodeString(digits)
+	if err != nil {
+		return Fingerprint{}, false
+	}
+	return FromBytes(data)
+}
+
+// FromBytes returns the fingerprint that bytes tell, false if there are too few or too many.
+func FromBytes(data []byte) (f Fingerprint, ok bool) {
+	if len(data) != FingerprintBytes {
+		return Fingerprint{}, false
+	}
+	return Fingerprint(data), true
+}
 
 // KeyBytes is the length of a key in bytes.
 const KeyBytes = 32
@@ -50,7 +69,7 @@
 	writeField(h, []byte(c.Host))
 	writeField(h, []byte(c.Target))
 	writeField(h, c.Body)
-	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
+	return Fingerprint(h.Sum(nil)[:FingerprintBytes])
 }
 
 // writeField hashes a field after its length, so that no two contents run together.
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -10,7 +10,14 @@
 	k := NewKey()
 	c := Content{Customer: "desk", Host: "games.example", Target: "/ask/q?x=1", Body: []byte("question")}
 	must.Eq(t, k.Of(c), k.Of(c))
-	must.StrNotContains(t, string(k.Of(c)), "question")
+	digits := k.Of(c).String()
+	parsed, ok := ParseFingerprint(digits)
+	must.True(t, ok)
+	must.Eq(t, k.Of(c), parsed)
+	for _, wrong := range []string{"", digits[2:], digits + "00", "zz" + digits[2:]} {
+		_, ok := ParseFingerprint(wrong)
+		must.False(t, ok, must.Sprint(wrong))
+	}
 	others := []Content{
 		{Customer: "des", Host: "kgames.example", Target: "/ask/q?x=1", Body: []byte("question")},
 		{Customer: "desk", Host: "games.example", Target: "/ask/q?x=2", Body: []byte("question")},
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -1,5 +1,7 @@
 package quarantine
 
+import "time"
+
 // Stage is how far a worker was with a request.
 type Stage int
 
@@ -20,3 +22,32 @@
 	}
 	return names[s]
 }
+
+// Run is a request that was under way at a worker.
+type Run struct {
+	Fingerprint Fingerprint
+	Stage       Stage
+	// Again tells that it had been sent to another worker before, in the same try.
+	Again bool
+}
+
+// charge is how much of a crash is put down to a run.
+func (r Run) charge() float64 {
+	switch {
+	case r.Stage != Begun:
+		return bystanderCharge
+	case r.Again:
+		return againCharge
+	}
+	return 1
+}
+
+// Crash is the end of a worker as one daemon saw it.
+type Crash struct {
+	Worker   string
+	Reporter string
+	// At is when the daemon's answers from there broke off.
+	At time.Time
+	// Runs are the daemon's requests that were lost with the worker.
+	Runs []Run
+}
--- /dev/null
+++ b/relay/crashes.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/pointpass/pointpass/quarantine"
+	"github.com/pointpass/pointpass/rpc"
+)
+
+// CrashReport is what a daemon knows of requests that crash workers.
+type CrashReport struct {
+	Reporter string
+	Crashes  []quarantine.Crash
+	// Finished are requests that are held back and have ended well at the daemon before.
+	Finished []quarantine.Fingerprint
+}
+
+// Crashes takes in which workers crashed at another daemon.
+func (s *Server) Crashes(_ context.Context, m *rpc.CrashesRequest) (*rpc.CrashesReply, error) {
+	now := s.now()
+	report := CrashReport{Reporter: m.Reporter}
+	for _, c := range m.Crashes {
+		crash := quarantine.Crash{Worker: c.Worker, Reporter: m.Reporter, At: now.Add(-time.Duration(c.AgeUs) * time.Microsecond)}
+		for _, run := range c.Runs {
+			if f, ok := quarantine.FromBytes(run.Fingerprint); ok {
+				crash.Runs = append(crash.Runs, quarantine.Run{Fingerprint: f, Stage: stageOf(run.Stage), Again: run.Again})
+			}
+		}
+		report.Crashes = append(report.Crashes, crash)
+	}
+	for _, data := range m.Finished {
+		if f, ok := quarantine.FromBytes(data); ok {
+			report.Finished = append(report.Finished, f)
+		}
+	}
+	if !s.reports.Crashes(report) {
+		return nil, twirp.NewError(twirp.Unavailable, "this daemon doesn't hold the lease")
+	}
+	return &rpc.CrashesReply{}, nil
+}
+
+// Crashes tells another daemon, the holder of the lease, which workers crashed.
+func (c *Client) Crashes(ctx context.Context, addr string, r CrashReport) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	now := c.now()
+	m := &rpc.CrashesRequest{Reporter: r.Reporter}
+	for _, crash := range r.Crashes {
+		told := &rpc.WorkerCrash{Worker: crash.Worker, AgeUs: now.Sub(crash.At).Microseconds()}
+		for _, run := range crash.Runs {
+			told.Runs = append(told.Runs, &rpc.LostRun{Fingerprint: run.Fingerprint[:], Stage: messageStage(run.Stage), Again: run.Again})
+		}
+		m.Crashes = append(m.Crashes, told)
+	}
+	for _, f := range r.Finished {
+		m.Finished = append(m.Finished, f[:])
+	}
+	if _, err := c.stub(addr).Crashes(ctx, m); err != nil {
+		return &CallError{Addr: addr, Err: err}
+	}
+	return nil
+}
+
+func stageOf(s rpc.RunStage) quarantine.Stage {
+	switch s {
+	case rpc.RunStage_RUN_BEGUN:
+		return quarantine.Begun
+	case rpc.RunStage_PRODUCING:
+		return quarantine.Producing
+	}
+	return quarantine.Queued
+}
+
+func messageStage(s quarantine.Stage) rpc.RunStage {
+	switch s {
+	case quarantine.Begun:
+		return rpc.RunStage_RUN_BEGUN
+	case quarantine.Producing:
+		return rpc.RunStage_PRODUCING
+	}
+	return rpc.RunStage_QUEUED
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -189,6 +189,8 @@
 
 func (r reported) Begun() { r <- "begun" }
 
+func (r reported) Crashes(CrashReport) bool { return true }
+
 func (r reported) Load(reporter string, s load.Sum) load.Sum {
 	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons)
 	all := load.Sum{Offered: load.Offered{}, Daemons: 90, At: s.At.Add(-time.Second)}
--- a/replica/control.go
+++ b/replica/control.go
@@ -23,8 +23,9 @@
 type Control struct {
 	// Nodes are those that announced themselves.
 	Nodes []Node
-	// Holder is the last holder of the lease, "" before the first.
+	// Holder is the last holder of the lease, "" before the first, and Term its term.
 	Holder string
+	Term   uint64
 }
 
 // Parse returns what the rows of LeaseTable say.
@@ -43,6 +44,7 @@
 	slices.SortFunc(c.Nodes, func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
 	row, _ := leaseIn(rows)
 	c.Holder = row.Holder
+	c.Term = row.Term
 	return c
 }
 
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -28,8 +28,11 @@
 	// place is the request's in its model's window, nil where nothing bounds it.
 	place *admission.Place
 
-	// print is the request's fingerprint, "" before it was made.
-	print quarantine.Fingerprint
+	// print is the request's fingerprint, once it is printed.
+	print   quarantine.Fingerprint
+	printed bool
+	// hold is how the request is held back, nil if it isn't.
+	hold *quarantine.Hold
 	// stage is how far the worker is with the attempt under way.
 	stage quarantine.Stage
 	// sent is how many workers got the request, tried the targets it was sent to.
@@ -77,11 +80,18 @@
 
 // serve runs an admitted request, as one of those under way for its model.
 func (e *exchange) serve(ctx context.Context) *fault {
+	if f := e.heldBack(); f != nil {
+		return f
+	}
 	if f := e.enter(); f != nil {
 		return f
 	}
 	defer e.leave()
-	return e.run(ctx)
+	f := e.run(ctx)
+	if f == nil {
+		e.noteFinished()
+	}
+	return f
 }
 
 // run sends the request until it has an answer or may not be sent again.
@@ -208,6 +218,9 @@
 		e.failed(target, failure)
 	}
 	e.logAttempt(target, err)
+	if notSent == nil {
+		e.noteLost(ctx, target)
+	}
 	if notSent != nil {
 		return true, &fault{status: http.StatusServiceUnavailable, reason: "the worker can't be reached", retryAfter: absentRetry}
 	}
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -37,7 +37,7 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(group("m", 1, workers.Open, 2), nil, true)
 	s := NewServer(Options{
-		Guard:     quarantine.NewGuard(),
+		Guard:     quarantine.NewGuard(time.Now),
 		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
@@ -73,7 +73,7 @@
 	balancer := NewBalancer("h1")
 	known := true
 	s := NewServer(Options{
-		Guard:    quarantine.NewGuard(),
+		Guard:    quarantine.NewGuard(time.Now),
 		Catalogs: &catalog.Holder{}, Placement: places, Workers: registry.View, Balancer: balancer,
 		Part: func(load.Model) (float64, float64, bool) { return 0.1, 6, known },
 	})
--- a/serving/place.go
+++ b/serving/place.go
@@ -76,6 +76,9 @@
 func (e *exchange) choose(ctx context.Context) (Target, *fault) {
 	s := e.server
 	s.opts.Settle(ctx)
+	if f := e.heldBack(); f != nil {
+		return Target{}, f
+	}
 	targets, barred := e.permitted()
 	excluded := slices.Clone(e.tried)
 	for {
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -106,7 +106,7 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(list, nil, true)
 	f.server = NewServer(Options{
-		Guard:     quarantine.NewGuard(),
+		Guard:     quarantine.NewGuard(time.Now),
 		Placement: placement.NewDecider(fleetHalls, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &f.catalogs, Workers: registry.View, Upstream: f, Balancer: NewBalancer("h1"),
 		Counters: NewCounters(f.set), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
--- a/serving/record.go
+++ b/serving/record.go
@@ -22,6 +22,8 @@
 	rejected   *metrics.Counter
 	resumed    *metrics.Counter
 	overBudget *metrics.Counter
+	// held counts the times that a request wasn't sent since it is held back.
+	held *metrics.Counter
 	// overload counts the requests refused since their model's groups were fully used.
 	overload *metrics.Counter
 	// unknownRegion counts the targets left out since their hall's region isn't known.
@@ -46,6 +48,7 @@
 		rejected:      set.NewCounter("pointpass_attempts_rejected_total"),
 		resumed:       set.NewCounter("pointpass_streams_resumed_total"),
 		overBudget:    set.NewCounter("pointpass_retries_over_budget_total"),
+		held:          set.NewCounter("pointpass_held_back_total"),
 		overload:      set.NewCounter("pointpass_refused_overload_total"),
 		unknownRegion: set.NewCounter("pointpass_targets_unknown_region_total"),
 		warned:        set.NewCounter("pointpass_group_warnings_total"),
@@ -116,6 +119,9 @@
 		}
 		entry = entry.Strs("route_regions", e.barredRegions.Route).Strs("customer_regions", e.barredRegions.Customer)
 	}
+	if h := e.hold; h != nil {
+		entry = entry.Str("fingerprint", h.Fingerprint.String()).Uint64("hold_version", h.Version).Dur("hold_known", now.Sub(h.Known))
+	}
 	if r := e.noRoom; r != nil {
 		entry = entry.Float64("window", min(r.state.Limit, math.MaxInt32)).Float64("delay", r.state.Delay).
 			Bool("share_binds", r.state.Binds).Float64("share_part", r.state.Part).Float64("queue_s", r.state.Queue).
@@ -134,7 +140,7 @@
 	entry := e.server.opts.Log.Warn().Str("event", "attempt_failed").Str("id", e.req.ID).Str("target", target.Key).
 		Str("worker", target.Worker.ID).Dur("after", now.Sub(e.arrived).Round(time.Microsecond)).Str("stage", e.stage.String())
 	if f, known := e.fingerprint(); known {
-		entry = entry.Str("fingerprint", string(f))
+		entry = entry.Str("fingerprint", f.String())
 	}
 	entry.Err(err).Msg("")
 }
--- a/serving/server.go
+++ b/serving/server.go
@@ -34,6 +34,8 @@
 	Counters *Counters
 	// Guard knows requests again that crash workers.
 	Guard *quarantine.Guard
+	// Crashes is told of answers that broke off.
+	Crashes Crashes
 	// Evidence says what may be decided on how old evidence. It may change at any time.
 	Evidence func() catalog.EvidencePolicy
 	// Allowance returns this process's part of the retries for a service.
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -49,7 +49,7 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(append(group("m", 1, workers.Open, 2), group("m", 2, workers.Open, 2)...), nil, true)
 	return NewServer(Options{
-		Guard:     quarantine.NewGuard(),
+		Guard:     quarantine.NewGuard(time.Now),
 		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
--- a/testbed/standin/crash_test.go
+++ b/testbed/standin/crash_test.go
@@ -62,8 +62,8 @@
 // falling is a set of workers, each of which ends when it begins one request. Another
 // starts in its place.
 type falling struct {
-	s     *stage
-	felon string
+	s       *stage
+	culprit string
 
 	mu      sync.Mutex
 	workers []*Worker
@@ -73,7 +73,7 @@
 // restart is how long it takes until a worker starts in the place of one that ended.
 const restart = 500 * time.Millisecond
 
-func newFalling(s *stage, body string) *falling { return &falling{s: s, felon: body} }
+func newFalling(s *stage, body string) *falling { return &falling{s: s, culprit: body} }
 
 func (f *falling) add() {
 	f.mu.Lock()
@@ -81,7 +81,7 @@
 	f.ids++
 	w, kill := NewWorker(f.s.store, fmt.Sprint("c", f.ids), "llm", "d1")
 	f.s.t.Cleanup(kill)
-	w.SetCrash(f.felon, func() {
+	w.SetCrash(f.culprit, func() {
 		time.AfterFunc(restart, func() {
 			f.s.store.Put("servers", w.ID(), nil)
 			f.add()
@@ -110,7 +110,7 @@
 // send sends the request once, to the daemons in turn.
 func (f *falling) send(try int) {
 	a := f.s.stream()
-	a.Body = f.felon
+	a.Body = f.culprit
 	f.s.daemons[try%len(f.s.daemons)].Send(f.s.t.Context(), a)
 }
 
@@ -129,7 +129,7 @@
 	var times []time.Time
 	for _, w := range f.all() {
 		for _, r := range w.Runs() {
-			if r.Body == f.felon {
+			if r.Body == f.culprit {
 				times = append(times, r.At)
 			}
 		}
