--- a/commands/edge.go
+++ b/commands/edge.go
@@ -20,6 +20,7 @@
 	"github.com/pointpass/pointpass/common/tcp"
 	"github.com/pointpass/pointpass/deps"
 	"github.com/pointpass/pointpass/node"
+	"github.com/pointpass/pointpass/quarantine"
 )
 
 const edgeUsage = `pointpassd edge serves callers on a platform that keeps its state in a store.
@@ -134,6 +135,7 @@
 	metricsMux := http.NewServeMux()
 	metricsMux.HandleFunc("GET /metrics", p.serveMetrics)
 	metricsMux.HandleFunc("GET /status", p.serveStatus)
+	metricsMux.HandleFunc("DELETE /held/{fingerprint}", p.serveRelease)
 	p.others = []*http.Server{{Handler: readiness, ReadHeaderTimeout: callerHeaderRead}, {Handler: metricsMux, ReadHeaderTimeout: callerHeaderRead}}
 	settings := p.settings.Current()
 	addrs := []string{settings.CallersAddr(), settings.ReadinessAddr(), settings.MetricsAddr()}
@@ -168,7 +170,31 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-// serveStatus tells operators what the daemon knows of closed halls.
+// releaseTimeout bounds the call to the store by which an operator lifts a hold.
+const releaseTimeout = 3 * time.Second
+
+// serveRelease has a request that is held back be sent to workers again.
+func (p *edgeProcess) serveRelease(w http.ResponseWriter, r *http.Request) {
+	digits := r.PathValue("fingerprint")
+	f, ok := quarantine.ParseFingerprint(digits)
+	if !ok {
+		http.Error(w, fmt.Sprintf("fingerprint: %q isn't %d hexadecimal digits", digits, 2*quarantine.FingerprintBytes), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), releaseTimeout)
+	defer cancel()
+	held, err := p.edge.Release(ctx, f)
+	switch {
+	case err != nil:
+		http.Error(w, "the store did not take it: "+err.Error(), http.StatusBadGateway)
+	case !held:
+		http.Error(w, "fingerprint: no such request is held back", http.StatusNotFound)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// serveStatus tells operators what the daemon knows of closed halls and held requests.
 func (p *edgeProcess) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(p.edge.Status(time.Now())); err != nil {
--- a/deps/edgestatus.go
+++ b/deps/edgestatus.go
@@ -1,8 +1,15 @@
 package deps
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
 
-// EdgeStatus is what a daemon knows of closed data halls, as it tells operators.
+	"github.com/pointpass/pointpass/quarantine"
+)
+
+// EdgeStatus is what a daemon knows of closed data halls and of requests that are held back,
+// as it tells operators.
 type EdgeStatus struct {
 	Node    string `json:"node"`
 	Hall    string `json:"hall"`
@@ -15,6 +22,21 @@
 	UnderWay int64 `json:"under_way"`
 	// ClosedHalls are those that get no further requests from here, in order of their names.
 	ClosedHalls []ClosedHall `json:"closed_halls"`
+	// HeldRequests are those that get to no worker, in order of their fingerprints.
+	HeldRequests []HeldRequest `json:"held_requests"`
+}
+
+// HeldRequest is a request that is held back since it crashes workers.
+type HeldRequest struct {
+	Fingerprint string `json:"fingerprint"`
+	// StoreVersion is the store's version of its row, 0 while there is none, Known when
+	// this daemon learned of it, and KnownMs how long ago that was.
+	StoreVersion uint64    `json:"store_version"`
+	Known        time.Time `json:"known"`
+	KnownMs      int64     `json:"known_ms"`
+	// Charge is how many crashes were put down to it, Workers are some that ended under it.
+	Charge  float64  `json:"charge"`
+	Workers []string `json:"workers"`
 }
 
 // ClosedHall is a hall that the operator closed.
@@ -62,5 +84,18 @@
 		}
 		s.ClosedHalls = append(s.ClosedHalls, hall)
 	}
+	s.HeldRequests = heldRequests(e.Guard.Holds(), now)
 	return s
 }
+
+func heldRequests(holds []quarantine.Hold, now time.Time) []HeldRequest {
+	list := []HeldRequest{}
+	for _, h := range holds {
+		list = append(list, HeldRequest{
+			Fingerprint: h.Fingerprint.String(), StoreVersion: h.Version,
+			Known: h.Known, KnownMs: now.Sub(h.Known).Milliseconds(), Charge: h.Charge, Workers: h.Workers,
+		})
+	}
+	slices.SortFunc(list, func(a, b HeldRequest) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	return list
+}
--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -324,6 +324,18 @@
 	q.removeHolds(context.Background(), ended)
 }
 
+// Release ends the hold of a request on an operator's word. It returns false if the request
+// isn't held back by a row that this daemon knows, and an error if the row can't be removed.
+func (e *Edge) Release(ctx context.Context, f quarantine.Fingerprint) (held bool, err error) {
+	h, held := e.Guard.Held(f)
+	if !held || h.Version == 0 {
+		return false, nil
+	}
+	e.Log.Warn().Str("event", "release_asked").Str("fingerprint", f.String()).Uint64("store_version", h.Version).Msg("")
+	_, err = e.following.Commit(ctx, quarantine.Remove(replica.LeaseTable, []quarantine.Hold{h}))
+	return true, err
+}
+
 func (q *quarantined) removeHolds(ctx context.Context, ended []quarantine.Hold) {
 	if _, err := q.edge.following.Commit(ctx, quarantine.Remove(replica.LeaseTable, ended)); err != nil {
 		q.edge.Log.Warn().Str("event", "hold_not_removed").Int("rows", len(ended)).Err(err).Msg("")
--- a/deps/sightings_test.go
+++ b/deps/sightings_test.go
@@ -25,6 +25,8 @@
 	control replica.Control
 	away    map[string]bool
 	told    map[string][]relay.CrashReport
+	// failures counts reports to daemons out of reach.
+	failures int
 	// ended are the workers that refuse connections.
 	ended map[string]bool
 }
@@ -37,6 +39,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.away[to.Name] {
+		d.failures++
 		return errAway
 	}
 	d.told[to.Name] = append(d.told[to.Name], r)
@@ -127,9 +130,7 @@
 	d, s := newDeciders(t)
 	s.Lost(workers.Worker{ID: "w1"}, lostRun(1))
 	soon(t, "both know of the first", func() bool { return len(d.workersTold("e1")) == 1 && len(d.workersTold("e2")) == 1 })
-	d.mu.Lock()
-	d.away["e1"] = true
-	d.mu.Unlock()
+	d.setAway("e1", true)
 	s.Lost(workers.Worker{ID: "w2"}, lostRun(1))
 	soon(t, "the next in line knows", func() bool { return len(d.workersTold("e2")) == 2 })
 	d.passLease("e3", 8)
@@ -139,6 +140,39 @@
 	must.Eq(t, []string{"w1"}, d.workersTold("e1"))
 }
 
+// TestSightings_WhoIsGoneIsGivenUpUntilTheLeasePassesOn: rows of daemons that are gone for
+// good stay, and nobody calls them for ever.
+func TestSightings_WhoIsGoneIsGivenUpUntilTheLeasePassesOn(t *testing.T) {
+	d, s := newDeciders(t)
+	d.setAway("e1", true)
+	s.Lost(workers.Worker{ID: "w1"}, lostRun(1))
+	soon(t, "it is tried", func() bool { return d.failed() > 0 })
+	s.mu.Lock()
+	s.own[0].due = time.Now().Add(-tellFor)
+	s.mu.Unlock()
+	soon(t, "it is given up", func() bool {
+		return len(s.untold("e1", 7, time.Now()).Crashes) == 0
+	})
+	before := d.failed()
+	d.passLease("e1", 8)
+	s.kick()
+	soon(t, "it is tried again", func() bool { return d.failed() > before+1 })
+	d.setAway("e1", false)
+	soon(t, "it knows", func() bool { return len(d.workersTold("e1")) == 1 })
+}
+
+func (d *deciders) setAway(name string, away bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away[name] = away
+}
+
+func (d *deciders) failed() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failures
+}
+
 func TestSightings_WhatEndedWellIsNotReported(t *testing.T) {
 	d, s := newDeciders(t)
 	s.opts.Guard.Finish(quarantine.Fingerprint{1})
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -251,6 +251,21 @@
 	return string(text)
 }
 
+// Release asks the daemon to send a request that is held back to workers again, and returns
+// the status of its answer, 0 if there is none.
+func (d *Daemon) Release(fingerprint string) int {
+	req, err := http.NewRequest(http.MethodDelete, "http://"+d.metrics+"/held/"+fingerprint, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
 // Ask is a request of a caller.
 type Ask struct {
 	ID, Method, Host, Path, Key, Body string
--- a/testbed/standin/crash_test.go
+++ b/testbed/standin/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/deps"
 )
 
 // Bounds of requests that crash workers, as the platform sets them.
@@ -86,6 +89,25 @@
 		must.StrNotEqFold(t, "", r.Header.Get("Retry-After"))
 	}
 	must.EqOp(t, 0, f.arrivalsSince(begun))
+	s.release(f)
+}
+
+// release has an operator lift the hold, after which the request gets to workers again.
+func (s *stage) release(f *falling) {
+	var status deps.EdgeStatus
+	must.NoError(s.t, json.Unmarshal([]byte(s.daemons[0].Status()), &status))
+	must.SliceLen(s.t, 1, status.HeldRequests)
+	held := status.HeldRequests[0]
+	must.GreaterEq(s.t, crashesBefore, held.Charge)
+	must.Positive(s.t, held.StoreVersion)
+	must.EqOp(s.t, http.StatusBadRequest, s.daemons[0].Release("xyz"))
+	must.EqOp(s.t, http.StatusNotFound, s.daemons[0].Release(strings.Repeat("0", len(held.Fingerprint))))
+	must.EqOp(s.t, http.StatusNoContent, s.daemons[0].Release(held.Fingerprint))
+	begun := time.Now()
+	eventually(s.t, "it gets to a worker again", func() bool {
+		f.send(1)
+		return f.arrivalsSince(begun) > 0
+	})
 }
 
 // newFallingStage starts three daemons and workers that end under one request.
