duty: Take what the daemon that ranks first leaves free

Cause: a daemon that renews its lease and takes nothing, for whatever reason, left its part free for a minute: the others hold back as long as it lives. Why it took nothing that once isn't known; a failed take logged at debug level alone. Change: a duty free for 10 s falls to the daemon that ranks next, after 20 s to the one after it; who leaves duties for 10 s logs what keeps it, once.

--- a/duty/keeper.go
+++ b/duty/keeper.go
@@ -63,10 +63,16 @@
 	// waited maps a duty to the epoch that we asked for once the last holder's lease
 	// had lapsed. Our rows may be read back before the transaction that took the
 	// duty returns, or without its answer.
-	waited    map[string]uint64
-	joined    time.Time
-	read      time.Time // when the last good read of the table was begun
-	releasing bool
+	waited map[string]uint64
+	// free is since when this daemon has seen duties free.
+	free map[string]time.Time
+	// lastFailure is why duties could not be taken the last time, and leftLogged whether
+	// it was logged that some are left.
+	lastFailure string
+	leftLogged  bool
+	joined      time.Time
+	read        time.Time // when the last good read of the table was begun
+	releasing   bool
 }
 
 // NewKeeper returns a keeper that holds nothing yet.
--- a/duty/keeper_test.go
+++ b/duty/keeper_test.go
@@ -157,6 +157,26 @@
 	must.SliceLen(t, 1, first[0].taken)
 }
 
+// TestKeeper_WhatOneLeavesTheNextTakes: the daemon that a duty falls to renews its lease and
+// takes nothing. A domain was without groups for a minute then.
+func TestKeeper_WhatOneLeavesTheNextTakes(t *testing.T) {
+	c := newCluster(3)
+	first := Rank("d", []string{"e0", "e1", "e2"})[0]
+	for _, m := range c.members {
+		if m.keeper.opts.Node == first {
+			m.keeper.opts.Wanted = func() []string { return nil }
+		}
+	}
+	c.run(10*time.Second)
+	must.SliceEmpty(t, c.holders(), must.Sprint("it may still come"))
+	c.run(2 * time.Second)
+	next := c.holders()
+	must.SliceLen(t, 1, next)
+	must.EqOp(t, Rank("d", []string{"e0", "e1", "e2"})[1], next[0].keeper.opts.Node)
+	c.run(time.Minute)
+	must.Eq(t, next, c.holders())
+}
+
 func TestKeeper_SuccessorWaitsForTheLeaseAndTheMargin(t *testing.T) {
 	c := newCluster(3)
 	c.run(10 * time.Second)
--- a/duty/take.go
+++ b/duty/take.go
@@ -31,6 +31,12 @@
 	return ranked
 }
 
+// overdue is how long a duty may stay free before the daemon that ranks next takes it too:
+// a daemon takes what falls to it within settleTime and a fourth of its lease, or within a
+// lease where the store fails it once. Who renews its lease and takes nothing for whatever
+// reason leaves a domain without groups for this long, and no longer.
+const overdue = 10 * time.Second
+
 // free is a duty that this daemon should take.
 type free struct {
 	name    string
@@ -53,6 +59,7 @@
 		k.noteWaited(chosen)
 	}
 	k.mu.Unlock()
+	k.noteLeft(chosen, ready)
 	if len(chosen) == 0 || !ready {
 		return
 	}
@@ -71,6 +78,29 @@
 	k.tookOver(chosen, self, version)
 }
 
+// noteLeft logs, once for each time that lasts, that this daemon leaves duties free which
+// fall to it.
+func (k *Keeper) noteLeft(chosen []free, ready bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	oldest := k.opts.Now()
+	for _, f := range chosen {
+		if at := k.free[f.name]; at.Before(oldest) {
+			oldest = at
+		}
+	}
+	if k.opts.Now().Sub(oldest) < overdue {
+		k.leftLogged = false
+		return
+	}
+	if k.leftLogged {
+		return
+	}
+	k.leftLogged = true
+	k.opts.Log.Warn().Int("duties", len(chosen)).Dur("free_for", k.opts.Now().Sub(oldest)).Bool("ready", ready).Bool("releasing", k.releasing).
+		Dur("lease_left", k.lease.left(k.opts.Now())).Dur("joined", k.opts.Now().Sub(k.joined)).Str("last_failure", k.lastFailure).Msg("duties that fall to this daemon are not taken")
+}
+
 // noteWaited notes the duties that are about to be taken from holders whose lease
 // has lapsed.
 func (k *Keeper) noteWaited(chosen []free) {
@@ -93,6 +123,9 @@
 }
 
 func (k *Keeper) takeFailed(err error) {
+	k.mu.Lock()
+	k.lastFailure = err.Error()
+	k.mu.Unlock()
 	var conflict *table.ConflictError
 	if errors.As(err, &conflict) {
 		k.opts.Log.Debug().Err(err).Msg("duties not taken, another daemon came first")
@@ -135,22 +168,37 @@
 }
 
 // chooseFree returns the duties that nobody holds and that rank this daemon
-// first among the live candidates.
+// first among the live candidates, or that those before it leave free for too long.
 func (k *Keeper) chooseFree(wanted, candidates []string) []free {
 	live := k.liveLocked(candidates)
+	since := map[string]time.Time{}
 	var chosen []free
 	for _, name := range wanted {
 		f, ok := k.freeLocked(name)
-		if !ok || len(chosen) == maxTaken {
+		if !ok {
 			continue
 		}
-		if ranked := Rank(name, live); len(ranked) > 0 && ranked[0] == k.opts.Node {
+		since[name] = k.sinceFreeLocked(name)
+		if len(chosen) == maxTaken {
+			continue
+		}
+		rank := slices.Index(Rank(name, live), k.opts.Node)
+		if rank >= 0 && k.opts.Now().Sub(since[name]) >= time.Duration(rank)*overdue {
 			chosen = append(chosen, f)
 		}
 	}
+	k.free = since
 	return chosen
 }
 
+// sinceFreeLocked returns since when this daemon has seen a duty free.
+func (k *Keeper) sinceFreeLocked(name string) time.Time {
+	if at, known := k.free[name]; known {
+		return at
+	}
+	return k.opts.Now()
+}
+
 func (k *Keeper) freeLocked(name string) (free, bool) {
 	state := k.duties[name]
 	f := free{name: name, state: state}
