--- a/deps/edge.go
+++ b/deps/edge.go
@@ -63,6 +63,7 @@
 
 	settings    *node.Holder
 	reloads     map[node.Outcome]*metrics.Counter
+	unread      *unreadEntries
 	following   *following
 	reporter    *reporter
 	loads       *loads
@@ -86,6 +87,7 @@
 		settings: settings,
 		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
+	e.unread = newUnreadEntries(e.Metrics, logger)
 	e.cold = newCold(e)
 	e.Placement = placement.NewDecider(settings.Current().HallRegions(), e.cold.ramp, time.Now)
 	e.standstill = placement.NewStandstill(time.Now, e.logStandstill)
@@ -274,10 +276,8 @@
 }
 
 func (e *Edge) applyWorkers(u store.Update) {
-	changed, gone, err := platform.Workers(u.Rows)
-	if err != nil {
-		e.Log.Error().Str("event", "worker_unreadable").Err(err).Msg("")
-	}
+	changed, gone, unread := platform.Workers(u.Rows)
+	e.unread.note(unread, changed, gone)
 	if e.following.reader.Direct() {
 		e.logWorkers(changed, gone, u.Version)
 	} else {
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -133,14 +133,20 @@
 // takeAnswer takes in whether a worker answered when it was asked.
 func (c *Controller) takeAnswer(a probeAnswer) {
 	switch {
-	case c.planner == nil || c.planner.Term() != a.term:
+	case c.planner == nil || c.planner.Term() != a.term || c.restarted(a.worker):
 	case a.heard:
-		c.planner.Heard(c.opts.Now(), a.worker)
+		c.planner.Heard(c.opts.Now(), a.worker.ID)
 	default:
-		c.planner.Unreachable(c.opts.Now(), a.worker)
+		c.planner.Unreachable(c.opts.Now(), a.worker.ID)
 	}
 }
 
+// restarted tells whether a worker has started again under its id since it was asked.
+func (c *Controller) restarted(asked workers.Worker) bool {
+	now, listed := c.opts.Workers().Worker(asked.ID)
+	return listed && workers.Restarted(asked, now)
+}
+
 func (c *Controller) take(r result) {
 	if outranked(r.order, r.outcome) {
 		c.opts.Lease.Outranked(r.term)
--- a/replica/histories_test.go
+++ b/replica/histories_test.go
@@ -145,6 +145,18 @@
 	}
 }
 
+// restarts has a worker start again under its id in about percent of the ticks.
+func (p *play) restarts(percent int) {
+	if rapid.IntRange(0, 99).Draw(p.t, "restart") >= percent {
+		return
+	}
+	ids := p.w.ids()
+	e := p.w.engines[ids[rapid.IntRange(0, len(ids)-1).Draw(p.t, "which")]]
+	if e.dead.IsZero() {
+		p.w.restart(e, rapid.Bool().Draw(p.t, "back"), p.lag())
+	}
+}
+
 func (p *play) lag() time.Duration {
 	return time.Duration(rapid.IntRange(0, 12).Draw(p.t, "lag")) * worldTick
 }
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -139,6 +139,12 @@
 
 // record is what the planner knows of a worker beside its row.
 type record struct {
+	// born is the start of the worker that this is about, 0 if its entry doesn't tell.
+	born int64
+	// restarted tells that the worker has started again under its id, and that its host
+	// was not asked to load anything since: what is staged there may be for another group
+	// than the one that the worker's end left a place in.
+	restarted    bool
 	inFlight     bool
 	last         Order
 	lastAt       time.Time
@@ -191,6 +197,7 @@
 	r := p.newRound(s)
 	p.plans++
 	p.forget(s.View, s.Now)
+	p.noteStarts(s.View)
 	p.forgetRetired(s.View)
 	p.forgetEndings(s.Now)
 	r.noteLoads()
@@ -236,6 +243,9 @@
 // Result takes in what came of an order.
 func (p *Planner) Result(now time.Time, o Order, outcome Outcome) {
 	rec := p.record(o.Worker.ID)
+	if workers.Restarted(o.Worker, workers.Worker{Born: rec.born}) {
+		return // an earlier start of the worker took the order, or didn't
+	}
 	rec.inFlight = false
 	if o.Op == Stage {
 		return
@@ -278,6 +288,28 @@
 // last order or answer.
 const recordLife = time.Minute
 
+// noteStarts drops what is known of earlier starts of workers: orders that they took or were
+// given, memberships that they left, loads, whether they answered.
+func (p *Planner) noteStarts(view *workers.View) {
+	for id, rec := range p.records {
+		w, listed := view.Worker(id)
+		if !listed || !workers.Restarted(workers.Worker{Born: rec.born}, w) {
+			continue
+		}
+		p.records[id] = &record{born: w.Born, restarted: true}
+		p.endLoads(id)
+	}
+}
+
+// endLoads notes that the loads of a worker's host ended with the worker.
+func (p *Planner) endLoads(worker string) {
+	for i := range p.loads {
+		if p.loads[i].worker == worker {
+			p.loads[i].done = true
+		}
+	}
+}
+
 // forget drops what is known of workers that are gone.
 func (p *Planner) forget(view *workers.View, now time.Time) {
 	for id, rec := range p.records {
--- a/replica/probe.go
+++ b/replica/probe.go
@@ -59,11 +59,11 @@
 	}
 	for _, w := range silent {
 		c.opts.Log.Warn().Str("event", "worker_unreachable").Str("worker", w.ID).Str("group", g.ID.Name).Int("tries", probeTries).Msg("")
-		c.tell(ctx, probeAnswer{term: term, worker: w.ID})
+		c.tell(ctx, probeAnswer{term: term, worker: w})
 	}
 	for _, w := range g.Lost {
 		if !slices.ContainsFunc(silent, func(s workers.Worker) bool { return s.ID == w.ID }) {
-			c.tell(ctx, probeAnswer{term: term, worker: w.ID, heard: true})
+			c.tell(ctx, probeAnswer{term: term, worker: w, heard: true})
 		}
 	}
 }
@@ -106,6 +106,6 @@
 // probeAnswer tells whether a worker answered when it was asked.
 type probeAnswer struct {
 	term   uint64
-	worker string
+	worker workers.Worker // as it was asked
 	heard  bool
 }
--- /dev/null
+++ b/replica/restart_test.go
@@ -0,0 +1,85 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// TestPlanner_HistoriesOfRestarts plays random histories in which workers start again under
+// their ids: between an entry and the order that it led to, twice in a row, as heads and as
+// members, while orders are lost, late or doubled and the lease moves.
+func TestPlanner_HistoriesOfRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &play{t: t, w: newWorld(rapid.IntRange(1, 2).Draw(t, "domains"), 8), idle: true, halls: closedHalls{}}
+		p.newHolder()
+		steps := rapid.IntRange(50, 300).Draw(t, "steps")
+		trouble := rapid.IntRange(0, 15).Draw(t, "trouble")
+		restarts := rapid.IntRange(1, 20).Draw(t, "restarts")
+		for range steps {
+			p.w.step()
+			p.trouble(trouble)
+			p.restarts(restarts)
+			for _, h := range p.holders {
+				p.act(h)
+			}
+			p.requests()
+			must.SliceEmpty(t, p.w.broken, must.Sprint(p.w.broken))
+		}
+	})
+}
+
+// TestPlanner_GroupsOfARestartedWorkerAreFormedAnew: its group is given up as soon as its
+// entry tells, a head's and a member's. As many groups are there again once its host, which
+// keeps the other model, has loaded the one that the group ran.
+func TestPlanner_GroupsOfARestartedWorkerAreFormedAnew(t *testing.T) {
+	const oneLoad = 20 * time.Second
+	for rank := range 2 {
+		w := newWorld(3, 8)
+		h := &holder{planner: NewPlanner(1, testCeiling)}
+		calm(w, h, 30*time.Second, true)
+		before := len(w.view.Groups())
+		group := w.view.Groups()[0]
+		e := w.engines[group.Members[rank].ID]
+		w.restart(e, true, 0)
+		calm(w, h, 2*time.Second, false)
+		for _, g := range w.view.Groups() {
+			must.NotEq(t, group.ID, g.ID)
+		}
+		calm(w, h, oneLoad, false)
+		must.EqOp(t, before, len(w.view.Groups()))
+		must.SliceEmpty(t, w.broken)
+	}
+}
+
+// TestPlanner_AnswersToAnEarlierStartTellNothing: an order is under way as its worker starts
+// again, which is given others meanwhile.
+func TestPlanner_AnswersToAnEarlierStartTellNothing(t *testing.T) {
+	w := newWorld(1, 8)
+	p := NewPlanner(1, testCeiling)
+	s := Situation{Services: []*catalog.Service{w.service}, Failing: func(string) bool { return false }, Idle: true}
+	var orders []Order
+	for len(orders) == 0 {
+		w.step()
+		s.Now, s.View = w.now, w.view
+		orders = p.Plan(s)
+	}
+	given := orders[0]
+	w.restart(w.engines[given.Worker.ID], false, 0)
+	w.step()
+	s.Now, s.View = w.now, w.view
+	p.Plan(s)
+	rec := p.record(given.Worker.ID)
+	must.NotEq(t, given.Worker.Born, rec.born)
+	was := *rec
+	p.Result(w.now, given, Outdated)
+	must.Eq(t, was.blockedUntil, rec.blockedUntil)
+	must.EqOp(t, was.inFlight, rec.inFlight)
+	p.Result(w.now, Order{Worker: workers.Worker{ID: given.Worker.ID, Born: rec.born}, Op: Join, Group: given.Group}, Outdated)
+	must.True(t, rec.blockedUntil.After(w.now), must.Sprint("that of its own start counts"))
+}
--- a/replica/round.go
+++ b/replica/round.go
@@ -43,6 +43,7 @@
 	if rec.inFlight {
 		return
 	}
+	rec.born = o.Worker.Born
 	rec.inFlight = true
 	rec.answered = false
 	if o.Op == Leave && (rec.last.Op != Leave || rec.last.Group != o.Group) {
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -134,9 +134,10 @@
 		return false
 	}
 	keeps := slices.ContainsFunc(w.Staged, func(name string) bool { return name != w.Last })
-	if keeps || r.staging(w, catalog.Model{Name: rec.staged, Load: m.Load}) || preparationOf(w, m.Name) != fromStore {
+	if keeps && !rec.restarted || r.staging(w, catalog.Model{Name: rec.staged, Load: m.Load}) || preparationOf(w, m.Name) != fromStore {
 		return false
 	}
+	rec.restarted = false
 	rec.staged = m.Name
 	rec.stagedAt = r.now
 	r.loads = append(r.loads, weightLoad{worker: w.ID, model: m.Name, begun: r.now, length: m.Load})
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -54,6 +54,7 @@
 	service *catalog.Service
 	engines map[string]*engine
 	next    int
+	births  int64 // starts under ids that were there before
 	late    []delayedOrder
 	rows    []delayedRow
 	view    *workers.View
@@ -94,11 +95,30 @@
 // add starts an empty worker in a domain; its row comes after a lag.
 func (w *world) add(domain string, lag time.Duration) {
 	w.next++
-	e := &engine{worker: workers.Worker{ID: fmt.Sprint("i", w.next), Service: "llm", Domain: domain, Hall: domain}}
+	e := &engine{worker: workers.Worker{ID: fmt.Sprint("i", w.next), Born: 1_000_000, Service: "llm", Domain: domain, Hall: domain}}
 	w.engines[e.worker.ID] = e
 	w.tell(e, lag)
 }
 
+// restart has a worker start again under its id: it knows nothing of before but what is on
+// its host. Back tells that its clock has stepped back meanwhile.
+func (w *world) restart(e *engine, back bool, lag time.Duration) {
+	w.births++
+	e.worker.Born = 1_000_000 + w.births
+	if back {
+		e.worker.Born = 1_000_000 - w.births
+	}
+	e.worker.Membership = workers.Membership{}
+	e.worker.Models = nil
+	e.worker.Draining = false
+	e.last = ""
+	e.seenEpoch = 0
+	e.list = nil
+	e.staging = ""
+	e.brokenFrom = time.Time{}
+	w.tell(e, lag)
+}
+
 // tell has a worker write its row. The writes of one worker arrive in order.
 func (w *world) tell(e *engine, lag time.Duration) {
 	at := w.now.Add(lag)
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -77,6 +77,12 @@
 	gap, first time.Duration
 }
 
+// renew forgets what an earlier start of the worker failed at. Its requests under way still
+// end, each with a count.
+func (l *targetState) renew() {
+	*l = targetState{inFlight: l.inFlight, gap: usualGap, first: usualFirst}
+}
+
 // Averages before anything was measured, and how much one measure counts.
 const (
 	usualGap   = 60 * time.Millisecond
@@ -129,6 +135,9 @@
 		return Target{}, false
 	}
 	l := b.of(targets[best].Key)
+	if workers.Restarted(l.worker, targets[best].Worker) {
+		l.renew()
+	}
 	l.inFlight++
 	l.worker = targets[best].Worker
 	return targets[best], true
@@ -154,6 +163,9 @@
 		return t.Weight * score
 	}
 	score = t.Weight * (score + float64(l.inFlight))
+	if workers.Restarted(l.worker, t.Worker) {
+		return score // what it failed at was its earlier start's
+	}
 	if now.Before(l.suspectUntil) || now.Before(l.warnedUntil) {
 		score += suspectPenalty
 	}
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -68,6 +68,24 @@
 	must.EqOp(t, "a", chosen.Key, must.Sprint("suspicion ends"))
 }
 
+// TestChoose_AStartUnderTheSameIDIsNotSuspect of what the earlier one failed at.
+func TestChoose_AStartUnderTheSameIDIsNotSuspect(t *testing.T) {
+	b := NewBalancer("z1")
+	before, after, other := target("a", "z1"), target("a", "z1"), target("b", "z2")
+	before.Worker.Born = 2000
+	after.Worker.Born = 1000 // its clock has stepped back
+	_, ok := b.Choose([]Target{before}, nil, noon)
+	must.True(t, ok)
+	b.Fail("a", noon)
+	b.Done("a")
+	chosen, _ := b.Choose([]Target{before, other}, nil, noon)
+	must.EqOp(t, "b", chosen.Key)
+	b.Done("b")
+	chosen, _ = b.Choose([]Target{after, other}, nil, noon)
+	must.EqOp(t, "a", chosen.Key)
+	must.SliceEmpty(t, b.Suspects(noon))
+}
+
 func TestFail_SuspicionGrowsAndEndsWithASign(t *testing.T) {
 	b := NewBalancer("z1")
 	now := noon
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 )
@@ -63,7 +65,7 @@
 	workers map[string]Worker
 	// last keeps the last model of workers whose entry is gone: an entry also goes
 	// while the store is down or the worker is cut off from it, and comes back.
-	last map[string]string
+	last map[string]lastModel
 	// lost are members of groups whose entry is gone unannounced.
 	lost    map[string]Worker
 	view    atomic.Pointer[View]
@@ -72,7 +74,7 @@
 
 // NewRegistry returns an empty registry that tells each new view to changed.
 func NewRegistry(changed func(*View)) *Registry {
-	r := &Registry{workers: map[string]Worker{}, last: map[string]string{}, lost: map[string]Worker{}, changed: changed}
+	r := &Registry{workers: map[string]Worker{}, last: map[string]lastModel{}, lost: map[string]Worker{}, changed: changed}
 	r.view.Store(newView(r.workers, r.lost))
 	return r
 }
@@ -104,33 +106,68 @@
 	r.changed(view)
 }
 
+// lastModel is the model of the last group of a worker in one of its starts.
+type lastModel struct {
+	model string
+	born  int64
+}
+
+// of tells whether that is of the start that an entry tells of.
+func (l lastModel) of(w Worker) bool { return !Restarted(Worker{Born: l.born}, w) }
+
 // Idle returns the last models of workers that are in no group, whose entries
-// therefore don't tell them, at most limit of them.
+// therefore don't tell them, at most limit of them, by id and start.
 func (r *Registry) Idle(limit int) map[string]string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	idle := map[string]string{}
 	for id, w := range r.workers {
 		if w.Membership.Group.Name == "" && w.Last != "" && len(idle) < limit {
-			idle[id] = w.Last
+			idle[startName(id, w.Born)] = w.Last
 		}
 	}
 	return idle
 }
 
+// bornSeparator parts an id from the start that a name tells.
+const bornSeparator = "@"
+
+// startName names one start of a worker: its id, if that is all that is known.
+func startName(id string, born int64) string {
+	if born == 0 {
+		return id
+	}
+	return id + bornSeparator + strconv.FormatInt(born, 10)
+}
+
+// parseStart returns the id and start that a name tells.
+func parseStart(name string) (id string, born int64) {
+	i := strings.LastIndex(name, bornSeparator)
+	if i < 0 {
+		return name, 0
+	}
+	born, err := strconv.ParseInt(name[i+1:], 10, 64)
+	if err != nil {
+		return name, 0 // an id with the separator in it
+	}
+	return name[:i], born
+}
+
 // Remember takes in last models that another process knew. What this process has
 // seen itself counts more.
 func (r *Registry) Remember(last map[string]string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, model := range last {
+	for name, model := range last {
+		id, born := parseStart(name)
+		told := lastModel{model: model, born: born}
 		w, listed := r.workers[id]
 		switch {
-		case listed && w.Last == "":
+		case listed && w.Last == "" && told.of(w):
 			w.Last = model
 			r.workers[id] = w
-		case !listed && r.last[id] == "" && len(r.last) < mostLost:
-			r.last[id] = model
+		case !listed && r.last[id].model == "" && len(r.last) < mostLost:
+			r.last[id] = told
 		}
 	}
 	view := newView(r.workers, r.lost)
@@ -138,9 +175,18 @@
 	r.changed(view)
 }
 
+// put takes in an entry. One that is older than what is known of the worker tells nothing:
+// it came by a longer way.
 func (r *Registry) put(w Worker) {
-	w.Last = r.last[w.ID]
-	if known, listed := r.workers[w.ID]; listed {
+	known, listed := r.workers[w.ID]
+	if listed && w.Version < known.Version {
+		return
+	}
+	w.Last = ""
+	if l := r.last[w.ID]; l.of(w) {
+		w.Last = l.model
+	}
+	if listed && !Restarted(known, w) {
 		w.Last = known.Last
 	}
 	if w.Membership.Group.Name != "" && w.Membership.State != Joining {
@@ -154,7 +200,7 @@
 func (r *Registry) remove(id string) {
 	w, listed := r.workers[id]
 	if listed && w.Last != "" && len(r.last) < mostLost {
-		r.last[id] = w.Last
+		r.last[id] = lastModel{model: w.Last, born: w.Born}
 	}
 	if listed && !w.Draining && w.Membership.Group.Name != "" && len(r.lost) < mostLost {
 		r.lost[id] = w
--- a/workers/registry_test.go
+++ b/workers/registry_test.go
@@ -120,3 +120,74 @@
 	r.Apply([]Worker{member("b", id, 1, Ready)}, nil, false)
 	must.Len(t, 0, r.View().Groups()[0].Lost, must.Sprint("it was dropped with the group"))
 }
+
+func bornAt(w Worker, born int64, version uint64) Worker {
+	w.Born = born
+	w.Version = version
+	return w
+}
+
+// TestAStartUnderTheSameIDKnowsNothing: it is in no group and can rejoin none quickly, also
+// where its clock stepped back and where the entry of the earlier start went first.
+func TestAStartUnderTheSameIDKnowsNothing(t *testing.T) {
+	for _, goes := range []bool{false, true} {
+		for _, born := range []int64{5000, 900} {
+			r := newTestRegistry()
+			id := NewGroupID("m", 1)
+			r.Apply([]Worker{bornAt(member("a", id, 0, Open), 1000, 1), bornAt(member("b", id, 1, Ready), 1000, 2)}, nil, true)
+			if goes {
+				r.Apply(nil, []string{"b"}, false)
+				must.SliceLen(t, 1, r.View().Groups()[0].Lost)
+			}
+			r.Apply([]Worker{bornAt(Worker{ID: "b", Service: "llm"}, born, 3)}, nil, false)
+			w, _ := r.View().Worker("b")
+			must.EqOp(t, "", w.Last)
+			g := r.View().Groups()[0]
+			must.SliceEmpty(t, g.Lost, must.Sprint("it is gone for certain"))
+			must.EqOp(t, 1, g.Size())
+		}
+	}
+}
+
+func TestAnEntryOfTheSameStartKeepsWhatIsKnown(t *testing.T) {
+	for _, born := range []int64{0, 1000} {
+		r := newTestRegistry()
+		r.Apply([]Worker{bornAt(member("a", NewGroupID("m", 1), 0, Ready), 1000, 1)}, nil, true)
+		r.Apply(nil, []string{"a"}, false)
+		r.Apply([]Worker{bornAt(Worker{ID: "a", Service: "llm"}, born, 2)}, nil, false)
+		w, _ := r.View().Worker("a")
+		must.EqOp(t, "m", w.Last)
+	}
+}
+
+// TestAnOlderEntryThatComesLateTellsNothing: a daemon that relays was behind.
+func TestAnOlderEntryThatComesLateTellsNothing(t *testing.T) {
+	r := newTestRegistry()
+	r.Apply([]Worker{bornAt(Worker{ID: "a", Service: "llm"}, 5000, 7)}, nil, true)
+	r.Apply([]Worker{bornAt(member("a", NewGroupID("m", 1), 0, Open), 1000, 6)}, nil, false)
+	w, _ := r.View().Worker("a")
+	must.EqOp(t, 5000, w.Born)
+	must.SliceEmpty(t, r.View().Groups())
+}
+
+// TestLastModelsPassToTheNextHolderByStart: what one start could rejoin at once, the next
+// one can't.
+func TestLastModelsPassToTheNextHolderByStart(t *testing.T) {
+	r := newTestRegistry()
+	r.Apply([]Worker{
+		bornAt(member("a", NewGroupID("m", 1), 0, Ready), 1000, 1),
+		bornAt(member("b", NewGroupID("m", 2), 0, Ready), 1000, 1),
+		member("c@x", NewGroupID("m", 3), 0, Ready),
+	}, nil, true)
+	r.Apply([]Worker{bornAt(Worker{ID: "a"}, 1000, 2), bornAt(Worker{ID: "b"}, 1000, 2), {ID: "c@x", Version: 2}}, nil, false)
+	told := r.Idle(10)
+	must.Eq(t, map[string]string{"a@1000": "m", "b@1000": "m", "c@x": "m"}, told)
+
+	next := newTestRegistry()
+	next.Apply([]Worker{bornAt(Worker{ID: "a"}, 1000, 2), bornAt(Worker{ID: "b"}, 2000, 3), {ID: "c@x", Version: 2}}, nil, true)
+	next.Remember(told)
+	for id, want := range map[string]string{"a": "m", "b": "", "c@x": "m"} {
+		w, _ := next.View().Worker(id)
+		must.EqOp(t, want, w.Last, must.Sprint(id))
+	}
+}
--- a/workers/worker.go
+++ b/workers/worker.go
@@ -37,6 +37,9 @@
 // Worker is one start of a worker as its entry in the store tells it.
 type Worker struct {
 	ID string
+	// Born tells one start of a worker from the next under the same id: milliseconds since
+	// 1970 by the worker's own clock, which may step back. 0 if the entry doesn't tell.
+	Born int64
 	// Version is the store's version at which the entry last changed.
 	Version  uint64
 	Service  string
@@ -56,6 +59,13 @@
 	Last string
 }
 
+// Restarted tells whether two entries of one id are of two starts of the worker. The later
+// one knows nothing of what the earlier one did. Entries that don't tell aren't known to
+// be: there each start has an id of its own.
+func Restarted(before, after Worker) bool {
+	return before.Born != 0 && after.Born != 0 && before.Born != after.Born
+}
+
 // modelSeparator parts a model's name from the epoch in the name of a group. The
 // last one counts, so that models may have it in their names.
 const modelSeparator = "."
