common/clock: Count suspended time where rights run out

Cause: a VM may be suspended; the steady clock stands meanwhile, so that a lease, evidence of withdrawn keys or closed halls, and views for the cold ramp seemed as young on waking as before. Change: one clock that counts that time, used for all ages in deps; timers stay steady. Ruled out: CLOCK_BOOTTIME at each reading (a system call each, some fifty a request); the time of day (it steps).

--- a/deps/cold.go
+++ b/deps/cold.go
@@ -7,6 +7,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/ramp"
 	"github.com/pointpass/pointpass/store"
 	"github.com/pointpass/pointpass/workers"
@@ -66,23 +67,23 @@
 
 // learnDaemons takes in which daemons announced themselves.
 func (c *cold) learnDaemons(rows map[string]uint64, u store.Update) {
-	c.roster.Learn(ramp.View{Rows: rows, Evidence: u.Evidence}, time.Now())
+	c.roster.Learn(ramp.View{Rows: rows, Evidence: u.Evidence}, clock.Now())
 }
 
 // learnEntries takes in entries of workers.
 func (c *cold) learnEntries(changed []workers.Worker, gone []string, full bool) {
-	c.note(c.book.Entries(changed, gone, full, c.edge.Placement.Open, time.Now()))
+	c.note(c.book.Entries(changed, gone, full, c.edge.Placement.Open, clock.Now()))
 }
 
 // learnOpening takes in that a data hall was opened again. Seen tells that it was known to
 // be closed.
 func (c *cold) learnOpening(hall string, seen bool) {
-	c.note(c.book.Opened(hall, seen, time.Now()))
+	c.note(c.book.Opened(hall, seen, clock.Now()))
 }
 
 // left returns how much longer a worker is cold.
 func (c *cold) left(worker string) time.Duration {
-	now := time.Now()
+	now := clock.Now()
 	w, is := c.book.At(worker, now)
 	if !is {
 		return 0
@@ -95,7 +96,7 @@
 	if len(began) == 0 {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, w := range began[:min(len(began), mostColdLines)] {
 		c.line(w, now).Str("by", string(w.By)).Dur("left", w.Until.Sub(now)).Dur("held", max(w.HeldUntil.Sub(now), 0)).Msg("")
 	}
@@ -116,7 +117,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			c.tidy(time.Now())
+			c.tidy(clock.Now())
 		}
 	}
 }
@@ -134,8 +135,8 @@
 
 // gauges tells how cold workers are used.
 func (c *cold) gauges() {
-	c.edge.Metrics.NewGauge("pointpass_workers_cold", func() float64 { return float64(len(c.book.All(time.Now()))) })
-	c.edge.Metrics.NewGauge("pointpass_ramp_active", func() float64 { return asNumber(c.roster.Standing(time.Now()) == ramp.Active) })
+	c.edge.Metrics.NewGauge("pointpass_workers_cold", func() float64 { return float64(len(c.book.All(clock.Now()))) })
+	c.edge.Metrics.NewGauge("pointpass_ramp_active", func() float64 { return asNumber(c.roster.Standing(clock.Now()) == ramp.Active) })
 	c.edge.Metrics.NewGauge("pointpass_ramp_taken_total", func() float64 {
 		taken, _ := c.ramp.Counts()
 		return float64(taken)
--- a/deps/deps.go
+++ b/deps/deps.go
@@ -13,6 +13,7 @@
 
 	"github.com/pointpass/pointpass/audit"
 	"github.com/pointpass/pointpass/claims"
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/common/control"
 	"github.com/pointpass/pointpass/common/meter"
 	"github.com/pointpass/pointpass/config"
@@ -74,8 +75,8 @@
 	sender, closeSender := engine.NewSender()
 	d.Platform = client
 	d.Tree = tree.NewHolder(d.treeChanged)
-	d.Mirror = mirror.New(client, cfg.Timing().Poll, time.Now, d.Fleet.Apply)
-	d.Peers = peer.NewClient(controlHTTP, cfg.Timing().Peer, cfg.ControlAddr(), cfg.Peers(), d.Fleet, time.Now, logger)
+	d.Mirror = mirror.New(client, cfg.Timing().Poll, clock.Now, d.Fleet.Apply)
+	d.Peers = peer.NewClient(controlHTTP, cfg.Timing().Peer, cfg.ControlAddr(), cfg.Peers(), d.Fleet, clock.Now, logger)
 	d.wireDuties()
 	d.wireClaims()
 	d.wireControl(endpoints)
@@ -104,7 +105,7 @@
 		Candidates: d.candidates,
 		Wanted:     d.wantedDuties,
 		OnTaken:    d.dutyTaken,
-		Now:        time.Now,
+		Now:        clock.Now,
 		Log:        d.Log,
 	})
 }
@@ -159,7 +160,7 @@
 		Keep:        timing.KeepClaims,
 		KeyAhead:    timing.KeyAhead,
 	})
-	d.Owner = claims.NewOwner(d.Ledger, d.Keeper, limits.Slots, timing.KeyAhead, time.Now)
+	d.Owner = claims.NewOwner(d.Ledger, d.Keeper, limits.Slots, timing.KeyAhead, clock.Now)
 }
 
 func (d *Deps) wireControl(endpoints *engine.Client) {
@@ -176,7 +177,7 @@
 		Fleet:     d.Fleet,
 		Tree:      d.Tree.Current,
 		Changed:   d.Mirror.Kick,
-		Now:       time.Now,
+		Now:       clock.Now,
 		Log:       d.Log,
 	})
 	d.Tracker = presence.NewTracker(presence.Options{
@@ -188,7 +189,7 @@
 		Groups:    d.Groups,
 		Fleet:     d.Fleet,
 		Stopping:  d.Stops.StopsVM,
-		Now:       time.Now,
+		Now:       clock.Now,
 	})
 }
 
@@ -206,11 +207,11 @@
 		Targets: d.Tracker,
 		Daemons: func() int { return len(d.Fleet.InPool(fleet.EntryPool)) },
 		Pool:    d.pool,
-		Now:     time.Now,
+		Now:     clock.Now,
 		Tick:    timing.Probe / 4,
 	})
 	d.Dispatcher = dispatcher
-	durable := claims.NewTable(d.Platform, limits.UndatedClaims, time.Now)
+	durable := claims.NewTable(d.Platform, limits.UndatedClaims, clock.Now)
 	d.Gateway = gateway.New(gateway.Options{
 		Config:     d.Config,
 		Tree:       d.Tree.Current,
@@ -220,7 +221,7 @@
 		Presence:   d.Tracker,
 		Budgets:    retry.NewBudgets(),
 		Metrics:    d.Metrics,
-		Now:        time.Now,
+		Now:        clock.Now,
 		Log:        d.Log,
 	})
 	return closeDispatcher
@@ -235,19 +236,19 @@
 }
 
 func (d *Deps) wireServers() {
-	d.PeerServer = peer.NewServer(d.Owner, d.Controller.Reports, d.Tracker.Stopped, d.Tree.Current, time.Now)
+	d.PeerServer = peer.NewServer(d.Owner, d.Controller.Reports, d.Tracker.Stopped, d.Tree.Current, clock.Now)
 	d.Operator = operator.NewServer(operator.Options{
 		Tree:      d.editableTree,
 		Refresh:   d.Mirror.Poll,
-		Editor:    tree.NewEditor(d.Platform, time.Now),
+		Editor:    tree.NewEditor(d.Platform, clock.Now),
 		Accepted:  d.Tree.Replace,
-		Announcer: stops.NewAnnouncer(d.Platform, time.Now),
+		Announcer: stops.NewAnnouncer(d.Platform, clock.Now),
 		Stops:     d.Stops.List,
 		Known:     d.known,
 		Audit:     d.Platform,
 		Status:    d.status,
 		Changed:   d.Mirror.Kick,
-		Now:       time.Now,
+		Now:       clock.Now,
 	})
 	d.Metrics.NewGauge("pointpass_settings_revision", func() float64 { return float64(d.Tree.Revision()) })
 	d.Metrics.NewGauge("pointpass_control_bytes", func() float64 { return float64(d.Control.Bytes()) })
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/common/tcp"
 	"github.com/pointpass/pointpass/health"
 	"github.com/pointpass/pointpass/load"
@@ -83,16 +84,16 @@
 		Metrics:  metrics.NewSet(),
 		Catalogs: &catalog.Holder{},
 		Balancer: serving.NewBalancer(settings.Current().Hall()),
-		Guard:    quarantine.NewGuard(time.Now),
+		Guard:    quarantine.NewGuard(clock.Now),
 		settings: settings,
 		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
 	e.unread = newUnreadEntries(e.Metrics, logger)
 	e.cold = newCold(e)
-	e.Placement = placement.NewDecider(settings.Current().HallRegions(), e.cold.ramp, time.Now)
-	e.standstill = placement.NewStandstill(time.Now, e.logStandstill)
+	e.Placement = placement.NewDecider(settings.Current().HallRegions(), e.cold.ramp, clock.Now)
+	e.standstill = placement.NewStandstill(clock.Now, e.logStandstill)
 	client, closeStore := platform.NewStore(settings.Current().StoreAddr(), storeTimeout)
-	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), time.Now)
+	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), clock.Now)
 	upstream, closeUpstream := platform.NewUpstream()
 	orders, closeOrders := platform.NewOrders()
 	e.following = newFollowing(e, client, peers)
@@ -102,10 +103,10 @@
 		Self:       e.self,
 		Memory:     e.Workers,
 		FirstStart: settings.Current().FirstStart(),
-		Now:        time.Now,
+		Now:        clock.Now,
 		Log:        logger,
 	})
-	e.Warnings = health.NewPublisher(e.following.caches[health.Table], time.Now)
+	e.Warnings = health.NewPublisher(e.following.caches[health.Table], clock.Now)
 	e.reporter = newReporter(e, peers)
 	e.loads = newLoads(e, peers)
 	e.quarantine = newQuarantined(e, peers, upstream)
@@ -146,7 +147,7 @@
 		Informed:     e.following.informed,
 		FirstUse:     e.firstUse,
 		MostRequests: mostRequests,
-		Now:          time.Now,
+		Now:          clock.Now,
 		Log:          e.Log,
 	})
 	e.Ingress = platform.NewIngress(e.Server, e.bodyBytes)
@@ -170,7 +171,7 @@
 		Region:    func(hall string) string { return e.Placement.Facts().Region(hall) },
 		Idle:      func() bool { return e.settings.Current().FirstStart() && !e.begun.Load() },
 		Metrics:   e.Metrics,
-		Now:       time.Now,
+		Now:       clock.Now,
 		Log:       e.Log,
 	})
 }
@@ -226,8 +227,9 @@
 		return 0
 	})
 	e.Metrics.NewGauge("pointpass_config_evidence_age_seconds", func() float64 {
-		return min(e.Catalogs.Current().Age(time.Now()).Seconds(), 1e9)
+		return min(e.Catalogs.Current().Age(clock.Now()).Seconds(), 1e9)
 	})
+	e.Metrics.NewGauge("pointpass_suspended_seconds", func() float64 { return clock.Suspended().Seconds() })
 	e.Metrics.NewGauge("pointpass_store_direct", func() float64 { return asNumber(e.following.reader.Direct()) })
 	e.Metrics.NewGauge("pointpass_workers", func() float64 { return float64(e.Workers.View().Len()) })
 	e.Metrics.NewGauge("pointpass_halls_closed", func() float64 { return float64(len(e.Placement.Facts().Closings())) })
@@ -270,7 +272,7 @@
 		return
 	}
 	if e.Catalogs.Accept(c, u.Evidence) {
-		e.Log.Info().Str("event", "config_in_force").Uint64("version", c.Version()).Dur("evidence_age", time.Since(u.Evidence)).Msg("")
+		e.Log.Info().Str("event", "config_in_force").Uint64("version", c.Version()).Dur("evidence_age", clock.Since(u.Evidence)).Msg("")
 		e.Controller.Wake()
 	}
 }
@@ -281,7 +283,7 @@
 	if e.following.reader.Direct() {
 		e.logWorkers(changed, gone, u.Version)
 	} else {
-		e.Log.Info().Str("event", "workers").Int("changed", len(changed)).Int("gone", len(gone)).Bool("all", u.Full).Uint64("store_version", u.Version).Dur("evidence_age", time.Since(u.Evidence)).Msg("")
+		e.Log.Info().Str("event", "workers").Int("changed", len(changed)).Int("gone", len(gone)).Bool("all", u.Full).Uint64("store_version", u.Version).Dur("evidence_age", clock.Since(u.Evidence)).Msg("")
 	}
 	e.cold.learnEntries(changed, gone, u.Full)
 	e.Workers.Apply(changed, gone, u.Full)
@@ -319,7 +321,7 @@
 		return
 	}
 	if table == platform.WorkersTable {
-		now := time.Now()
+		now := clock.Now()
 		e.storeBack.Store(&now)
 	}
 	e.Log.Info().Str("event", "store_regained").Str("table", table).Msg("")
--- a/deps/following.go
+++ b/deps/following.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/health"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/relay"
@@ -112,9 +113,9 @@
 	calls := &storeCalls{client: client, set: e.Metrics, log: e.Log, relays: func() int { return len(f.control.Load().upstreams) }}
 	f.Writer = calls
 	for _, table := range []string{platform.ConfigTable, platform.WorkersTable, replica.LeaseTable} {
-		f.caches[table] = relay.NewCache(table, paceOf(table).mostAge, time.Now)
+		f.caches[table] = relay.NewCache(table, paceOf(table).mostAge, clock.Now)
 	}
-	f.caches[health.Table] = relay.NewCache(health.Table, health.MostAge, time.Now)
+	f.caches[health.Table] = relay.NewCache(health.Table, health.MostAge, clock.Now)
 	f.control.Store(&controlView{})
 	f.reader = relay.NewReader(relay.ReaderOptions{
 		Direct:    calls,
@@ -122,7 +123,7 @@
 		Upstreams: func() []relay.Member { return f.control.Load().upstreams },
 		MostAge:   func(table string) time.Duration { return paceOf(table).mostAge },
 		InTouch:   func() time.Duration { return e.settings.Bounds().InTouch },
-		Now:       time.Now,
+		Now:       clock.Now,
 		Log:       e.Log,
 	})
 	f.warnings = relay.NewReader(relay.ReaderOptions{
@@ -131,7 +132,7 @@
 		Upstreams: f.warners,
 		MostAge:   func(string) time.Duration { return health.MostAge },
 		InTouch:   func() time.Duration { return 0 },
-		Now:       time.Now,
+		Now:       clock.Now,
 		Log:       e.Log,
 	})
 	return f
@@ -143,7 +144,7 @@
 	for _, c := range f.caches {
 		caches = append(caches, c)
 	}
-	return rpc.NewRelayServer(relay.NewServer(reports, time.Now, caches...))
+	return rpc.NewRelayServer(relay.NewServer(reports, clock.Now, caches...))
 }
 
 // Run follows all tables until ctx ends, first that which tells of other daemons.
@@ -183,7 +184,7 @@
 			apply(u)
 		},
 		Health: f.edge.storeHealth,
-		Now:    time.Now,
+		Now:    clock.Now,
 	}
 }
 
@@ -267,7 +268,7 @@
 // the store's clock can show by now.
 func (f *following) Rows(_ context.Context, table string) (store.Snapshot, error) {
 	snapshot, received, known := f.caches[table].Latest()
-	now := time.Now()
+	now := clock.Now()
 	if !known || now.Sub(snapshot.Evidence) > mostControlAge {
 		return store.Snapshot{}, &store.CallError{Op: "rows", Err: &relay.StaleError{Addr: table, Age: now.Sub(snapshot.Evidence)}}
 	}
--- a/deps/halls.go
+++ b/deps/halls.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"time"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/store"
@@ -20,13 +20,13 @@
 	closed, opened := e.Placement.Apply(update)
 	for _, c := range closed {
 		e.Log.Warn().Str("event", "hall_closed").Str("hall", c.Hall).Uint64("store_version", c.Version).
-			Dur("evidence_age", time.Since(u.Evidence)).Int("under_way", e.underWayIn(c.Hall)).Msg("its workers get no further requests")
+			Dur("evidence_age", clock.Since(u.Evidence)).Int("under_way", e.underWayIn(c.Hall)).Msg("its workers get no further requests")
 		e.Metrics.GetOrCreateGauge(hallGauge(c.Hall), func() float64 { return float64(e.underWayIn(c.Hall)) })
 	}
 	for _, r := range opened {
 		e.Metrics.UnregisterMetric(hallGauge(r.Hall))
 		e.Log.Info().Str("event", "hall_opened").Str("hall", r.Hall).Uint64("store_version", r.Version).
-			Dur("evidence_age", time.Since(u.Evidence)).Msg("")
+			Dur("evidence_age", clock.Since(u.Evidence)).Msg("")
 	}
 	if len(closed)+len(opened) > 0 {
 		e.Controller.Wake()
@@ -37,7 +37,7 @@
 // go there.
 func (e *Edge) coolOpened(u placement.Update) {
 	before := e.Placement.Facts()
-	_, _, opened := before.Apply(u, time.Now())
+	_, _, opened := before.Apply(u, clock.Now())
 	for _, r := range opened {
 		_, seen := before.Closed(r.Hall)
 		e.cold.learnOpening(r.Hall, seen)
--- a/deps/loads.go
+++ b/deps/loads.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/relay"
 )
@@ -34,7 +35,7 @@
 }
 
 // ask notes that a caller asks for work of a model.
-func (l *loads) ask(m load.Model, work time.Duration) { l.meter.Ask(time.Now(), m, work) }
+func (l *loads) ask(m load.Model, work time.Duration) { l.meter.Ask(clock.Now(), m, work) }
 
 // take takes in what another daemon reports, and returns the sum over all as it is known
 // here.
@@ -61,7 +62,7 @@
 // a model may run, and how much that is, false if it isn't known.
 func (l *loads) Part(m load.Model) (part, asked float64, known bool) {
 	all := l.all.Load()
-	if time.Since(all.At) > partLife {
+	if clock.Since(all.At) > partLife {
 		return 0, 0, false
 	}
 	part, known = l.parts.Part(m)
@@ -86,7 +87,7 @@
 // Total returns what callers ask for here and at the daemons that report here: at all of
 // them, if this one holds the lease.
 func (l *loads) Total() load.Sum {
-	now := time.Now()
+	now := clock.Now()
 	return l.gatherer.Total(now, l.meter.Offered(now))
 }
 
--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
@@ -163,7 +164,7 @@
 
 // take takes in what a daemon saw.
 func (q *quarantined) take(r relay.CrashReport) {
-	now := time.Now()
+	now := clock.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, c := range r.Crashes {
@@ -201,7 +202,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	now := time.Now()
+	now := clock.Now()
 	q.mu.Lock()
 	verdicts := q.board.Judge(now)
 	keyMissing := q.keyMissing
@@ -224,7 +225,7 @@
 // carryOut logs a verdict and has what it holds back announced and stored. Another daemon
 // than the holder of the lease leaves the holder the time to do so.
 func (q *quarantined) carryOut(v quarantine.Verdict, now time.Time) {
-	entry := q.edge.Log.Warn().Str("event", "worker_crashed").Str("worker", v.Worker).Dur("age", time.Since(v.At)).
+	entry := q.edge.Log.Warn().Str("event", "worker_crashed").Str("worker", v.Worker).Dur("age", clock.Since(v.At)).
 		Strs("reporters", v.Reporters).Int("requests", v.Runs)
 	for _, s := range v.Suspects[:min(len(v.Suspects), 1)] {
 		entry = entry.Str("suspect", s.Fingerprint.String()).Float64("charge", s.Charge).Strs("workers", s.Workers)
@@ -251,7 +252,7 @@
 	if !known {
 		return 0
 	}
-	return snapshot.Clock + time.Since(received)
+	return snapshot.Clock + clock.Since(received)
 }
 
 // storeKey stores a key. Where another daemon was first, its key counts.
--- a/deps/reporter.go
+++ b/deps/reporter.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/serving"
 )
@@ -44,7 +45,7 @@
 // report has a failing group reported soon. It never waits.
 func (r *reporter) report(group string, failure serving.Failure) {
 	sign := signOf(failure)
-	if !r.due(reportKey{group: group, sign: sign}, time.Now()) {
+	if !r.due(reportKey{group: group, sign: sign}, clock.Now()) {
 		return
 	}
 	select {
--- a/deps/settings.go
+++ b/deps/settings.go
@@ -2,10 +2,10 @@
 
 import (
 	"strings"
-	"time"
 
 	"github.com/phuslu/log"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/node"
 )
 
@@ -39,7 +39,7 @@
 	default:
 		mistakes := strings.Split(r.Err.Error(), "\n")
 		e.Log.Error().Str("event", "settings_refused").Str("outcome", string(r.Outcome)).Strs("mistakes", mistakes[:min(mostLogged, len(mistakes))]).
-			Int("found", len(mistakes)).Dur("in_force_for", e.settings.Age(time.Now())).Msg("the settings before stay in force")
+			Int("found", len(mistakes)).Dur("in_force_for", e.settings.Age(clock.Now())).Msg("the settings before stay in force")
 	}
 }
 
@@ -55,5 +55,5 @@
 	for _, o := range node.Outcomes() {
 		e.reloads[o] = e.Metrics.NewCounter(`pointpass_settings_reloads_total{outcome="` + string(o) + `"}`)
 	}
-	e.Metrics.NewGauge("pointpass_settings_age_seconds", func() float64 { return e.settings.Age(time.Now()).Seconds() })
+	e.Metrics.NewGauge("pointpass_settings_age_seconds", func() float64 { return e.settings.Age(clock.Now()).Seconds() })
 }
--- a/deps/sightings.go
+++ b/deps/sightings.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
@@ -107,7 +108,7 @@
 	}
 	s.lost[w.ID] = append(runs, r)
 	if !doubted {
-		at := time.Now()
+		at := clock.Now()
 		time.AfterFunc(gatherLost, func() { s.look(w, at) })
 	}
 }
@@ -133,14 +134,14 @@
 // clear has it told that a request which is held back has ended well here.
 func (s *sightings) clear(f quarantine.Fingerprint) {
 	s.mu.Lock()
-	s.add(sighting{at: time.Now(), finished: &f})
+	s.add(sighting{at: clock.Now(), finished: &f})
 	s.mu.Unlock()
 	s.kick()
 }
 
 // add keeps a sighting. The caller holds the lock.
 func (s *sightings) add(o sighting) {
-	o.added = time.Now()
+	o.added = clock.Now()
 	o.due = o.added
 	o.told = map[string]uint64{}
 	s.own = append(s.own, o)
@@ -176,7 +177,7 @@
 	var telling sync.WaitGroup
 	var failed atomic.Bool
 	for _, n := range control.Deciders() {
-		report := s.untold(n.Name, control.Term, time.Now())
+		report := s.untold(n.Name, control.Term, clock.Now())
 		if len(report.Crashes)+len(report.Finished) == 0 {
 			continue
 		}
--- a/deps/storecalls.go
+++ b/deps/storecalls.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/store"
 )
 
@@ -32,7 +33,7 @@
 
 // Rows returns all rows of a table.
 func (c *storeCalls) Rows(ctx context.Context, table string) (store.Snapshot, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	s, err := c.client.Rows(ctx, table)
 	c.note("rows", table, begun, len(s.Rows), err)
 	return s, err
@@ -40,7 +41,7 @@
 
 // Changes returns what has changed in a table since a version.
 func (c *storeCalls) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	s, err := c.client.Changes(ctx, table, since, wait)
 	c.note("changes", table, begun, len(s.Rows), err)
 	return s, err
@@ -48,7 +49,7 @@
 
 // Commit commits a transaction.
 func (c *storeCalls) Commit(ctx context.Context, txn store.Txn) (store.Snapshot, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	s, err := c.client.Commit(ctx, txn)
 	c.note("commit", tableOf(txn), begun, len(txn.Writes)+len(txn.Deletes), err)
 	return s, err
@@ -66,7 +67,7 @@
 	outcome := outcomeOf(err)
 	c.set.GetOrCreateCounter(`pointpass_store_calls_total{op="` + op + `",table="` + table + `",outcome="` + outcome + `"}`).Inc()
 	c.log.Info().Str("event", "store_call").Str("op", op).Str("table", table).Str("outcome", outcome).Int("rows", rows).
-		Int("relays", c.relays()).Dur("took", time.Since(begun).Round(time.Microsecond)).Msg("")
+		Int("relays", c.relays()).Dur("took", clock.Since(begun).Round(time.Microsecond)).Msg("")
 }
 
 // outcomeOf names what came of a call.
--- a/deps/warnings.go
+++ b/deps/warnings.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/health"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/store"
@@ -27,7 +28,7 @@
 		Wait:   func() time.Duration { return warningHold },
 		Apply:  f.applyWarnings,
 		Health: func(string, error) {}, // there is none until the first group fails
-		Now:    time.Now,
+		Now:    clock.Now,
 	}
 	follower.Run(ctx)
 }
@@ -57,7 +58,7 @@
 
 // applyWarnings takes in what another daemon passes on.
 func (f *following) applyWarnings(u store.Update) {
-	now := time.Now()
+	now := clock.Now()
 	f.warningsRead.Store(&now)
 	f.caches[health.Table].Apply(u)
 	for _, r := range u.Rows {
@@ -81,7 +82,7 @@
 		return false
 	}
 	at := f.warningsRead.Load()
-	return f.isHolder() || at != nil && time.Since(*at) < mostUninformed
+	return f.isHolder() || at != nil && clock.Since(*at) < mostUninformed
 }
 
 // noteDead has all daemons told that a member of a group was found dead here.
