--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -18,7 +19,8 @@
 	// tries again to store what could not be stored.
 	judgePause = 100 * time.Millisecond
 	// announceHoldAgain is how often a request is announced to be held back while there is
-	// no row of it: well within the time that an announcement counts.
+	// no row of it, well within the time that an announcement counts, and how often it is
+	// tried to remove a row.
 	announceHoldAgain = 3 * time.Second
 	// holderFirst is how long another daemon that decides leaves the holder of the lease to
 	// store a decision: its row shows after 1.4 s at most, and within three seconds of the
@@ -41,6 +43,8 @@
 	board *quarantine.Board
 	// unstored are decisions without a row, by when they were announced last.
 	unstored map[quarantine.Fingerprint]announcement
+	// unremoved are requests whose rows are to be removed, by when that is tried next.
+	unremoved map[quarantine.Fingerprint]time.Time
 	// keyMissing tells that no key is stored.
 	keyMissing bool
 	tidied     time.Time
@@ -54,11 +58,12 @@
 
 func newQuarantined(e *Edge, peers *relay.Client, asks refuser) *quarantined {
 	q := &quarantined{
-		edge:     e,
-		peers:    peers,
-		wake:     make(chan struct{}, 1),
-		board:    quarantine.NewBoard(),
-		unstored: map[quarantine.Fingerprint]announcement{},
+		edge:      e,
+		peers:     peers,
+		wake:      make(chan struct{}, 1),
+		board:     quarantine.NewBoard(),
+		unstored:  map[quarantine.Fingerprint]announcement{},
+		unremoved: map[quarantine.Fingerprint]time.Time{},
 	}
 	q.sightings = newSightings(sightingOptions{
 		Self:    q.self,
@@ -124,10 +129,15 @@
 			q.board.Release(h.Fingerprint)
 		}
 	}
+	there := map[quarantine.Fingerprint]bool{}
 	for _, h := range holds {
-		q.board.Hold(h.Fingerprint)
+		there[h.Fingerprint] = true
 		delete(q.unstored, h.Fingerprint)
+		if _, cleared := q.unremoved[h.Fingerprint]; !cleared {
+			q.board.Hold(h.Fingerprint)
+		}
 	}
+	maps.DeleteFunc(q.unremoved, func(f quarantine.Fingerprint, _ time.Time) bool { return !there[f] })
 	q.wakeUp()
 }
 
@@ -172,11 +182,10 @@
 	}
 	for _, f := range r.Finished {
 		q.board.Clear(f)
+		delete(q.unstored, f)
+		q.unremoved[f] = now
 		q.edge.Log.Warn().Str("event", "request_cleared").Str("fingerprint", f.String()).Str("reporter", r.Reporter).Msg("it has ended well there")
 	}
-	if len(r.Finished) > 0 {
-		go q.remove(r.Finished)
-	}
 	q.wakeUp()
 }
 
@@ -211,6 +220,7 @@
 		q.carryOut(v, now)
 	}
 	q.storeHolds(ctx, now)
+	q.removeCleared(ctx, now)
 	if q.edge.following.isHolder() {
 		if keyMissing {
 			q.storeKey(ctx)
@@ -219,7 +229,7 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.board.Unjudged() || len(q.unstored) > 0
+	return q.board.Unjudged() || len(q.unstored)+len(q.unremoved) > 0
 }
 
 // carryOut logs a verdict and has what it holds back announced and stored. Another daemon
@@ -313,16 +323,20 @@
 	}
 }
 
-// remove ends the holds of requests that crash nothing.
-func (q *quarantined) remove(cleared []quarantine.Fingerprint) {
-	var ended []quarantine.Hold
+// removeCleared removes the rows of requests that crash nothing.
+func (q *quarantined) removeCleared(ctx context.Context, now time.Time) {
+	var due []quarantine.Hold
 	q.mu.Lock()
-	for _, f := range cleared {
-		ended = append(ended, quarantine.Hold{Fingerprint: f})
-		delete(q.unstored, f)
+	for f, at := range q.unremoved {
+		if !now.Before(at) {
+			q.unremoved[f] = now.Add(announceHoldAgain)
+			due = append(due, quarantine.Hold{Fingerprint: f})
+		}
 	}
 	q.mu.Unlock()
-	q.removeHolds(context.Background(), ended)
+	if len(due) > 0 {
+		q.removeHolds(ctx, due)
+	}
 }
 
 // Release ends the hold of a request on an operator's word. It returns false if the request
