--- a/deps/apply.go
+++ b/deps/apply.go
@@ -75,4 +75,3 @@
 	}
 	e.Log.Info().Str("event", "store_regained").Str("table", table).Msg("")
 }
-
