--- a/duty/keeper_test.go
+++ b/duty/keeper_test.go
@@ -167,7 +167,7 @@
 			m.keeper.opts.Wanted = func() []string { return nil }
 		}
 	}
-	c.run(10*time.Second)
+	c.run(10 * time.Second)
 	must.SliceEmpty(t, c.holders(), must.Sprint("it may still come"))
 	c.run(2 * time.Second)
 	next := c.holders()
