--- a/health/publisher_test.go
+++ b/health/publisher_test.go
@@ -48,6 +48,29 @@
 	must.True(t, s.Rows[0].Deleted)
 }
 
+// TestPublisher_AnnouncesHoldsBesideWarnings: neither is taken for the other, and a warning
+// that ends takes no hold with it.
+func TestPublisher_AnnouncesHoldsBesideWarnings(t *testing.T) {
+	p, cache := newPublisher()
+	p.AnnounceHold("before")
+	p.Begin(7)
+	begun, _ := cache.Rows()
+	p.AnnounceHold("0a1b")
+	p.Dead("g", "e2")
+	p.Object("g")
+	s := changes(t, cache, begun.Version)
+	must.Len(t, 3, s.Rows, must.Sprint("nothing of before the term"))
+	fingerprint, is := ParseHold(s.Rows[0])
+	must.True(t, is)
+	must.EqOp(t, "0a1b", fingerprint)
+	for _, r := range s.Rows[1:] {
+		_, is := ParseHold(r)
+		must.False(t, is)
+	}
+	kept, _ := cache.Rows()
+	must.Len(t, 1, kept.Rows)
+}
+
 // TestPublisher_TermsRise: who followed an earlier holder reads anew, and a late Begin
 // of an earlier term changes nothing.
 func TestPublisher_TermsRise(t *testing.T) {
--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -11,7 +11,7 @@
 	// workers to be crashed.
 	holdAt = 3
 	// certainAt is the charge at which it is held back even if another request has the
-	// same. The four sends of a caller that comes back once make 3 at most.
+	// same. A caller that comes back once makes four sends.
 	certainAt = 5
 	// bystanderCharge is what a crash counts against a request that waited there or was
 	// being answered. Four sends make one whole crash of it.
