serving: Take no stream without an event for a proof that a worker lives

Cause: an answer without a length ends with its connection; one that ends before its first event looks the same if the worker crashed, and would have cleared the request that crashed it at that daemon for good. Found on reading; not seen. Change: such an end clears nothing. Test red before.

--- a/quarantine/board_test.go
+++ b/quarantine/board_test.go
@@ -197,3 +197,28 @@
 	must.Eq(t, Suspect{Fingerprint: print(1), Charge: 2, Workers: []string{"w1", "last"}}, v.Suspects[0])
 	must.True(t, slices.IsSortedFunc(v.Suspects, func(a, b Suspect) int { return int(b.Charge*4 - a.Charge*4) }))
 }
+
+// BenchmarkBoard_Crash is one more crash at a full board, told by as many daemons as have
+// requests there.
+func BenchmarkBoard_Crash(b *testing.B) {
+	const requests = 34
+	board := NewBoard()
+	now := noon
+	crash := func(n int) {
+		for i := range requests {
+			run := Run{Fingerprint: print(n*requests + i), Stage: Producing}
+			board.Report(Crash{Worker: fmt.Sprint(n), Reporter: fmt.Sprint(i), At: now, Runs: []Run{run}}, now)
+		}
+		now = now.Add(settle)
+		board.Judge(now)
+	}
+	for n := range mostCrashes {
+		crash(n)
+	}
+	b.ReportAllocs()
+	n := mostCrashes
+	for b.Loop() {
+		crash(n)
+		n++
+	}
+}
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -83,8 +83,12 @@
 }
 
 // noteFinished notes that a worker ended the request and lives, which clears the request
-// of having crashed others.
+// of having crashed others. A stream without an event tells nothing: where its end is that
+// of the connection, it looks the same if the worker crashed.
 func (e *exchange) noteFinished() {
+	if e.route.Kind == catalog.Stream && e.failure == nil && e.firstEvent.IsZero() {
+		return
+	}
 	if f, known := e.fingerprint(); known {
 		e.server.opts.Guard.Finish(f)
 	}
--- a/serving/crash_test.go
+++ b/serving/crash_test.go
@@ -124,6 +124,7 @@
 		clears bool
 	}{
 		{catalog.Stream, streamEnd, true},
+		{catalog.Stream, func(Attempt) (*Reply, error) { return events(""), nil }, false},
 		{catalog.Repeatable, whole(http.StatusOK), true},
 		{catalog.Once, whole(http.StatusInternalServerError), true},
 		{catalog.Once, lost, false},
