quarantine: Count what a daemon loses late, log an unreadable row once

Cause, found on reading: a second report of one daemon about one crash was passed over as sent again, though a slow daemon may lose answers over more than 30 ms; a row that can't be read was logged at each change of the lease's table. Change: reports are merged run by run, and judged again only if they tell something new. The new test is red on the board before (the late run did not count).

--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -23,8 +23,8 @@
 	// tried to remove a row.
 	announceHoldAgain = 3 * time.Second
 	// holderFirst is how long another daemon that decides leaves the holder of the lease to
-	// store a decision: its row shows after 1.4 s at most, and within three seconds of the
-	// third crash all have to know.
+	// store a decision. Within three seconds of the third crash all have to know, and rows
+	// show after 1.4 s at most. Where both store it, the second row fails on its condition.
 	holderFirst = 600 * time.Millisecond
 	// tidyHoldsEvery is how often rows are removed that are too old.
 	tidyHoldsEvery = time.Minute
@@ -38,10 +38,13 @@
 	peers     *relay.Client
 	sightings *sightings
 	wake      chan struct{}
+	// badKey and badHold are what was logged of rows that can't be read. Only the one
+	// goroutine that follows the lease's table uses them.
+	badKey, badHold string
 
 	mu    sync.Mutex
 	board *quarantine.Board
-	// unstored are decisions without a row, by when they were announced last.
+	// unstored are decisions whose rows don't show yet.
 	unstored map[quarantine.Fingerprint]announcement
 	// unremoved are requests whose rows are to be removed, by when that is tried next.
 	unremoved map[quarantine.Fingerprint]time.Time
@@ -93,9 +96,7 @@
 func (q *quarantined) learn(rows []store.Row) {
 	q.learnKey(rows)
 	holds, err := quarantine.HeldIn(rows)
-	if err != nil {
-		q.edge.Log.Error().Str("event", "quarantine_unreadable").Err(err).Msg("")
-	}
+	q.noteUnreadable(&q.badHold, err)
 	began, ended := q.edge.Guard.Learn(holds)
 	for _, h := range began {
 		q.noteHold(h, "row")
@@ -109,9 +110,7 @@
 
 func (q *quarantined) learnKey(rows []store.Row) {
 	k, found, err := quarantine.KeyIn(rows)
-	if err != nil {
-		q.edge.Log.Error().Str("event", "quarantine_unreadable").Err(err).Msg("")
-	}
+	q.noteUnreadable(&q.badKey, err)
 	if found {
 		q.edge.Guard.SetKey(k)
 	}
@@ -120,6 +119,19 @@
 	q.mu.Unlock()
 }
 
+// noteUnreadable logs that a row can't be read, once for each time that lasts. Last is what
+// was logged.
+func (q *quarantined) noteUnreadable(last *string, err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if text != "" && text != *last {
+		q.edge.Log.Error().Str("event", "quarantine_unreadable").Err(err).Msg("")
+	}
+	*last = text
+}
+
 // noteRows has the board know what is held back.
 func (q *quarantined) noteRows(holds, ended []quarantine.Hold) {
 	q.mu.Lock()
--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -57,8 +57,8 @@
 	return &Board{held: map[Fingerprint]bool{}, innocent: map[Fingerprint]bool{}}
 }
 
-// Report takes in a daemon's report. What it tells is judged once others had the time to
-// report the same crash.
+// Report takes in a daemon's report, which may tell what was told before. What is new in it is
+// judged once others had the time to report the same crash.
 func (b *Board) Report(r Crash, now time.Time) {
 	b.forget(now)
 	c := b.find(r)
@@ -66,13 +66,13 @@
 		c = &crash{worker: r.Worker, at: r.At, reported: now, runs: map[Fingerprint]Run{}}
 		b.crashes = append(b.crashes, c)
 	}
-	if slices.Contains(c.reporters, r.Reporter) {
-		return // sent again
+	if !slices.Contains(c.reporters, r.Reporter) {
+		c.reporters = append(c.reporters, r.Reporter)
 	}
-	c.reporters = append(c.reporters, r.Reporter)
-	c.judged = false
 	for _, run := range r.Runs {
-		c.add(run)
+		if c.add(run) {
+			c.judged = false
+		}
 	}
 	b.explain(c)
 }
--- a/quarantine/board_test.go
+++ b/quarantine/board_test.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// TestBoard_WhatADaemonLosesLaterCounts: a slow daemon tells of one crash in two reports.
+func TestBoard_WhatADaemonLosesLaterCounts(t *testing.T) {
+	s := newScene()
+	s.crash(begun(1))
+	s.crash(begun(1))
+	at := s.now
+	must.SliceEmpty(t, s.crashOf("last", producing(2)))
+	s.board.Report(Crash{Worker: "last", Reporter: "e1", At: at.Add(300 * time.Millisecond), Runs: []Run{begun(1)}}, s.now)
+	must.Eq(t, []Fingerprint{print(1)}, s.judge())
+	s.board.Report(Crash{Worker: "last", Reporter: "e1", At: at, Runs: []Run{begun(1), producing(2)}}, s.now)
+	must.False(t, s.board.Unjudged(), must.Sprint("it was told before"))
+}
+
 // TestBoard_AWorkerThatStartsAgainUnderItsIDCountsAgain also has a report of an early crash
 // come last, as it does where a new holder of the lease is told.
 func TestBoard_AWorkerThatStartsAgainUnderItsIDCountsAgain(t *testing.T) {
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -19,12 +19,15 @@
 	by        Fingerprint
 }
 
-// add notes a run. Of two runs of one request the one that tells more counts.
-func (c *crash) add(r Run) {
+// add notes a run, and tells whether that is news. Of two runs of one request the one that
+// tells more counts.
+func (c *crash) add(r Run) bool {
 	before, known := c.runs[r.Fingerprint]
-	if !known || before.charge() < r.charge() || before.Again && !r.Again && before.Stage == r.Stage {
+	tells := !known || before.charge() < r.charge() || before.Again && !r.Again && before.Stage == r.Stage
+	if tells {
 		c.runs[r.Fingerprint] = r
 	}
+	return tells
 }
 
 // verdict returns what comes of the crash where that much is put down to requests.
