replica: Give orders through a window that follows what comes back

Cause: the holder of the lease gave all orders of a plan at once, 2,661 within a second before 2,793 workers, from 0.8 of a core. It missed the answers to most of them itself (dial timeouts), repeated them after 150 ms, planned anew at each answer, and lost the lease behind that work: a new term, whose planner dissolved 254 groups and formed all again. Ruled out: the workers (they answer within 4 ms), the store (the renewal's call was late at the sender). Change: a window on orders under way, widened by quick answers, halved where many are missing; what waits is sent by what serves first (open, close, leave; then joins in the order of their groups; then loads; last, workers that missed an answer) and decided anew after 2 s; after a plan the holder rests three times as long as the plan took.

--- a/replica/controller.go
+++ b/replica/controller.go
@@ -52,9 +52,16 @@
 	wake    chan struct{}
 	results chan result
 	planner *Planner
-	orders  *metrics.Counter
-	lost    *metrics.Counter
-	probes  *metrics.Counter
+	// queue holds the orders that wait until the window has room.
+	queue   queue
+	window  window
+	figures windowFigures
+	// rested is when the next plan may be made, and due tells that there is reason for one.
+	rested time.Time
+	due    bool
+	orders *metrics.Counter
+	lost   *metrics.Counter
+	probes *metrics.Counter
 
 	probeAnswers chan probeAnswer
 	probed       map[workers.GroupID]time.Time
@@ -65,6 +72,8 @@
 	term    uint64
 	order   Order
 	outcome Outcome
+	// sent is when the order was sent.
+	sent time.Time
 }
 
 // How often the controller looks around when nothing happens, and how long one
@@ -72,16 +81,24 @@
 const (
 	holderTick   = 250 * time.Millisecond
 	standbyTick  = 500 * time.Millisecond
+	leastTick    = time.Millisecond
 	orderTimeout = 400 * time.Millisecond
 	mostResults  = 1024
+	// planRest is how long a holder rests after a plan, in times of what the plan took:
+	// planning takes a quarter of the processor at most, also where each of thousands of
+	// answers is a reason to plan. A plan for 2,800 workers takes some 50 ms before traffic;
+	// without a rest the renewal of the lease waits behind it.
+	planRest = 3
+	mostRest = time.Second
 )
 
 // NewController returns a controller. Nothing runs before Run.
 func NewController(opts Options) *Controller {
-	return &Controller{
+	c := &Controller{
 		opts:    opts,
 		wake:    make(chan struct{}, 1),
 		results: make(chan result, mostResults),
+		window:  newWindow(),
 		orders:  opts.Metrics.NewCounter("pointpass_orders_total"),
 		lost:    opts.Metrics.NewCounter("pointpass_orders_unanswered_total"),
 		probes:  opts.Metrics.NewCounter("pointpass_probes_total"),
@@ -89,6 +106,10 @@
 		probeAnswers: make(chan probeAnswer, mostResults),
 		probed:       map[workers.GroupID]time.Time{},
 	}
+	opts.Metrics.NewGauge("pointpass_orders_under_way", func() float64 { return float64(c.figures.underWay.Load()) })
+	opts.Metrics.NewGauge("pointpass_orders_waiting", func() float64 { return float64(c.figures.waiting.Load()) })
+	opts.Metrics.NewGauge("pointpass_orders_window", func() float64 { return float64(c.figures.window.Load()) })
+	return c
 }
 
 // Wake has the controller look around soon.
@@ -115,6 +136,7 @@
 			c.takeAnswer(a)
 		}
 		c.takeAll()
+		c.due = true
 		timer.Reset(c.step(ctx))
 	}
 }
@@ -148,6 +170,7 @@
 }
 
 func (c *Controller) take(r result) {
+	c.window.end(r.sent, c.opts.Now(), r.outcome != Unanswered)
 	if outranked(r.order, r.outcome) {
 		c.opts.Lease.Outranked(r.term)
 	}
@@ -162,10 +185,41 @@
 	if !held {
 		return standbyTick
 	}
+	if now := c.opts.Now(); !now.Before(c.rested) {
+		c.planAt(ctx, term, now)
+	}
+	c.send(ctx, term)
+	if !c.due {
+		return holderTick
+	}
+	return max(c.rested.Sub(c.opts.Now()), leastTick)
+}
+
+// planAt has the orders of a plan wait to be sent, and notes when the next may be made.
+func (c *Controller) planAt(ctx context.Context, term uint64, now time.Time) {
+	c.due = false
 	for _, o := range c.plan(ctx, term) {
-		go c.give(ctx, term, o)
+		c.queue.add(o, c.planner.doubts(o.Worker.ID), now)
+	}
+	took := c.opts.Now().Sub(now)
+	c.rested = now.Add(took + min(planRest*took, mostRest))
+}
+
+// send sends the orders that wait, as far as the window lets them.
+func (c *Controller) send(ctx context.Context, term uint64) {
+	for _, o := range c.queue.expired(c.opts.Now()) {
+		c.opts.Log.Info().Str("event", "order_withheld").Str("op", o.Op.String()).Str("group", o.Group.Name).Str("worker", o.Worker.ID).Uint64("term", term).Msg("")
+		c.planner.Result(c.opts.Now(), o, Withheld)
+	}
+	for c.window.open() {
+		next, waits := c.queue.next()
+		if !waits {
+			break
+		}
+		c.window.begin()
+		go c.give(ctx, term, next.order)
 	}
-	return holderTick
+	c.figures.note(&c.window, &c.queue)
 }
 
 // plan returns the orders to give now under a term of the lease. The planner of a
@@ -180,6 +234,7 @@
 	if c.planner == nil || c.planner.Term() != term {
 		c.planner = NewPlanner(term, c.opts.Ceiling())
 	}
+	c.queue.begin(term)
 	c.planner.Bound(c.opts.Ceiling())
 	s := Situation{
 		Now:       c.opts.Now(),
@@ -231,7 +286,7 @@
 	c.opts.Log.Info().Str("event", "order").Str("op", o.Op.String()).Str("group", o.Group.Name).Uint64("epoch", o.Group.Epoch).
 		Str("worker", o.Worker.ID).Str("model", o.Model).Str("outcome", outcome.String()).Dur("took", c.opts.Now().Sub(begun)).Uint64("term", term).Err(err).Msg("")
 	select {
-	case c.results <- result{term: term, order: o, outcome: outcome}:
+	case c.results <- result{term: term, order: o, outcome: outcome, sent: begun}:
 	case <-ctx.Done():
 	}
 }
--- a/replica/order.go
+++ b/replica/order.go
@@ -55,11 +55,13 @@
 	Outdated
 	// NotTaken orders did not reach the worker meant.
 	NotTaken
+	// Withheld orders were never sent: they waited for too long to be still right.
+	Withheld
 )
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"unanswered", "begun", "holds", "unfit", "outdated", "not_taken"}[o]
+	return [...]string{"unanswered", "begun", "holds", "unfit", "outdated", "not_taken", "withheld"}[o]
 }
 
 // outranked tells whether an order's outcome shows that another process has given
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -149,7 +149,7 @@
 	last         Order
 	lastAt       time.Time
 	outcome      Outcome
-	answered     bool
+	missed       int             // how many orders in a row got no answer
 	left         workers.GroupID // a leave that was confirmed
 	leaveBegun   time.Time       // when the worker was first told to leave its group
 	joined       workers.GroupID // a join that was accepted
@@ -247,10 +247,14 @@
 		return // an earlier start of the worker took the order, or didn't
 	}
 	rec.inFlight = false
+	if outcome == Withheld {
+		rec.withhold(o)
+		return
+	}
+	rec.noteAnswer(outcome != Unanswered)
 	if o.Op == Stage {
 		return
 	}
-	rec.answered = outcome != Unanswered
 	rec.outcome = outcome
 	rec.lastAt = now
 	switch {
@@ -264,6 +268,25 @@
 	}
 }
 
+// withhold takes back that an order was given, since it was never sent.
+func (rec *record) withhold(o Order) {
+	if o.Op == Stage {
+		rec.staged = ""
+		return
+	}
+	rec.lastAt = time.Time{}
+}
+
+func (rec *record) noteAnswer(answered bool) {
+	rec.missed++
+	if answered {
+		rec.missed = 0
+	}
+}
+
+// doubts tells whether a worker did not answer the last order that it was sent.
+func (p *Planner) doubts(worker string) bool { return p.record(worker).missed > 0 }
+
 // Unreachable notes that a worker did not answer though it was asked more than
 // once. Its group is dissolved if it fails requests, and the worker joins none for
 // a while, before its entry goes.
--- a/replica/round.go
+++ b/replica/round.go
@@ -49,7 +49,6 @@
 	}
 	rec.born = o.Worker.Born
 	rec.inFlight = true
-	rec.answered = false
 	if o.Op == Leave && (rec.last.Op != Leave || rec.last.Group != o.Group) {
 		rec.leaveBegun = r.now
 	}
