deps, replica: Learn of the others from seeds, announce daemons together

Ruled out: a longer spread (the calls stay), a row a hall (counts of daemons, budgets' parts and cold workers' places go by the rows). Change: the settings name a few daemons (seeds). Where none can be asked it writes and reads by itself as before; after a refusal it waits 2 to 4 s, doubled up to 16.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -100,6 +100,7 @@
 	e.Lease = replica.NewLease(replica.LeaseOptions{
 		Table:      e.following,
 		Self:       e.self,
+		Enlist:     e.following.enlist,
 		Memory:     e.Workers,
 		FirstStart: settings.Current().FirstStart(),
 		Now:        clock.Now,
@@ -278,6 +279,11 @@
 // Begun takes in that callers are being served.
 func (r reports) Begun() { r.begun.Store(true) }
 
+// Enlist writes the row by which another daemon announces itself.
+func (r reports) Enlist(ctx context.Context, name string, row []byte) error {
+	return r.following.enlister.Enlist(ctx, name, row)
+}
+
 // Load takes in what callers ask for at other daemons.
 func (r reports) Load(reporter string, s load.Sum) load.Sum { return r.loads.take(reporter, s) }
 
--- a/deps/following.go
+++ b/deps/following.go
@@ -102,6 +102,12 @@
 	edge   *Edge
 	reader *relay.Reader
 	caches map[string]*relay.Cache
+	peers  *relay.Client
+	// enlister writes the rows of other daemons.
+	enlister *replica.Enlister
+	// seedsFrom is which seed is asked first.
+	seedOrder sync.Once
+	seedsFrom int
 	// directory is what the lease's table says.
 	directory *replica.Directory
 	control   atomic.Pointer[controlView]
@@ -125,10 +131,11 @@
 	placedBy *node.Settings
 }
 
-func newFollowing(e *Edge, client storeClient, peers relay.Peers) *following {
-	f := &following{edge: e, caches: map[string]*relay.Cache{}, directory: replica.NewDirectory(clock.Now), learned: make(chan struct{})}
+func newFollowing(e *Edge, client storeClient, peers *relay.Client) *following {
+	f := &following{edge: e, peers: peers, caches: map[string]*relay.Cache{}, directory: replica.NewDirectory(clock.Now), learned: make(chan struct{})}
 	calls := &storeCalls{client: client, set: e.Metrics, log: e.Log, relays: func() int { return len(f.control.Load().upstreams) }}
 	f.Writer = calls
+	f.enlister = replica.NewEnlister(calls)
 	for _, table := range []string{platform.ConfigTable, platform.WorkersTable, replica.LeaseTable} {
 		f.caches[table] = relay.NewCache(table, paceOf(table).mostAge, clock.Now)
 	}
@@ -137,7 +144,7 @@
 	f.reader = relay.NewReader(relay.ReaderOptions{
 		Direct:    calls,
 		Peers:     peers,
-		Upstreams: func() []relay.Member { return f.control.Load().upstreams },
+		Upstreams: f.upstreams,
 		MostAge:   func(table string) time.Duration { return paceOf(table).mostAge },
 		InTouch:   func() time.Duration { return e.settings.Bounds().InTouch },
 		Now:       clock.Now,
@@ -170,6 +177,7 @@
 	if f.edge.settings.Current().FirstStart() {
 		pause(ctx, settleTime)
 	}
+	f.awaitSeed(ctx)
 	running.Go(func() { f.follower(replica.LeaseTable, f.applyControl).Run(ctx) })
 	select {
 	case <-f.learned:
--- a/node/change.go
+++ b/node/change.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/pointpass/pointpass/common/jsonc"
 )
@@ -37,6 +38,7 @@
 	{"readiness_addr", func(s *Settings) any { return s.readinessAddr }, true},
 	{"metrics_addr", func(s *Settings) any { return s.metricsAddr }, true},
 	{"peers_addr", func(s *Settings) any { return s.peersAddr }, true},
+	{"seeds", func(s *Settings) any { return strings.Join(s.seeds, ", ") }, false},
 	{"store_addr", func(s *Settings) any { return s.storeAddr }, true},
 	{"cores", func(s *Settings) any { return s.cores }, false},
 	{"log_level", func(s *Settings) any { return s.logLevel }, false},
--- a/node/holder_test.go
+++ b/node/holder_test.go
@@ -195,6 +195,8 @@
 	switch {
 	case strings.HasSuffix(leaf, "_addr"):
 		value = `"10.9.9.9:9"`
+	case leaf == "seeds":
+		value = `["10.9.9.9:9"]`
 	case leaf == "name", leaf == "hall":
 		value = `"other"`
 	case leaf == "log_level":
--- a/node/settings.go
+++ b/node/settings.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/pointpass/pointpass/common/jsonc"
@@ -21,6 +22,7 @@
 	readinessAddr string
 	metricsAddr   string
 	peersAddr     string
+	seeds         []string
 	cores         float64
 	storeAddr     string
 	logLevel      string
@@ -62,16 +64,17 @@
 }
 
 type fileSettings struct {
-	Name          string  `json:"name"`
-	Hall          string  `json:"hall"`
-	CallersAddr   string  `json:"callers_addr"`
-	ReadinessAddr string  `json:"readiness_addr"`
-	MetricsAddr   string  `json:"metrics_addr"`
-	PeersAddr     string  `json:"peers_addr"`
-	Cores         float64 `json:"cores"`
-	StoreAddr     string  `json:"store_addr"`
-	LogLevel      string  `json:"log_level"`
-	FirstStart    bool    `json:"first_start"`
+	Name          string   `json:"name"`
+	Hall          string   `json:"hall"`
+	CallersAddr   string   `json:"callers_addr"`
+	ReadinessAddr string   `json:"readiness_addr"`
+	MetricsAddr   string   `json:"metrics_addr"`
+	PeersAddr     string   `json:"peers_addr"`
+	Seeds         []string `json:"seeds"`
+	Cores         float64  `json:"cores"`
+	StoreAddr     string   `json:"store_addr"`
+	LogLevel      string   `json:"log_level"`
+	FirstStart    bool     `json:"first_start"`
 	// HallRegions is the region of each data hall.
 	HallRegions map[string]string `json:"hall_regions"`
 	Bounds      fileBounds        `json:"bounds"`
@@ -145,6 +148,7 @@
 		readinessAddr: c.address("readiness_addr", f.ReadinessAddr),
 		metricsAddr:   c.address("metrics_addr", f.MetricsAddr),
 		peersAddr:     c.optionalAddress("peers_addr", f.PeersAddr),
+		seeds:         c.seeds(f.Seeds),
 		cores:         c.number("cores", &f.Cores, 0),
 		storeAddr:     c.address("store_addr", f.StoreAddr),
 		logLevel:      c.logLevel(f.LogLevel),
@@ -215,6 +219,15 @@
 	}
 }
 
+// seeds checks the addresses of other daemons.
+func (c *checker) seeds(addrs []string) []string {
+	var checked []string
+	for i, addr := range addrs {
+		checked = append(checked, c.address("seeds."+strconv.Itoa(i), addr))
+	}
+	return checked
+}
+
 // hallRegions checks that each data hall has a region.
 func (c *checker) hallRegions(regions map[string]string) map[string]string {
 	for _, hall := range slices.Sorted(maps.Keys(regions)) {
@@ -265,6 +278,10 @@
 // MetricsAddr returns where metrics are served.
 func (s *Settings) MetricsAddr() string { return s.metricsAddr }
 
+// Seeds returns where a few other daemons are served that this one asks who the others are
+// when it starts. They may be gone, and this daemon may be one of them.
+func (s *Settings) Seeds() []string { return slices.Clone(s.seeds) }
+
 // PeersAddr returns where other daemons are served, "" for nowhere.
 func (s *Settings) PeersAddr() string { return s.peersAddr }
 
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -40,6 +40,7 @@
 		{`"grace_s": 8`, `"grace": 8`, "f:8: bounds.grace: unknown field"},
 		{`"grace_s": 8`, `"admit_s": 0`, "f:8: bounds.admit_s: want more than 0, found 0"},
 		{`"grace_s": 8`, `"revoke_strict": 1`, "f:8: bounds.revoke_strict"},
+		{`"hall": "z1"`, `"seeds": ["10.1.0.4:84", "e2:84"]`, `f:3: seeds.1: want an IP number and a port, found "e2:84"`},
 		{`"hall": "z1"`, `"hall_regions": {"z1": ""}`, `f:3: hall_regions: want the name of a hall and of its region, found "z1": ""`},
 		{`"grace_s": 8`, `"cold_overrun": -1`, "f:8: bounds.cold_overrun: want 0 or more"},
 		{`"grace_s": 8`, `"retry_ratio": -1`, "f:8: bounds.retry_ratio: want 0 or more"},
@@ -57,12 +58,17 @@
 	section := regexp.MustCompile(`\{\{#([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
 	inverted := regexp.MustCompile(`\{\{\^([^}]*)\}\}(.*?)\{\{/[^}]*\}\}`)
 	whole := section.ReplaceAllStringFunc(string(template), func(s string) string {
-		return strings.NewReplacer("{{.}}", "2", "{{@}}", "z1", "{{,}}", "").Replace(section.FindStringSubmatch(s)[2])
+		parts := section.FindStringSubmatch(s)
+		entry := "2"
+		if parts[1] == "seeds" {
+			entry = "10.1.0.5:84"
+		}
+		return strings.NewReplacer("{{.}}", entry, "{{@}}", "z1", "{{,}}", "").Replace(parts[2])
 	})
 	whole = inverted.ReplaceAllString(whole, "")
 	bare := inverted.ReplaceAllString(section.ReplaceAllString(string(template), ""), "$2")
 	for _, text := range []string{whole, bare} {
-		for gap, value := range map[string]string{"nodeName": "e1", "zone": "z1", "ip": "10.1.0.4", "listen.http": "10.1.0.4:80", "listen.readiness": "10.1.0.4:81", "platform.address": "10.200.1.7:83"} {
+		for gap, value := range map[string]string{"nodeName": "e1", "zone": "z1", "ip": "10.1.0.4", "listen.http": "10.1.0.4:80", "listen.readiness": "10.1.0.4:81", "listen.control": "10.1.0.4:84", "platform.address": "10.200.1.7:83"} {
 			text = strings.ReplaceAll(text, "{{"+gap+"}}", value)
 		}
 		must.StrNotContains(t, text, "{{", must.Sprint("a gap was not filled"))
@@ -72,11 +78,14 @@
 		must.EqOp(t, strings.Contains(text, `"fenced": true`), s.Bounds().Fenced)
 		must.EqOp(t, text == whole || strings.Contains(text, `"revoke_strict": true`), s.Bounds().RevokeStrict)
 		must.EqOp(t, "10.1.0.4:9102", s.MetricsAddr())
+		must.EqOp(t, "10.1.0.4:84", s.PeersAddr())
 		must.EqOp(t, text != bare && strings.Contains(text, "first_start"), s.FirstStart())
 		if strings.Contains(text, "first_start") { // the text with all values
 			must.Eq(t, map[string]string{"z1": "2"}, s.HallRegions())
 			must.EqOp(t, 2, s.Bounds().ColdOverrun)
+			must.Eq(t, []string{"10.1.0.5:84"}, s.Seeds())
 		} else {
+			must.SliceEmpty(t, s.Seeds())
 			must.MapEmpty(t, s.HallRegions())
 		}
 	}
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -16,10 +17,11 @@
 // taker keeps the crashes that it is told of.
 type taker struct{ told []CrashReport }
 
-func (k *taker) Suspect(Report)                     {}
-func (k *taker) Begun()                             {}
-func (k *taker) Load(_ string, s load.Sum) load.Sum { return s }
-func (k *taker) Crashes(r CrashReport)              { k.told = append(k.told, r) }
+func (k *taker) Suspect(Report)                               {}
+func (k *taker) Begun()                                       {}
+func (k *taker) Load(_ string, s load.Sum) load.Sum           { return s }
+func (k *taker) Enlist(context.Context, string, []byte) error { return nil }
+func (k *taker) Crashes(r CrashReport)                        { k.told = append(k.told, r) }
 
 // TestCrashes_ArriveAsTheyWereSeen, dated by the clock of the daemon that takes them, which
 // is ahead of the other's.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -191,6 +191,15 @@
 
 func (r reported) Crashes(CrashReport) {}
 
+// Enlist takes any row but that of a daemon named "refused".
+func (r reported) Enlist(_ context.Context, name string, row []byte) error {
+	if name == "refused" {
+		return errors.New("the store is away")
+	}
+	r <- "enlisted " + name + " " + string(row)
+	return nil
+}
+
 func (r reported) Load(reporter string, s load.Sum) load.Sum {
 	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons)
 	all := load.Sum{Offered: load.Offered{}, Daemons: 90, At: s.At.Add(-time.Second)}
@@ -267,7 +276,12 @@
 		must.Eq(t, load.Offered{m: 80}, all.Offered)
 		must.True(t, time.Since(all.At) >= time.Second, must.Sprint("a sum is never younger than it was"))
 	}
+	must.NoError(t, newTestClient(t, time.Now).Enlist(t.Context(), addr, "e1", []byte("row")))
+	must.EqOp(t, "enlisted e1 row", <-reports)
 	var failed *CallError
+	for name, row := range map[string][]byte{"refused": nil, "": nil, "e1": make([]byte, mostAnnounced+1)} {
+		must.True(t, errors.As(newTestClient(t, time.Now).Enlist(t.Context(), addr, name, row), &failed), must.Sprint(name))
+	}
 	_, err := newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told)
 	must.True(t, errors.As(err, &failed))
 	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", Report{Group: "m.7"}), &failed))
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -42,6 +42,8 @@
 	// Load takes in what callers ask for at a daemon and at those that tell it.
 	// It returns the sum over all daemons as it is known here.
 	Load(reporter string, s load.Sum) load.Sum
+	// Enlist writes the row by which a daemon announces itself.
+	Enlist(ctx context.Context, name string, row []byte) error
 	// Crashes takes in which workers crashed at a daemon.
 	Crashes(r CrashReport)
 }
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -41,6 +41,11 @@
 	announceSpread = 600 * time.Millisecond
 	// announceAgain is how long a node's announcement may take to show.
 	announceAgain = 5 * time.Second
+	// firstAnnouncePause is how long a node that could not announce itself leaves the store
+	// alone, half of it by chance, doubled each time: with a try each half second 984 nodes
+	// that started together made 1,917 calls that were refused.
+	firstAnnouncePause = 4 * time.Second
+	mostAnnouncePause  = 16 * time.Second
 )
 
 // leaseRow is the lease as it is stored.
@@ -78,10 +83,12 @@
 // the other methods may be called from anywhere.
 type Lease struct {
 	opts LeaseOptions
-	// announced is when the node last announced itself.
-	announced time.Time
-	released  atomic.Bool
-	state     leaseState
+	// announced is when the node last announced itself, and announceAt when it tries again
+	// after pause, since it could not.
+	announced, announceAt time.Time
+	announcePause         time.Duration
+	released              atomic.Bool
+	state                 leaseState
 }
 
 // LeaseOptions wires a lease.
@@ -89,7 +96,10 @@
 	Table Table
 	// Self returns the node that tries to hold the lease. Its share of a core may change
 	// at any time; the node then announces itself again.
-	Self   func() Node
+	Self func() Node
+	// Enlist has another node write this one's row, with those of others. It fails if
+	// none can be asked, and the node writes it itself.
+	Enlist func(ctx context.Context, name string, row []byte) error
 	Memory Memory
 	// FirstStart tells that no node can have announced itself before.
 	FirstStart bool
@@ -166,22 +176,35 @@
 // will do, so that a node which starts again costs the store no write.
 func (l *Lease) announceIfMissing(ctx context.Context) {
 	listed, known := l.state.lists(l.opts.Self())
-	if !known || listed || l.released.Load() || l.opts.Now().Sub(l.announced) < announceAgain {
+	now := l.opts.Now()
+	if !known || listed || l.released.Load() || now.Sub(l.announced) < announceAgain || now.Before(l.announceAt) {
 		return
 	}
 	l.announce(ctx)
 }
 
 func (l *Lease) announce(ctx context.Context) {
-	self := l.opts.Self()
-	row := store.Write{Table: LeaseTable, Key: nodePrefix + self.Name, Value: encode(self)}
-	if _, err := l.opts.Table.Commit(ctx, store.Txn{Writes: []store.Write{row}}); err != nil {
-		l.opts.Log.Warn().Str("event", "announcement_failed").Err(err).Msg("")
+	if err := l.writeRow(ctx); err != nil {
+		l.announcePause = min(max(2*l.announcePause, firstAnnouncePause), mostAnnouncePause)
+		l.announceAt = l.opts.Now().Add(l.announcePause/2 + rand.N(l.announcePause/2))
+		l.opts.Log.Warn().Str("event", "announcement_failed").Dur("pause", l.announcePause).Err(err).Msg("")
 		return
 	}
+	l.announcePause = 0
 	l.announced = l.opts.Now()
 }
 
+// writeRow has the node's row written, by another node where one can be asked.
+func (l *Lease) writeRow(ctx context.Context) error {
+	self := l.opts.Self()
+	if l.opts.Enlist != nil && l.opts.Enlist(ctx, self.Name, encode(self)) == nil {
+		return nil
+	}
+	row := store.Write{Table: LeaseTable, Key: nodePrefix + self.Name, Value: encode(self)}
+	_, err := l.opts.Table.Commit(ctx, store.Txn{Writes: []store.Write{row}})
+	return err
+}
+
 // round renews a lease that is held, and else looks whether it is free.
 func (l *Lease) round(ctx context.Context) {
 	if l.released.Load() {
