deps: Log what followers learn of workers once a second

Ruled out: dropping the lines (what was known when is needed to explain a refusal). Change: followers write a line a second that counts updates, changes and the oldest evidence; each change is told by who reads the store and by the holder of the lease.

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -29,29 +29,16 @@
 func (e *Edge) applyWorkers(u store.Update) {
 	changed, gone, unread := platform.Workers(u.Rows)
 	e.unread.note(unread, changed, gone)
-	if e.following.reader.Direct() {
-		e.logWorkers(changed, gone, u.Version)
+	if _, holds := e.Lease.Held(); holds || e.following.reader.Direct() {
+		e.entries.each(changed, gone, u.Version)
 	} else {
-		e.Log.Info().Str("event", "workers").Int("changed", len(changed)).Int("gone", len(gone)).Bool("all", u.Full).Uint64("store_version", u.Version).Dur("evidence_age", clock.Since(u.Evidence)).Msg("")
+		e.entries.note(changed, gone, u)
 	}
 	e.cold.learnEntries(changed, gone, u.Full)
 	e.Workers.Apply(changed, gone, u.Full)
 	e.workersRead.Store(true)
 }
 
-// logWorkers writes a line for each change of a worker. Those who read the store
-// themselves do so, a few in each data hall: at 295 daemons the same lines from all
-// were 97 in 100 of all lines.
-func (e *Edge) logWorkers(changed []workers.Worker, gone []string, version uint64) {
-	for _, w := range changed {
-		e.Log.Info().Str("event", "worker").Str("worker", w.ID).Str("service", w.Service).Bool("draining", w.Draining).
-			Str("group", w.Membership.Group.Name).Int("rank", w.Membership.Rank).Str("state", string(w.Membership.State)).Strs("models", w.Models).Strs("staged", w.Staged).Str("domain", w.Domain).Dur("cold_left", w.ColdLeft).Uint64("store_version", version).Msg("")
-	}
-	for _, id := range gone {
-		e.Log.Info().Str("event", "worker_gone").Str("worker", id).Uint64("store_version", version).Msg("")
-	}
-}
-
 func (e *Edge) workersChanged(view *workers.View) {
 	known := map[string]bool{}
 	for _, g := range view.Groups() {
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -64,6 +64,7 @@
 	settings    *node.Holder
 	reloads     map[node.Outcome]*metrics.Counter
 	unread      *unreadEntries
+	entries     *entryLog
 	following   *following
 	reporter    *reporter
 	loads       *loads
@@ -88,6 +89,7 @@
 		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
 	e.unread = newUnreadEntries(e.Metrics, logger)
+	e.entries = &entryLog{log: logger}
 	e.cold = newCold(e)
 	e.Placement = placement.NewDecider(settings.Current().HallRegions(), e.cold.ramp, clock.Now)
 	e.standstill = placement.NewStandstill(clock.Now, e.logStandstill)
