relay: Keep a history of changes only where others ask for it

Cause: each daemon kept the last 8,192 changes of each table for others, 3.5 MB of old entries of workers; of 984 daemons ten are asked. Ruled out: dropping the rows too (a daemon that begins to relay would have to read them anew). Change: a daemon that doesn't relay keeps the rows alone; who asks it for changes all the same is told to read them.

--- a/deps/following.go
+++ b/deps/following.go
@@ -95,6 +95,9 @@
 	return leasePace
 }
 
+// followedTables are the tables of the store that a daemon follows.
+var followedTables = []string{platform.ConfigTable, platform.WorkersTable, replica.LeaseTable}
+
 // following follows the store's tables, through other daemons where that saves
 // calls. It is what the lease reads and writes.
 type following struct {
@@ -136,7 +139,7 @@
 	calls := &storeCalls{client: client, set: e.Metrics, log: e.Log, relays: func() int { return len(f.control.Load().upstreams) }}
 	f.Writer = calls
 	f.enlister = replica.NewEnlister(calls)
-	for _, table := range []string{platform.ConfigTable, platform.WorkersTable, replica.LeaseTable} {
+	for _, table := range followedTables {
 		f.caches[table] = relay.NewCache(table, paceOf(table).mostAge, clock.Now)
 	}
 	f.caches[health.Table] = relay.NewCache(health.Table, health.MostAge, clock.Now)
@@ -298,6 +301,9 @@
 	view.upstreams = relay.Upstreams(self, members, region)
 	view.relays = relay.Relays(self, members)
 	view.root = relay.IsRoot(self, members, region)
+	for _, table := range followedTables {
+		f.caches[table].Remember(view.relays)
+	}
 }
 
 // holder returns where the holder of the lease serves other daemons.
--- /dev/null
+++ b/deps/footprint_test.go
@@ -0,0 +1,98 @@
+package deps
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/common/clock"
+	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/relay"
+	"github.com/pointpass/pointpass/replica"
+	"github.com/pointpass/pointpass/store"
+	"github.com/pointpass/pointpass/workers"
+)
+
+// workerEntry is a worker's entry as the platform's workers write it.
+func workerEntry(i int, version uint64) store.Row {
+	value := fmt.Sprintf(`{"backend":"arbiter-lm","address":"10.%d.%d.%d:8347","zone":"hall-%d","domain":"f%d","version":"1.2",`+
+		`"slots":22,"state":"ready","coldLeftMs":0,"seqno":3,"born":1774685050000,"phase":"colocated",`+
+		`"models":[{"name":"sya114500xx","version":1,"loras":[]}],"staged":["sya114500xx"],`+
+		`"group":{"name":"sya114500xx.%d","epoch":%d,"rank":%d,"state":"ready"}}`,
+		i%200, i/200, i%250, i%5, i/37, 10000+i/16, 10000+i/16, i%16)
+	return store.Row{Key: fmt.Sprintf("i-%010x", i*7919), Value: []byte(value), Version: version}
+}
+
+func daemonRow(i int) store.Row {
+	value, _ := json.Marshal(replica.Node{Addr: fmt.Sprint("10.0.", i/250, ".", i%250, ":8340"), Hall: fmt.Sprint("hall-", i%5), Cores: 0.192})
+	return store.Row{Key: fmt.Sprint("node/edge-", i), Value: value, Version: uint64(i + 1)}
+}
+
+func liveHeap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// follower is what a daemon that nobody asks keeps of the store's tables.
+type follower struct {
+	entries, control *relay.Cache
+	registry         *workers.Registry
+	directory        *replica.Directory
+}
+
+// newFollower reads a fleet, each worker of which has changed eight times since.
+func newFollower(daemons, n int) *follower {
+	f := &follower{
+		entries:   relay.NewCache(platform.WorkersTable, workersPace.mostAge, clock.Now),
+		control:   relay.NewCache(replica.LeaseTable, leasePace.mostAge, clock.Now),
+		registry:  workers.NewRegistry(func(*workers.View) {}),
+		directory: replica.NewDirectory(clock.Now),
+	}
+	f.entries.Remember(false)
+	f.control.Remember(false)
+	control := store.Update{Full: true, Version: uint64(daemons)}
+	for i := range daemons {
+		control.Rows = append(control.Rows, daemonRow(i))
+	}
+	f.control.Apply(control)
+	f.directory.Apply(control)
+	version := uint64(daemons)
+	const changes = 8
+	for round := range changes {
+		const atOnce = 100
+		for first := 0; first < n; first += atOnce {
+			u := store.Update{Full: round == 0 && first == 0}
+			for i := first; i < min(first+atOnce, n); i++ {
+				version++
+				u.Rows = append(u.Rows, workerEntry(i, version))
+			}
+			u.Version = version
+			f.entries.Apply(u)
+			changed, gone, _ := platform.Workers(u.Rows)
+			f.registry.Apply(changed, gone, u.Full)
+		}
+	}
+	return f
+}
+
+// TestFollower_KeepsWithinItsMemory: what a daemon keeps of the largest fleet known is a third
+// of the 16 MB that it is to take at the most, twice that at twice the size.
+func TestFollower_KeepsWithinItsMemory(t *testing.T) {
+	for _, c := range []struct {
+		daemons, workers int
+		most             int64
+	}{{984, 2793, 16 << 20 / 3}, {1968, 5586, 2 * 16 << 20 / 3}} {
+		before := liveHeap()
+		f := newFollower(c.daemons, c.workers)
+		took := liveHeap() - before
+		must.Less(t, c.most, took, must.Sprint(c.daemons, " daemons"))
+		t.Logf("%d daemons, %d workers: %d KB", c.daemons, c.workers, took>>10)
+		runtime.KeepAlive(f)
+	}
+}
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -29,11 +29,13 @@
 	version uint64
 	// changes are the latest changes in order of version; all since base are there, but for
 	// what came and went within a gap.
-	changes  []store.Row
-	base     uint64
-	gaps     []gap
-	evidence time.Time
-	clock    time.Duration
+	changes []store.Row
+	base    uint64
+	gaps    []gap
+	// forgetful tells that changes aren't remembered: whoever asks for them reads all rows.
+	forgetful bool
+	evidence  time.Time
+	clock     time.Duration
 	// news is closed at the next update that changes rows.
 	news chan struct{}
 }
@@ -67,6 +69,7 @@
 		c.record(u.Rows)
 	}
 	c.version = max(c.version, u.Version)
+	c.forget()
 	c.clock = max(c.clock, u.Clock)
 	if u.Evidence.After(c.evidence) {
 		c.evidence = u.Evidence
@@ -135,6 +138,24 @@
 	return changed, true
 }
 
+// Remember has changes be remembered for others from now on, or not. A daemon that nobody
+// asks spares their memory: 3.5 MB for 8,192 changes of workers.
+func (c *Cache) Remember(changes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forgetful = !changes
+	c.forget()
+}
+
+// forget drops the changes that nobody will ask for. The caller holds the lock.
+func (c *Cache) forget() {
+	if c.forgetful {
+		c.changes = nil
+		c.gaps = nil
+		c.base = c.version
+	}
+}
+
 // record takes in changes in order of version. The caller holds the lock.
 func (c *Cache) record(changed []store.Row) {
 	for _, r := range changed {
--- a/relay/cache_test.go
+++ b/relay/cache_test.go
@@ -64,3 +64,27 @@
 	must.NoError(t, err)
 	must.Len(t, 1, rows)
 }
+
+// TestCache_WhoIsNotAskedKeepsNoHistory: only the rows, so that it can be asked for them.
+func TestCache_WhoIsNotAskedKeepsNoHistory(t *testing.T) {
+	c := NewCache("t", time.Minute, time.Now)
+	c.Remember(false)
+	for i := range uint64(100) {
+		c.Apply(store.Update{Full: i == 0, Version: i + 1, Rows: []store.Row{rowAt("r", i+1)}, Evidence: time.Now()})
+	}
+	must.SliceEmpty(t, c.changes)
+	var lost *store.HistoryLostError
+	_, err := changesSince(t, c, 99)
+	must.True(t, errors.As(err, &lost))
+	rows, err := changesSince(t, c, 100)
+	must.NoError(t, err)
+	must.SliceEmpty(t, rows)
+	s, known := c.Rows()
+	must.True(t, known)
+	must.Eq(t, []store.Row{rowAt("r", 100)}, s.Rows)
+	c.Remember(true)
+	c.Apply(store.Update{Version: 101, Rows: []store.Row{rowAt("r", 101)}, Evidence: time.Now()})
+	rows, err = changesSince(t, c, 100)
+	must.NoError(t, err)
+	must.Len(t, 1, rows)
+}
