--- a/deps/edge.go
+++ b/deps/edge.go
@@ -231,6 +231,12 @@
 	e.Metrics.NewGauge("pointpass_config_evidence_age_seconds", func() float64 {
 		return min(e.Catalogs.Current().Age(clock.Now()).Seconds(), 1e9)
 	})
+	for _, table := range []string{platform.WorkersTable, replica.LeaseTable} {
+		cache := e.following.caches[table]
+		e.Metrics.NewGauge(`pointpass_evidence_age_seconds{table="`+table+`"}`, func() float64 {
+			return min(clock.Since(cache.Evidence()).Seconds(), 1e9)
+		})
+	}
 	e.Metrics.NewGauge("pointpass_suspended_seconds", func() float64 { return clock.Suspended().Seconds() })
 	e.Metrics.NewGauge("pointpass_store_direct", func() float64 { return asNumber(e.following.reader.Direct()) })
 	e.Metrics.NewGauge("pointpass_workers", func() float64 { return float64(e.Workers.View().Len()) })
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -201,6 +201,14 @@
 	}
 }
 
+// Evidence returns when the store was asked for what the cache holds, the zero time before
+// the first update.
+func (c *Cache) Evidence() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evidence
+}
+
 // nextNews returns the channel that the next update which changes rows closes.
 func (c *Cache) nextNews() <-chan struct{} {
 	c.mu.Lock()
