--- a/deps/loads.go
+++ b/deps/loads.go
@@ -43,9 +43,10 @@
 	at      time.Time
 }
 
-// hallPause is how often at the most a daemon that relays sums up what its hall reports: it
-// takes a report a second from each daemon there.
-const hallPause = 250 * time.Millisecond
+// sumPause is how often at the most a daemon sums up what is reported to it: one that relays
+// takes a report a second from each of some hundred daemons, and a sum for each of them would
+// grow with their square.
+const sumPause = 250 * time.Millisecond
 
 // ask notes that a caller asks for work of a model.
 func (l *loads) ask(m load.Model, work time.Duration) { l.meter.Ask(clock.Now(), m, work) }
@@ -54,7 +55,7 @@
 // here.
 func (l *loads) take(reporter string, s load.Sum) load.Sum {
 	l.gatherer.Take(reporter, s, l.edge.Lease.Nodes())
-	if l.edge.following.isHolder() {
+	if l.edge.following.isHolder() && clock.Since(l.all.Load().At) >= sumPause {
 		l.learn(l.Known())
 	}
 	all := *l.all.Load()
@@ -73,7 +74,7 @@
 // hallSum returns what callers ask for in this daemon's hall, as far as it is reported here.
 func (l *loads) hallSum() load.Offered {
 	now := clock.Now()
-	if last := l.hall.Load(); now.Sub(last.at) < hallPause {
+	if last := l.hall.Load(); now.Sub(last.at) < sumPause {
 		return last.offered
 	}
 	offered := l.gatherer.Among(now, l.meter.Offered(now), l.isHere)
