deps: Look for a seed side by side

Cause: after all lost power the seeds came up among the last of 123 daemons. Change: seeds are tried side by side, for 150 ms where callers wait.

--- a/deps/following.go
+++ b/deps/following.go
@@ -108,9 +108,7 @@
 	peers  *relay.Client
 	// enlister writes the rows of other daemons.
 	enlister *replica.Enlister
-	// seedsFrom is which seed is asked first.
-	seedOrder sync.Once
-	seedsFrom int
+	seeker   *seeker
 	// directory is what the lease's table says.
 	directory *replica.Directory
 	control   atomic.Pointer[controlView]
@@ -135,7 +133,7 @@
 }
 
 func newFollowing(e *Edge, client storeClient, peers *relay.Client) *following {
-	f := &following{edge: e, peers: peers, caches: map[string]*relay.Cache{}, directory: replica.NewDirectory(clock.Now), learned: make(chan struct{})}
+	f := &following{edge: e, peers: peers, caches: map[string]*relay.Cache{}, directory: replica.NewDirectory(clock.Now), seeker: newSeeker(), learned: make(chan struct{})}
 	calls := &storeCalls{client: client, set: e.Metrics, log: e.Log, relays: func() int { return len(f.control.Load().upstreams) }}
 	f.Writer = calls
 	f.enlister = replica.NewEnlister(calls)
@@ -177,10 +175,10 @@
 // Run follows all tables until ctx ends, first that which tells of other daemons.
 func (f *following) Run(ctx context.Context) {
 	var running sync.WaitGroup
+	f.seek(ctx)
 	if f.edge.settings.Current().FirstStart() {
 		pause(ctx, settleTime)
 	}
-	f.awaitSeed(ctx)
 	running.Go(func() { f.follower(replica.LeaseTable, f.applyControl).Run(ctx) })
 	select {
 	case <-f.learned:
--- a/deps/seeds.go
+++ b/deps/seeds.go
@@ -2,49 +2,93 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pointpass/pointpass/common/tcp"
 	"github.com/pointpass/pointpass/relay"
 )
 
-// seedPatience is how long a daemon that starts waits for one of its seeds to take
-// connections before it asks the store: after a loss of power all start within 0.3 s.
+// How long a daemon that starts looks for a seed that takes connections. After a loss of power
+// all start within some 0.3 s, and callers wait: then one of three seeds is mostly up, or
+// soon, and else the store is asked. Where nobody is served yet it may take longer.
 const (
-	seedPatience = 700 * time.Millisecond
-	seedPause    = 50 * time.Millisecond
-	seedTimeout  = 200 * time.Millisecond
+	restartPatience = 150 * time.Millisecond
+	startPatience   = 700 * time.Millisecond
+	seedPause       = 20 * time.Millisecond
 )
 
-// seeds are the daemons that the settings name, in an order that differs from daemon to
-// daemon; none at a daemon that is one itself, which asks the store.
-func (f *following) seeds() []relay.Member {
-	settings := f.edge.settings.Current()
-	if slices.Contains(settings.Seeds(), settings.PeersAddr()) {
-		return nil
+// seeker finds a seed: one of the daemons that the settings name, who knows the others.
+// Without seeds each of a thousand daemons that start reads who the others are from the store,
+// and writes a row of its own there. It is safe for use by many goroutines.
+type seeker struct {
+	found atomic.Pointer[relay.Member]
+	// done is closed once a seed was found or looked for in vain.
+	done chan struct{}
+}
+
+func newSeeker() *seeker { return &seeker{done: make(chan struct{})} }
+
+// Seek looks for a seed among some daemons, side by side: one that is without power says
+// nothing. A daemon that is one of them itself seeks none.
+func (s *seeker) Seek(ctx context.Context, self string, seeds []string, patience time.Duration) {
+	defer close(s.done)
+	if len(seeds) == 0 || slices.Contains(seeds, self) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	up := make(chan string, len(seeds))
+	for _, addr := range seeds {
+		go knock(ctx, addr, up)
+	}
+	select {
+	case addr := <-up:
+		s.found.Store(&relay.Member{Name: addr, Addr: addr})
+	case <-ctx.Done():
 	}
-	var list []relay.Member
-	for _, addr := range settings.Seeds() {
-		list = append(list, relay.Member{Name: addr, Addr: addr})
+}
+
+// knock tells an address once it takes connections.
+func knock(ctx context.Context, addr string, up chan<- string) {
+	for ctx.Err() == nil {
+		conn, err := tcp.Dialer(startPatience).DialContext(ctx, "tcp", addr)
+		if err == nil {
+			conn.Close()
+			up <- addr
+			return
+		}
+		pause(ctx, seedPause)
 	}
-	f.seedOrder.Do(func() { f.seedsFrom = rand.Int() })
-	if len(list) == 0 {
+}
+
+// Found returns the seed to ask, none if none was found.
+func (s *seeker) Found() []relay.Member {
+	m := s.found.Load()
+	if m == nil {
 		return nil
 	}
-	first := f.seedsFrom % len(list)
-	return slices.Concat(list[first:], list[:first])
+	return []relay.Member{*m}
+}
+
+// seek looks for a seed as the settings say.
+func (f *following) seek(ctx context.Context) {
+	settings := f.edge.settings.Current()
+	patience := restartPatience
+	if settings.FirstStart() {
+		patience = startPatience
+	}
+	f.seeker.Seek(ctx, settings.PeersAddr(), settings.Seeds(), patience)
 }
 
 // upstreams returns the daemons to ask in place of the store: before any others are known,
-// the seeds. Without them each of a thousand daemons that start reads who the others are from
-// the store, and writes a row of its own there.
+// a seed.
 func (f *following) upstreams() []relay.Member {
 	if f.knowsOthers() {
 		return f.control.Load().upstreams
 	}
-	return f.seeds()
+	return f.seeker.Found()
 }
 
 func (f *following) knowsOthers() bool {
@@ -56,31 +100,15 @@
 	}
 }
 
-// awaitSeed waits for a while until a seed takes connections.
-func (f *following) awaitSeed(ctx context.Context) {
-	seeds := f.seeds()
-	for until := time.Now().Add(seedPatience); len(seeds) > 0 && time.Now().Before(until); pause(ctx, seedPause) {
-		for _, m := range seeds {
-			if takesConnections(ctx, m.Addr) {
-				return
-			}
-		}
-	}
-}
-
-func takesConnections(ctx context.Context, addr string) bool {
-	conn, err := tcp.Dialer(seedTimeout).DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return false
-	}
-	conn.Close()
-	return true
-}
-
 // enlist has this daemon's row written by one that relays in its hall, or by a seed while
 // none is known. It fails with *relay.CallError if that can't be done.
 func (f *following) enlist(ctx context.Context, name string, row []byte) error {
-	writers := f.seeds()
+	select {
+	case <-f.seeker.done:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	writers := f.seeker.Found()
 	if f.knowsOthers() {
 		writers = f.hallRelays(f.control.Load())
 	}
