--- a/deps/edge.go
+++ b/deps/edge.go
@@ -64,6 +64,7 @@
 	settings    *node.Holder
 	reloads     map[node.Outcome]*metrics.Counter
 	unread      *unreadEntries
+	entries     *entryLog
 	following   *following
 	reporter    *reporter
 	loads       *loads
@@ -88,6 +89,7 @@
 		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
 	e.unread = newUnreadEntries(e.Metrics, logger)
+	e.entries = &entryLog{log: logger}
 	e.cold = newCold(e)
 	e.Placement = placement.NewDecider(settings.Current().HallRegions(), e.cold.ramp, clock.Now)
 	e.standstill = placement.NewStandstill(clock.Now, e.logStandstill)
@@ -100,6 +102,7 @@
 	e.Lease = replica.NewLease(replica.LeaseOptions{
 		Table:      e.following,
 		Self:       e.self,
+		Enlist:     e.following.enlist,
 		Memory:     e.Workers,
 		FirstStart: settings.Current().FirstStart(),
 		Now:        clock.Now,
@@ -143,6 +146,8 @@
 		Suspect:      e.reporter.report,
 		Asked:        e.loads.ask,
 		Part:         e.loads.Part,
+		HallLoad:     e.loads.Hall,
+		SameRegion:   e.sameRegion,
 		Informed:     e.following.informed,
 		FirstUse:     e.firstUse,
 		MostRequests: mostRequests,
@@ -228,6 +233,12 @@
 	e.Metrics.NewGauge("pointpass_config_evidence_age_seconds", func() float64 {
 		return min(e.Catalogs.Current().Age(clock.Now()).Seconds(), 1e9)
 	})
+	for _, table := range []string{platform.WorkersTable, replica.LeaseTable} {
+		cache := e.following.caches[table]
+		e.Metrics.NewGauge(`pointpass_evidence_age_seconds{table="`+table+`"}`, func() float64 {
+			return min(clock.Since(cache.Evidence()).Seconds(), 1e9)
+		})
+	}
 	e.Metrics.NewGauge("pointpass_suspended_seconds", func() float64 { return clock.Suspended().Seconds() })
 	e.Metrics.NewGauge("pointpass_store_direct", func() float64 { return asNumber(e.following.reader.Direct()) })
 	e.Metrics.NewGauge("pointpass_workers", func() float64 { return float64(e.Workers.View().Len()) })
@@ -264,6 +275,12 @@
 	e.reporter.reportBegun()
 }
 
+// sameRegion tells whether a data hall is in this daemon's region, as far as that is known.
+func (e *Edge) sameRegion(hall string) bool {
+	facts := e.Placement.Facts()
+	return facts.Region(hall) == facts.Region(e.settings.Current().Hall())
+}
+
 // reports is how other daemons tell an Edge things.
 type reports struct{ *Edge }
 
@@ -278,6 +295,11 @@
 // Begun takes in that callers are being served.
 func (r reports) Begun() { r.begun.Store(true) }
 
+// Enlist writes the row by which another daemon announces itself.
+func (r reports) Enlist(ctx context.Context, name string, row []byte) error {
+	return r.following.enlister.Enlist(ctx, name, row)
+}
+
 // Load takes in what callers ask for at other daemons.
 func (r reports) Load(reporter string, s load.Sum) load.Sum { return r.loads.take(reporter, s) }
 
--- a/deps/following.go
+++ b/deps/following.go
@@ -9,6 +9,7 @@
 
 	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/health"
+	"github.com/pointpass/pointpass/node"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
@@ -16,34 +17,46 @@
 	"github.com/pointpass/pointpass/store"
 )
 
-// pace is how often a table is asked for: how long a question is held if there is
-// nothing to tell, and how long changes gather before the next. It differs for a daemon
-// that follows the store alone, one that relays to others, and one behind these.
+// tiers is one length for each place that a daemon may have between the store and others.
+type tiers struct {
+	// alone follows the store for itself, relaying for its data hall.
+	alone, relaying time.Duration
+	// root follows the store for the relays of several halls, which are passing on what it
+	// says.
+	root, passing time.Duration
+	// relayed is behind a daemon that relays.
+	relayed time.Duration
+}
+
+// pace is how often a table is asked for.
 type pace struct {
-	aloneHold, relayingHold, relayedHold       time.Duration
-	aloneGather, relayingGather, relayedGather time.Duration
+	// hold is how long a question is held if there is nothing to tell, and gather how long
+	// changes gather before the next.
+	hold, gather tiers
 	// mostAge is how old the evidence of a daemon that relays may be. It covers two
-	// questions held in a row, each evidence of when it was sent, and what they take.
+	// questions held in a row, each evidence of when it was sent, and what they take, and
+	// behind a root one more.
 	mostAge time.Duration
 }
 
 // The paces of the tables. What a configuration changes has to be in force everywhere
 // within two seconds at the least; before that a daemon has to notice that the one that
 // relays to it lost the store. Workers have four seconds. The lease's table is used by
-// the holder itself, and to find others.
+// the holder itself, and to find others. A root asks more often than one that relays for
+// its own hall, since what it says grows older on its way.
 var (
 	configPace = pace{
-		aloneHold: mostConfigWait, relayingHold: 600 * time.Millisecond, relayedHold: 600 * time.Millisecond,
+		hold:    tiers{alone: mostConfigWait, relaying: 600 * time.Millisecond, root: 350 * time.Millisecond, passing: 350 * time.Millisecond, relayed: 600 * time.Millisecond},
 		mostAge: 1400 * time.Millisecond,
 	}
 	workersPace = pace{
-		aloneHold: 4 * time.Second, relayingHold: time.Second, relayedHold: time.Second,
-		aloneGather: 400 * time.Millisecond, relayingGather: 200 * time.Millisecond, relayedGather: 150 * time.Millisecond,
+		hold:    tiers{alone: 4 * time.Second, relaying: time.Second, root: 600 * time.Millisecond, passing: 600 * time.Millisecond, relayed: time.Second},
+		gather:  tiers{alone: 400 * time.Millisecond, relaying: 200 * time.Millisecond, root: 100 * time.Millisecond, passing: 50 * time.Millisecond, relayed: 150 * time.Millisecond},
 		mostAge: 2500 * time.Millisecond,
 	}
 	leasePace = pace{
-		aloneHold: 3 * time.Second, relayingHold: 700 * time.Millisecond, relayedHold: 700 * time.Millisecond,
-		aloneGather: 1200 * time.Millisecond, relayingGather: 600 * time.Millisecond, relayedGather: 150 * time.Millisecond,
+		hold:    tiers{alone: 3 * time.Second, relaying: 700 * time.Millisecond, root: 500 * time.Millisecond, passing: 450 * time.Millisecond, relayed: 700 * time.Millisecond},
+		gather:  tiers{alone: 1200 * time.Millisecond, relaying: 600 * time.Millisecond, root: 400 * time.Millisecond, passing: 100 * time.Millisecond, relayed: 150 * time.Millisecond},
 		mostAge: 2200 * time.Millisecond,
 	}
 )
@@ -82,14 +95,23 @@
 	return leasePace
 }
 
+// followedTables are the tables of the store that a daemon follows.
+var followedTables = []string{platform.ConfigTable, platform.WorkersTable, replica.LeaseTable}
+
 // following follows the store's tables, through other daemons where that saves
 // calls. It is what the lease reads and writes.
 type following struct {
 	store.Writer
-	edge    *Edge
-	reader  *relay.Reader
-	caches  map[string]*relay.Cache
-	control atomic.Pointer[controlView]
+	edge   *Edge
+	reader *relay.Reader
+	caches map[string]*relay.Cache
+	peers  *relay.Client
+	// enlister writes the rows of other daemons.
+	enlister *replica.Enlister
+	seeker   *seeker
+	// directory is what the lease's table says.
+	directory *replica.Directory
+	control   atomic.Pointer[controlView]
 	// warnings are read from other daemons alone, warningsRead is when that last
 	// went well.
 	warnings     *relay.Reader
@@ -104,15 +126,18 @@
 	replica.Control
 	// upstreams are the daemons to ask in place of the store.
 	upstreams []relay.Member
-	// relays tells that others ask this daemon.
-	relays bool
+	// relays tells that others ask this daemon, and root that the relays of other halls do.
+	relays, root bool
+	// placedBy are the settings by which that was found.
+	placedBy *node.Settings
 }
 
-func newFollowing(e *Edge, client storeClient, peers relay.Peers) *following {
-	f := &following{edge: e, caches: map[string]*relay.Cache{}, learned: make(chan struct{})}
+func newFollowing(e *Edge, client storeClient, peers *relay.Client) *following {
+	f := &following{edge: e, peers: peers, caches: map[string]*relay.Cache{}, directory: replica.NewDirectory(clock.Now), seeker: newSeeker(), learned: make(chan struct{})}
 	calls := &storeCalls{client: client, set: e.Metrics, log: e.Log, relays: func() int { return len(f.control.Load().upstreams) }}
 	f.Writer = calls
-	for _, table := range []string{platform.ConfigTable, platform.WorkersTable, replica.LeaseTable} {
+	f.enlister = replica.NewEnlister(calls)
+	for _, table := range followedTables {
 		f.caches[table] = relay.NewCache(table, paceOf(table).mostAge, clock.Now)
 	}
 	f.caches[health.Table] = relay.NewCache(health.Table, health.MostAge, clock.Now)
@@ -120,7 +145,7 @@
 	f.reader = relay.NewReader(relay.ReaderOptions{
 		Direct:    calls,
 		Peers:     peers,
-		Upstreams: func() []relay.Member { return f.control.Load().upstreams },
+		Upstreams: f.upstreams,
 		MostAge:   func(table string) time.Duration { return paceOf(table).mostAge },
 		InTouch:   func() time.Duration { return e.settings.Bounds().InTouch },
 		Now:       clock.Now,
@@ -150,6 +175,7 @@
 // Run follows all tables until ctx ends, first that which tells of other daemons.
 func (f *following) Run(ctx context.Context) {
 	var running sync.WaitGroup
+	f.seek(ctx)
 	if f.edge.settings.Current().FirstStart() {
 		pause(ctx, settleTime)
 	}
@@ -191,20 +217,14 @@
 // hold returns how long a question for a table is held now.
 func (f *following) hold(table string) time.Duration {
 	p := paceOf(table)
-	most := p.aloneHold
+	most := p.hold.alone
 	if table == platform.ConfigTable {
 		if !f.edge.standstill.Settled() {
 			return 0 // requests wait for the answer
 		}
 		most = configWait(min(mostAge(f.edge.settings.Bounds().Revoke), denyAge))
 	}
-	switch {
-	case !f.reader.Direct():
-		return min(most, p.relayedHold)
-	case f.control.Load().relays || f.asRelay(table):
-		return min(most, p.relayingHold)
-	}
-	return most
+	return min(most, f.paced(table, p.hold))
 }
 
 // asRelay tells whether a daemon that follows the store alone asks for a table as often as
@@ -225,36 +245,65 @@
 // gather returns how long changes of a table gather now.
 func (f *following) gather(table string) time.Duration {
 	p := paceOf(table)
-	_, held := f.edge.Lease.Held()
-	switch {
-	case held && table == platform.WorkersTable:
+	if _, held := f.edge.Lease.Held(); held && table == platform.WorkersTable {
 		return holderGather
-	case !f.reader.Direct():
-		return p.relayedGather
-	case f.control.Load().relays || f.asRelay(table):
-		return p.relayingGather
 	}
-	return p.aloneGather
+	return f.paced(table, p.gather)
+}
+
+// paced returns the length for this daemon's place now.
+func (f *following) paced(table string, t tiers) time.Duration {
+	view := f.control.Load()
+	direct := f.reader.Direct()
+	switch {
+	case !direct && view.relays:
+		return t.passing
+	case !direct:
+		return t.relayed
+	case view.root:
+		return t.root
+	case view.relays || f.asRelay(table):
+		return t.relaying
+	}
+	return t.alone
 }
 
 // applyControl takes in who the other daemons are.
 func (f *following) applyControl(u store.Update) {
-	snapshot, _ := f.caches[replica.LeaseTable].Rows()
-	f.edge.cold.learnDaemons(replica.Announced(snapshot.Rows), u)
-	view := &controlView{Control: replica.Parse(snapshot.Rows)}
+	others := f.directory.Apply(u)
+	known, _ := f.directory.Known()
+	f.edge.cold.learnDaemons(known.Announced, u)
+	view := *f.control.Load()
+	others = others || view.Holder != known.Holder
+	view.Control = known.Control
+	if settings := f.edge.settings.Current(); others || settings != view.placedBy {
+		f.place(&view, settings)
+	}
+	f.control.Store(&view)
+	if f.isHolder() {
+		f.edge.Warnings.Begin(f.edge.Lease.Term())
+	}
+	f.edge.quarantine.learn(known.Others)
+	f.learnOnce.Do(func() { close(f.learned) })
+}
+
+// place finds this daemon's place between the store and the other daemons.
+func (f *following) place(view *controlView, settings *node.Settings) {
+	view.placedBy = settings
 	var members []relay.Member
 	for _, n := range view.Nodes {
 		members = append(members, relay.Member(n))
 	}
+	halls := settings.HallRegions()
+	region := func(hall string) string { return halls[hall] }
 	self := relay.Member(f.edge.self())
-	view.upstreams = relay.Upstreams(self, members)
+	fleet := relay.Fleet{Members: members, Region: region, Holder: view.Holder}
+	view.upstreams = fleet.Upstreams(self)
 	view.relays = relay.Relays(self, members)
-	f.control.Store(view)
-	if f.isHolder() {
-		f.edge.Warnings.Begin(f.edge.Lease.Term())
+	view.root = fleet.IsRoot(self)
+	for _, table := range followedTables {
+		f.caches[table].Remember(view.relays || view.root)
 	}
-	f.edge.quarantine.learn(snapshot.Rows)
-	f.learnOnce.Do(func() { close(f.learned) })
 }
 
 // holder returns where the holder of the lease serves other daemons.
@@ -264,14 +313,13 @@
 	return n, known && n.Addr != ""
 }
 
-// Rows returns the rows of the lease's table as they are known, with the least that
-// the store's clock can show by now.
-func (f *following) Rows(_ context.Context, table string) (store.Snapshot, error) {
-	snapshot, received, known := f.caches[table].Latest()
-	now := clock.Now()
-	if !known || now.Sub(snapshot.Evidence) > mostControlAge {
-		return store.Snapshot{}, &store.CallError{Op: "rows", Err: &relay.StaleError{Addr: table, Age: now.Sub(snapshot.Evidence)}}
+// Known returns what the lease's table says as it is known, with the least that the
+// store's clock can show by now.
+func (f *following) Known(context.Context) (replica.Known, error) {
+	known, read := f.directory.Known()
+	age := clock.Since(known.Evidence)
+	if !read || age > mostControlAge {
+		return replica.Known{}, &store.CallError{Op: "rows", Err: &relay.StaleError{Addr: replica.LeaseTable, Age: age}}
 	}
-	snapshot.Clock += now.Sub(received)
-	return snapshot, nil
+	return known, nil
 }
--- a/relay/member.go
+++ b/relay/member.go
@@ -26,20 +26,75 @@
 	relaysPerHall = 2
 )
 
+// Fleet is what places a daemon between the store and the others.
+type Fleet struct {
+	Members []Member
+	// Region returns the region of a data hall, "" if it isn't known.
+	Region func(hall string) string
+	// Holder is the name of the daemon that holds the lease, "" if none is known.
+	Holder string
+}
+
 // Upstreams returns the daemons that one asks in place of the store, best first.
 // None means that it asks the store itself: because it is alone in its hall, or
-// because it relays for the others. Where the relays of its hall can't be relied on it
+// because it relays for all others. Where the relays of its hall can't be relied on it
 // asks the first of each other hall, which costs bytes between halls, but doesn't have
 // a whole hall ask the store.
-func Upstreams(self Member, all []Member) []Member {
-	relays := relaysIn(self.Hall, all)
-	if i := indexOf(relays, self.Name); i >= 0 {
-		return relays[:i]
-	}
-	if len(relays) == 0 {
+func (f Fleet) Upstreams(self Member) []Member {
+	relays := relaysIn(self.Hall, f.Members)
+	root, rooted := f.rootOf(self)
+	if len(relays) == 0 || rooted && root.Name == self.Name {
 		return nil
 	}
-	return append(relays, firstElsewhere(self, all)...)
+	i := indexOf(relays, self.Name)
+	if i < 0 {
+		return append(relays, firstElsewhere(self, f.Members)...)
+	}
+	earlier := slices.Clone(relays[:i])
+	if !rooted {
+		return earlier
+	}
+	return append([]Member{root}, slices.DeleteFunc(earlier, func(m Member) bool { return m.Name == root.Name })...)
+}
+
+// rootOf returns the daemon that asks the store for all that relay in a daemon's region, so
+// that the store is asked by one a region and not by one a hall: with five halls 5 times a
+// second in place of 16. It is the holder of the lease, whose next order waits for what
+// workers say, and else the first of those that relay. There is none in a region of one hall.
+func (f Fleet) rootOf(self Member) (root Member, rooted bool) {
+	region := f.Region(self.Hall)
+	firsts := 0
+	for hall := range hallsOf(f.Members) {
+		if f.Region(hall) != region {
+			continue
+		}
+		relays := relaysIn(hall, f.Members)
+		if len(relays) == 0 {
+			continue
+		}
+		if firsts == 0 || before(relays[0], root) {
+			root = relays[0]
+		}
+		firsts++
+	}
+	if i := indexOf(f.Members, f.Holder); i >= 0 && f.Members[i].Addr != "" && f.Region(f.Members[i].Hall) == region {
+		root = f.Members[i]
+	}
+	return root, firsts > 1
+}
+
+// IsRoot tells whether a daemon asks the store for the relays of other halls too.
+func (f Fleet) IsRoot(self Member) bool {
+	root, rooted := f.rootOf(self)
+	return rooted && root.Name == self.Name
+}
+
+func hallsOf(all []Member) map[string]bool {
+	halls := map[string]bool{}
+	for _, m := range all {
+		halls[m.Hall] = true
+	}
+	return halls
 }
 
 // firstElsewhere returns the first relay of each other hall, in an order that differs
@@ -79,15 +134,20 @@
 	if len(here) < 2 {
 		return nil
 	}
-	slices.SortFunc(here, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(here, compare)
 	if len(here) <= fewMembers {
 		return here[:1]
 	}
 	return here[:relaysPerHall]
 }
 
+// compare puts those first who are to relay.
+func compare(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(hash(a.Name), hash(b.Name)), cmp.Compare(a.Name, b.Name))
+}
+
+func before(a, b Member) bool { return compare(a, b) < 0 }
+
 func indexOf(list []Member, name string) int {
 	return slices.IndexFunc(list, func(m Member) bool { return m.Name == name })
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -191,12 +191,22 @@
 
 func (r reported) Crashes(CrashReport) {}
 
+// Enlist takes any row but that of a daemon named "refused".
+func (r reported) Enlist(_ context.Context, name string, row []byte) error {
+	if name == "refused" {
+		return errors.New("the store is away")
+	}
+	r <- "enlisted " + name + " " + string(row)
+	return nil
+}
+
 func (r reported) Load(reporter string, s load.Sum) load.Sum {
 	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons)
-	all := load.Sum{Offered: load.Offered{}, Daemons: 90, At: s.At.Add(-time.Second)}
+	all := load.Sum{Offered: load.Offered{}, Daemons: 90, At: s.At.Add(-time.Second), Hall: load.Offered{}}
 	for m, work := range s.Offered {
 		r <- fmt.Sprint(m.Service, " ", m.Name, " in ", m.Regions.Names(), ": ", work)
 		all.Offered[m] = 80
+		all.Hall[m] = 20
 	}
 	return all
 }
@@ -265,9 +275,15 @@
 		must.EqOp(t, fmt.Sprint("llm m in ", regions, ": 2.5"), <-reports)
 		must.EqOp(t, 90, all.Daemons)
 		must.Eq(t, load.Offered{m: 80}, all.Offered)
+		must.Eq(t, load.Offered{m: 20}, all.Hall)
 		must.True(t, time.Since(all.At) >= time.Second, must.Sprint("a sum is never younger than it was"))
 	}
+	must.NoError(t, newTestClient(t, time.Now).Enlist(t.Context(), addr, "e1", []byte("row")))
+	must.EqOp(t, "enlisted e1 row", <-reports)
 	var failed *CallError
+	for name, row := range map[string][]byte{"refused": nil, "": nil, "e1": make([]byte, mostAnnounced+1)} {
+		must.True(t, errors.As(newTestClient(t, time.Now).Enlist(t.Context(), addr, name, row), &failed), must.Sprint(name))
+	}
 	_, err := newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told)
 	must.True(t, errors.As(err, &failed))
 	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", Report{Group: "m.7"}), &failed))
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -42,6 +42,8 @@
 	// Load takes in what callers ask for at a daemon and at those that tell it.
 	// It returns the sum over all daemons as it is known here.
 	Load(reporter string, s load.Sum) load.Sum
+	// Enlist writes the row by which a daemon announces itself.
+	Enlist(ctx context.Context, name string, row []byte) error
 	// Crashes takes in which workers crashed at a daemon.
 	Crashes(r CrashReport)
 }
@@ -101,6 +103,7 @@
 		Version:    snapshot.Version,
 		ClockUs:    snapshot.Clock.Microseconds(),
 		EvidenceUs: snapshot.Evidence.Sub(arrived).Microseconds() - 1, // rounded towards older
+		Gap:        snapshot.Gap,
 	}
 	s.packers[m.Table].fill(reply, m.Since, snapshot)
 	return reply, nil
@@ -192,6 +195,7 @@
 		Version:  reply.Version,
 		Clock:    time.Duration(reply.ClockUs) * time.Microsecond,
 		Evidence: sent.Add(time.Duration(reply.EvidenceUs) * time.Microsecond),
+		Gap:      reply.Gap,
 	}, nil
 }
 
