relay: Tell differences only of a store's tables

TestHalls_Histories, red there once in 1,282 histories, copies a follower's step and did not hand on that an answer spans a gap. Change: a cache of a store's table says that differences may be told; that of warnings doesn't. The histories of closed halls use such a cache and hand on gaps, as strict as before.

--- a/deps/following.go
+++ b/deps/following.go
@@ -138,7 +138,7 @@
 	f.Writer = calls
 	f.enlister = replica.NewEnlister(calls)
 	for _, table := range followedTables {
-		f.caches[table] = relay.NewCache(table, paceOf(table).mostAge, clock.Now)
+		f.caches[table] = relay.NewCache(table, paceOf(table).mostAge, clock.Now).TellDifferences()
 	}
 	f.caches[health.Table] = relay.NewCache(health.Table, health.MostAge, clock.Now)
 	f.control.Store(&controlView{})
--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -83,7 +83,7 @@
 // start returns a daemon that knows nothing.
 func (w *world) start(i int) *daemon {
 	d := &daemon{
-		cache:      relay.NewCache(table, mostAge, w.clock),
+		cache:      relay.NewCache(table, mostAge, w.clock).TellDifferences(),
 		decider:    placement.NewDecider(nil, placement.NoRamp{}, w.clock),
 		standstill: placement.NewStandstill(w.clock, func(time.Duration) {}),
 	}
@@ -207,7 +207,7 @@
 		ended()
 		return
 	}
-	u := store.Update{Rows: s.Rows, Full: full, Evidence: sent, Version: s.Version}
+	u := store.Update{Rows: s.Rows, Full: full, Gap: s.Gap, Evidence: sent, Version: s.Version}
 	if !s.Evidence.IsZero() {
 		u.Evidence = s.Evidence
 	}
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -32,6 +32,8 @@
 	changes []store.Row
 	base    uint64
 	gaps    []gap
+	// differences tells that followers are told what differs once all rows were read anew.
+	differences bool
 	// forgetful tells that changes aren't remembered: whoever asks for them reads all rows.
 	forgetful bool
 	evidence  time.Time
@@ -46,6 +48,16 @@
 	return &Cache{table: table, mostAge: mostAge, now: now, rows: map[string]store.Row{}, news: make(chan struct{})}
 }
 
+// TellDifferences has those who follow the cache be told what differs once all rows were read
+// anew, where the rows are those of a store. A store that drops its history would otherwise
+// have each of a thousand daemons read thousands of rows, 1 MB each. It returns the cache.
+func (c *Cache) TellDifferences() *Cache {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.differences = true
+	return c
+}
+
 // gap is where all rows were read anew: what came after the version from and went before the
 // version to is not known. Whoever knows the rows as of from, or as of to, misses nothing by it.
 type gap struct{ from, to uint64 }
@@ -80,9 +92,7 @@
 	}
 }
 
-// readAnew takes in all rows. Those who followed this cache are told what changed by it: a
-// store that drops its history would otherwise have each of a thousand daemons read thousands
-// of rows, 1 MB each. The caller holds the lock.
+// readAnew takes in all rows. The caller holds the lock.
 func (c *Cache) readAnew(u store.Update) {
 	changed, sure := c.difference(u)
 	if !sure {
@@ -115,7 +125,7 @@
 // here, in order of version, and false if that can't be told. When a row went is not known; it
 // is told as of the new version.
 func (c *Cache) difference(u store.Update) (changed []store.Row, sure bool) {
-	if c.version == 0 || u.Version < c.version {
+	if !c.differences || c.version == 0 || u.Version < c.version {
 		return nil, false
 	}
 	listed := make(map[string]bool, len(u.Rows))
--- a/relay/cache_test.go
+++ b/relay/cache_test.go
@@ -23,7 +23,7 @@
 // TestCache_TellsWhatChangedWhileItReadAnew: a store that dropped its history has the cache
 // read all rows; those who followed it are told what differs and read nothing anew.
 func TestCache_TellsWhatChangedWhileItReadAnew(t *testing.T) {
-	c := NewCache("t", time.Minute, time.Now)
+	c := NewCache("t", time.Minute, time.Now).TellDifferences()
 	c.Apply(store.Update{Full: true, Version: 5, Rows: []store.Row{rowAt("kept", 1), rowAt("gone", 2), rowAt("other", 5)}, Evidence: time.Now()})
 	c.Apply(store.Update{Version: 6, Rows: []store.Row{rowAt("last", 6)}, Evidence: time.Now()})
 	c.Apply(store.Update{Full: true, Version: 20, Rows: []store.Row{rowAt("kept", 1), rowAt("last", 6), rowAt("other", 15), rowAt("new", 12), rowAt("later", 21)}, Evidence: time.Now()})
@@ -51,7 +51,7 @@
 // TestCache_ForgetsOldGapsWithWhatWasBefore: however often rows are read anew, nobody is told
 // less than changed.
 func TestCache_ForgetsOldGapsWithWhatWasBefore(t *testing.T) {
-	c := NewCache("t", time.Minute, time.Now)
+	c := NewCache("t", time.Minute, time.Now).TellDifferences()
 	for i := range uint64(mostGaps + 3) {
 		c.Apply(store.Update{Full: true, Version: 10 * (i + 1), Rows: []store.Row{rowAt("r", 10*(i+1))}, Evidence: time.Now()})
 	}
@@ -67,7 +67,7 @@
 
 // TestCache_WhoIsNotAskedKeepsNoHistory: only the rows, so that it can be asked for them.
 func TestCache_WhoIsNotAskedKeepsNoHistory(t *testing.T) {
-	c := NewCache("t", time.Minute, time.Now)
+	c := NewCache("t", time.Minute, time.Now).TellDifferences()
 	c.Remember(false)
 	for i := range uint64(100) {
 		c.Apply(store.Update{Full: i == 0, Version: i + 1, Rows: []store.Row{rowAt("r", i+1)}, Evidence: time.Now()})
--- a/relay/histories_test.go
+++ b/relay/histories_test.go
@@ -48,7 +48,7 @@
 	w := &world{now: time.Unix(1000, 0), version: 1, rows: map[string]store.Row{}, history: map[string][]change{}, draw: t}
 	names := []Member{{Name: "0", Addr: "0"}, {Name: "1", Addr: "1"}}
 	for i := range 3 {
-		f := &follower{cache: NewCache("t", testAge, func() time.Time { return w.now })}
+		f := &follower{cache: NewCache("t", testAge, func() time.Time { return w.now }).TellDifferences()}
 		f.reader = NewReader(ReaderOptions{
 			Direct:    w,
 			Peers:     peersOf{w},
