--- a/rpc/bodies_test.go
+++ b/rpc/bodies_test.go
@@ -20,6 +20,10 @@
 	"pointpass.rpc.ModelLoad.service":       true,
 	"pointpass.rpc.ModelLoad.model":         true,
 	"pointpass.rpc.ModelLoad.regions":       true,
+	// The row by which a daemon announces itself: where it serves others, its hall, its share
+	// of a core. The taker bounds it to 4 KB.
+	"pointpass.rpc.EnlistRequest.name":  true,
+	"pointpass.rpc.EnlistRequest.value": true,
 	// Of a request that was lost with its worker: 16 bytes of a keyed hash, whose length the
 	// taker checks. Nothing of the request can be told from them.
 	"pointpass.rpc.LostRun.fingerprint":     true,
