throttle: Log what workers ask for in their answers

Callers saw nothing of it: workers asked for less and got as much as before, and no line showed that they asked. Change: the headers of a worker's answer are decoded; the book keeps by worker and start what was asked for, and logs each change of it, counted. Nothing acts on it yet. Ruled out: logging each answer (a line a request); keeping it by address (an address goes on to other workers).

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -48,6 +48,10 @@
 		_, listed := view.Worker(key)
 		return listed || known[key]
 	})
+	e.Asks.Keep(func(id string) bool {
+		_, listed := view.Worker(id)
+		return listed
+	}, clock.Now())
 	e.Controller.Wake()
 }
 
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -23,6 +23,7 @@
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/serving"
+	"github.com/pointpass/pointpass/throttle"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -53,7 +54,9 @@
 	Server     *serving.Server
 	Ingress    http.Handler
 	// Guard knows requests again that crash workers.
-	Guard      *quarantine.Guard
+	Guard *quarantine.Guard
+	// Asks knows what workers asked for in their answers.
+	Asks       *throttle.Book
 	Lease      *replica.Lease
 	Controller *replica.Controller
 	// Warnings gathers what daemons report about groups, at the holder of the lease.
@@ -88,6 +91,7 @@
 		settings: settings,
 		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
+	e.Asks = throttle.NewBook(e.Metrics, logger)
 	e.unread = newUnreadEntries(e.Metrics, logger)
 	e.entries = &entryLog{log: logger}
 	e.cold = newCold(e)
@@ -141,6 +145,7 @@
 		Counters:     serving.NewCounters(e.Metrics),
 		Guard:        e.Guard,
 		Crashes:      e.quarantine.sightings,
+		Asks:         e.Asks,
 		Evidence:     func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/quarantine"
+	"github.com/pointpass/pointpass/throttle"
 )
 
 // exchange is one request on its way.
@@ -160,7 +161,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	e.noteSent(s.opts.Now(), target)
+	sent := s.opts.Now()
+	e.noteSent(sent, target)
 	e.stage = e.firstStage()
 	watch := e.watch(target.Key, cancel)
 	defer watch.stop()
@@ -169,6 +171,9 @@
 		return e.sendFailed(ctx, target, err)
 	}
 	defer reply.Body.Close()
+	if !reply.Mistaken {
+		s.opts.Asks.Heard(throttle.Answer{Worker: target.Worker, Ask: reply.Ask, Sent: sent, At: s.opts.Now()})
+	}
 	e.sent++
 	if reply.NotRun {
 		return e.rejected(target, reply)
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -20,6 +20,7 @@
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/retry"
+	"github.com/pointpass/pointpass/throttle"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -107,6 +108,7 @@
 	registry.Apply(list, nil, true)
 	f.server = NewServer(Options{
 		Guard:     quarantine.NewGuard(time.Now),
+		Asks:      throttle.NewBook(metrics.NewSet(), &log.Logger{Level: log.PanicLevel}),
 		Placement: placement.NewDecider(fleetHalls, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &f.catalogs, Workers: registry.View, Upstream: f, Balancer: NewBalancer("h1"),
 		Counters: NewCounters(f.set), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
--- a/serving/request.go
+++ b/serving/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pointpass/pointpass/throttle"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -64,6 +65,8 @@
 	NotRun bool
 	// Mistaken tells that another worker than the one meant has answered.
 	Mistaken bool
+	// Ask is what the worker asks of those who send it requests.
+	Ask throttle.Ask
 }
 
 // Upstream sends requests to workers.
--- a/serving/server.go
+++ b/serving/server.go
@@ -17,6 +17,7 @@
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/retry"
+	"github.com/pointpass/pointpass/throttle"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -36,6 +37,8 @@
 	Guard *quarantine.Guard
 	// Crashes is told of answers that broke off.
 	Crashes Crashes
+	// Asks is told what workers ask for in their answers.
+	Asks Asks
 	// Evidence says what may be decided on how old evidence. It may change at any time.
 	Evidence func() catalog.EvidencePolicy
 	// Allowance returns this process's part of the retries for a service.
@@ -71,6 +74,12 @@
 	Send(r placement.Request, w workers.Worker) placement.Verdict
 }
 
+// Asks keeps what workers ask for in their answers.
+type Asks interface {
+	// Heard takes in the head of an answer.
+	Heard(a throttle.Answer)
+}
+
 // Server serves requests.
 type Server struct {
 	opts     Options
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -18,6 +18,7 @@
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/retry"
+	"github.com/pointpass/pointpass/throttle"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -50,6 +51,7 @@
 	registry.Apply(append(group("m", 1, workers.Open, 2), group("m", 2, workers.Open, 2)...), nil, true)
 	return NewServer(Options{
 		Guard:     quarantine.NewGuard(time.Now),
+		Asks:      throttle.NewBook(metrics.NewSet(), &log.Logger{Level: log.PanicLevel}),
 		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
--- /dev/null
+++ b/throttle/book.go
@@ -0,0 +1,189 @@
+package throttle
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+
+	"github.com/pointpass/pointpass/workers"
+)
+
+const (
+	// mostKept bounds how many workers are remembered.
+	mostKept = 16384
+	// keepGone is how long a worker is remembered that has no entry: entries also go while
+	// the store is down.
+	keepGone = 10 * time.Minute
+)
+
+// Answer is an answer of a worker to a request of this daemon.
+type Answer struct {
+	Worker workers.Worker
+	Ask    Ask
+	// Sent is when the request was sent, At when the head of the answer arrived.
+	Sent, At time.Time
+}
+
+// state is what one start of a worker has asked for.
+type state struct {
+	worker workers.Worker
+	// limited tells that rate is in force. It was first named at since and last at heard.
+	limited      bool
+	rate         float64
+	since, heard time.Time
+	// pausedUntil is until when the worker wants nothing.
+	pausedUntil time.Time
+	// leavingSince is when the worker first said that it leaves, the zero time if it hasn't.
+	leavingSince time.Time
+	// unreadable is the header last logged that couldn't be read.
+	unreadable string
+	// last is when the worker last answered.
+	last time.Time
+}
+
+// Book knows what workers asked for. It is safe for use by many goroutines.
+type Book struct {
+	log                                *log.Logger
+	limits, pauses, leaves, unreadable *metrics.Counter
+
+	mu     sync.RWMutex
+	states map[string]*state
+}
+
+// NewBook returns an empty book.
+func NewBook(set *metrics.Set, logger *log.Logger) *Book {
+	b := &Book{
+		log:        logger,
+		limits:     set.NewCounter(`pointpass_worker_asks_total{what="limit"}`),
+		pauses:     set.NewCounter(`pointpass_worker_asks_total{what="pause"}`),
+		leaves:     set.NewCounter(`pointpass_worker_asks_total{what="leaving"}`),
+		unreadable: set.NewCounter(`pointpass_worker_asks_total{what="unreadable"}`),
+		states:     map[string]*state{},
+	}
+	set.NewGauge("pointpass_workers_limited", func() float64 { return float64(b.Limited()) })
+	return b
+}
+
+// Heard takes in what an answer asks for.
+func (b *Book) Heard(a Answer) {
+	if !a.Ask.asks() && !b.knows(a.Worker.ID) {
+		return // nearly all answers
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(a.Worker)
+	if s == nil {
+		return
+	}
+	s.last = a.At
+	b.hearLimit(s, a)
+	b.hearPause(s, a)
+	b.hearLeaving(s, a)
+	b.hearUnreadable(s, a)
+}
+
+func (b *Book) knows(id string) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.states[id] != nil
+}
+
+// of returns the state of a worker, nil if there is no room for it. A worker that has started
+// again under its id has asked for nothing yet.
+func (b *Book) of(w workers.Worker) *state {
+	s, known := b.states[w.ID]
+	if known && !workers.Restarted(s.worker, w) {
+		return s
+	}
+	if !known && len(b.states) >= mostKept {
+		return nil
+	}
+	s = &state{worker: w}
+	b.states[w.ID] = s
+	return s
+}
+
+// hearLimit takes in whether a limit is named. An answer without one ends the limit only if
+// it is a success to a request sent after the limit was heard: others may have been under
+// way before, or come from a part of the worker that names nothing.
+func (b *Book) hearLimit(s *state, a Answer) {
+	switch {
+	case a.Ask.Limited:
+		b.limits.Inc()
+		if !s.limited {
+			s.since = a.At
+		}
+		if !s.limited || s.rate != a.Ask.Rate {
+			b.line(s, "worker_limited").Float64("rate", a.Ask.Rate).Bool("first", !s.limited).Msg("")
+		}
+		s.limited = true
+		s.rate = a.Ask.Rate
+		s.heard = a.At
+	case s.limited && !a.Ask.Failed && a.Ask.Unreadable == "" && a.Sent.After(s.heard):
+		b.line(s, "worker_unlimited").Float64("rate", s.rate).Dur("after", a.At.Sub(s.since)).Msg("")
+		s.limited = false
+	}
+}
+
+func (b *Book) hearPause(s *state, a Answer) {
+	if a.Ask.Pause <= 0 {
+		return
+	}
+	b.pauses.Inc()
+	if !a.At.Before(s.pausedUntil) {
+		b.line(s, "worker_paused").Dur("pause", a.Ask.Pause).Msg("")
+	}
+	s.pausedUntil = a.At.Add(a.Ask.Pause)
+}
+
+func (b *Book) hearLeaving(s *state, a Answer) {
+	if !a.Ask.Leaving {
+		return
+	}
+	b.leaves.Inc()
+	if s.leavingSince.IsZero() {
+		s.leavingSince = a.At
+		b.line(s, "worker_leaving").Bool("entry_draining", s.worker.Draining).Msg("")
+	}
+}
+
+func (b *Book) hearUnreadable(s *state, a Answer) {
+	if a.Ask.Unreadable == "" {
+		return
+	}
+	b.unreadable.Inc()
+	if s.unreadable != a.Ask.Unreadable {
+		s.unreadable = a.Ask.Unreadable
+		b.line(s, "worker_ask_unreadable").Str("header", a.Ask.Unreadable).Msg("it is left out")
+	}
+}
+
+func (b *Book) line(s *state, event string) *log.Entry {
+	return b.log.Info().Str("event", event).Str("worker", s.worker.ID).Str("service", s.worker.Service).Str("hall", s.worker.Hall)
+}
+
+// Limited returns how many workers have a limit in force.
+func (b *Book) Limited() int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	n := 0
+	for _, s := range b.states {
+		if s.limited {
+			n++
+		}
+	}
+	return n
+}
+
+// Keep forgets the workers that haven't answered for long and that listed doesn't name.
+func (b *Book) Keep(listed func(id string) bool, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.states {
+		if !listed(id) && now.Sub(s.last) > keepGone {
+			delete(b.states, id)
+		}
+	}
+}
