--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -17,12 +17,16 @@
 	grouped := w.group != nil
 	group, model, members := w.group, w.model, w.members
 	cold := time.Now().Before(w.coldUntil)
+	if w.limit != "" {
+		rw.Header().Set(headerLimit, w.limit)
+	}
 	w.mu.Unlock()
 	if r.Header.Get(headerExpect) != w.id || (grouped && !head) {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	w.store.judge.arrives(w.id, w.hall)
+	w.store.judge.arrivesLimited(w.id)
 	if cold {
 		w.store.judge.arrivesCold(w.id, w.service)
 	}
--- a/testbed/standin/judge.go
+++ b/testbed/standin/judge.go
@@ -23,6 +23,8 @@
 	// arrivals when each cold worker got some.
 	coldBounds map[string]int
 	arrivals   map[string][]time.Time
+	// limits are what workers take in a second from all daemons together.
+	limits map[string]*limit
 }
 
 func newJudge() *Judge {
@@ -33,6 +35,7 @@
 		closed:     map[string]time.Time{},
 		coldBounds: map[string]int{},
 		arrivals:   map[string][]time.Time{},
+		limits:     map[string]*limit{},
 	}
 }
 
--- /dev/null
+++ b/testbed/standin/limits_test.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// limitedRate is the limit that a worker names, in requests a second, and usedAtLeast how
+	// many it then gets: it is to be used as far as it goes.
+	limitedRate = 1
+	usedAtLeast = 8
+	// limitedCallers ask each daemon at a time, far more than the limit allows.
+	limitedCallers = 2
+)
+
+// TestLimit_AllDaemonsTogetherKeepIt tells an incident.
+//
+// Seen: workers that named a limit of 1 and 1.4 requests a second in their answers got 12 and
+// 18 requests in 4 s, where 11 and 13 are allowed, and went on to get as many.
+func TestLimit_AllDaemonsTogetherKeepIt(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// grouped tells that the worker heads a group. Others is how the others misbehave:
+		// their requests are sent again, their streams move.
+		grouped bool
+		others  Fault
+	}{
+		{"a group", true, Healthy},
+		{"a group, streams move there", true, CutsEvents},
+		{"a plain worker", false, Healthy},
+		{"a plain worker, others turn requests away", false, Full},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, 4)
+			for i := range 3 {
+				s.start(i == 0)
+			}
+			s.awaitGroups(2)
+			path, limited, other := "/get/x", s.workers["a0"], s.workers["a1"]
+			if c.grouped {
+				path, limited, other = "/ask/q", s.open()[0], s.open()[1]
+			}
+			stop := s.press(path)
+			other.SetFault(c.others)
+			limited.SetLimit(limitedRate)
+			s.limitIsUsed(limited)
+			stop()
+		})
+	}
+}
+
+// limitIsUsed waits until the judge has watched a worker with a limit for some spans, and
+// until it got some requests meanwhile.
+func (s *stage) limitIsUsed(w *Worker) {
+	s.t.Helper()
+	s.eventuallyWithin(2*patience, "the worker is used", func() bool {
+		judged, arrivals := s.store.Judge().Limited(w.ID())
+		return judged >= 3*limitWindow && arrivals >= usedAtLeast
+	})
+}
+
+// TestLimit_EndsWithTheNeed: a worker that names no limit any more is used as before.
+func TestLimit_EndsWithTheNeed(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, 0)
+	for i := range 3 {
+		s.start(i == 0)
+	}
+	stop := s.press("/get/x")
+	defer stop()
+	w := s.workers["a0"]
+	w.SetLimit(limitedRate)
+	s.limitIsUsed(w)
+	w.SetLimit(0)
+	before := len(w.Runs())
+	s.eventuallyWithin(2*patience, "it is used as before", func() bool { return len(w.Runs()) > before+20*usedAtLeast })
+}
+
+// press has callers ask all daemons until stop is called.
+func (s *stage) press(path string) (stop func()) {
+	done := make(chan struct{})
+	var asking sync.WaitGroup
+	for i, d := range s.daemons {
+		for j := range limitedCallers {
+			asking.Go(func() {
+				for n := 0; ; n++ {
+					select {
+					case <-done:
+						return
+					case <-time.After(10 * time.Millisecond):
+					}
+					a := Ask{ID: fmt.Sprintf("%02x%02x%012x", i, j, n), Method: http.MethodPost, Host: host, Path: path, Key: key, Body: "question", Wait: 5 * time.Second, Header: streamHeader()}
+					d.Send(s.t.Context(), a)
+				}
+			})
+		}
+	}
+	return func() {
+		close(done)
+		asking.Wait()
+	}
+}
--- a/testbed/standin/stage_test.go
+++ b/testbed/standin/stage_test.go
@@ -44,6 +44,12 @@
 	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(patience), wait.Gap(10*time.Millisecond)), must.Sprint(what))
 }
 
+// eventuallyWithin is eventually for what takes longer.
+func (s *stage) eventuallyWithin(d time.Duration, what string, condition func() bool) {
+	s.t.Helper()
+	must.Wait(s.t, wait.InitialSuccess(wait.BoolFunc(condition), wait.Timeout(d), wait.Gap(10*time.Millisecond)), must.Sprint(what))
+}
+
 // stage is a store, workers and daemons.
 type stage struct {
 	t       *testing.T
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -18,6 +19,7 @@
 	headerNotRun    = "X-Pointpass-Not-Executed"
 	headerSignature = "X-Pointpass-Response-Signature"
 	headerTenant    = "X-Pointpass-Tenant"
+	headerLimit     = "Server-Limit"
 )
 
 // Fault is how a worker misbehaves.
@@ -110,6 +112,8 @@
 	released chan struct{} // closed when a stall ends
 	// coldUntil is until when the worker bears little.
 	coldUntil time.Time
+	// limit is the limit that the worker names in its answers, "" if none.
+	limit string
 	// crashBody is the body of the request under which the worker ends, and onCrash what
 	// runs then.
 	crashBody string
@@ -201,6 +205,18 @@
 	w.publish()
 }
 
+// SetLimit has the worker name a limit in its answers, in requests a second from all daemons
+// together. 0 ends that.
+func (w *Worker) SetLimit(rate float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = ""
+	if rate > 0 {
+		w.limit = strconv.FormatFloat(rate, 'f', -1, 64)
+	}
+	w.store.judge.setLimit(w.id, rate)
+}
+
 // Runs returns the requests that the worker ran.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
