throttle: Keep the limits that workers name, over all daemons

Seen by callers: nothing. A worker that named a limit of 1 a second got what it got before, 12 and more in 4 s where 11 are allowed. Cause: nothing read what an answer asks for, and what one worker takes from all daemons together had no place among what decides where a request goes. Ruled out: limits kept by first sends alone (all sends ignored them); keeping to the whole limit at each daemon (nine times too much). Change: placement asks a throttle wherever a request is planned or sent: each daemon keeps to its part of the limit (package quota), and work goes to other groups meanwhile. Why it holds: every send passes one place; the parts add up by the proof of package quota, whatever daemons know of each other; random histories with limits of 0 to 200 a second.

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -48,7 +48,7 @@
 		_, listed := view.Worker(key)
 		return listed || known[key]
 	})
-	e.Asks.Keep(func(id string) bool {
+	e.Throttle.Keep(func(id string) bool {
 		_, listed := view.Worker(id)
 		return listed
 	}, clock.Now())
--- a/deps/cold.go
+++ b/deps/cold.go
@@ -68,7 +68,9 @@
 
 // learnDaemons takes in which daemons announced themselves.
 func (c *cold) learnDaemons(rows map[string]uint64, u store.Update) {
-	c.roster.Learn(quota.View{Rows: rows, Evidence: u.Evidence}, clock.Now())
+	view := quota.View{Rows: rows, Evidence: u.Evidence}
+	c.roster.Learn(view, clock.Now())
+	c.edge.Throttle.LearnDaemons(view, clock.Now())
 }
 
 // learnEntries takes in entries of workers.
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -55,8 +55,8 @@
 	Ingress    http.Handler
 	// Guard knows requests again that crash workers.
 	Guard *quarantine.Guard
-	// Asks knows what workers asked for in their answers.
-	Asks       *throttle.Book
+	// Throttle bounds what workers get by what they ask for in their answers.
+	Throttle   *throttle.Throttle
 	Lease      *replica.Lease
 	Controller *replica.Controller
 	// Warnings gathers what daemons report about groups, at the holder of the lease.
@@ -91,11 +91,11 @@
 		settings: settings,
 		reloads:  map[node.Outcome]*metrics.Counter{},
 	}
-	e.Asks = throttle.NewBook(e.Metrics, logger)
+	e.Throttle = throttle.New(settings.Current().Name(), throttle.NewBook(e.Metrics, logger))
 	e.unread = newUnreadEntries(e.Metrics, logger)
 	e.entries = &entryLog{log: logger}
 	e.cold = newCold(e)
-	e.Placement = placement.NewDecider(settings.Current().HallRegions(), e.cold.ramp, clock.Now)
+	e.Placement = placement.NewDecider(settings.Current().HallRegions(), e.cold.ramp, e.Throttle, clock.Now)
 	e.standstill = placement.NewStandstill(clock.Now, e.logStandstill)
 	client, closeStore := platform.NewStore(settings.Current().StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), clock.Now)
@@ -145,7 +145,7 @@
 		Counters:     serving.NewCounters(e.Metrics),
 		Guard:        e.Guard,
 		Crashes:      e.quarantine.sightings,
-		Asks:         e.Asks,
+		Asks:         e.Throttle,
 		Evidence:     func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
 		Allowance:    e.allowance,
 		Suspect:      e.reporter.report,
--- a/deps/following.go
+++ b/deps/following.go
@@ -228,10 +228,10 @@
 }
 
 // asRelay tells whether a daemon that follows the store alone asks for a table as often as
-// one that relays: where workers start cold, what is known of other daemons has to be
-// young, at 0.5 calls a second more.
+// one that relays: where workers start cold or name limits, what is known of other daemons
+// has to be young, at 0.5 calls a second more.
 func (f *following) asRelay(table string) bool {
-	return table == replica.LeaseTable && f.edge.cold.needed()
+	return table == replica.LeaseTable && (f.edge.cold.needed() || f.edge.Throttle.Limited() > 0)
 }
 
 // configWait returns how long the store holds a question for a newer
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/throttle"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -29,6 +30,8 @@
 	RegionBarred Reason = "region_barred"
 	// Cold tells that the worker has just started and that there is no room on its ramp.
 	Cold Reason = "cold"
+	// WorkerLimited tells that this process has sent its part of the worker's limit.
+	WorkerLimited = Reason(throttle.Limited)
 )
 
 // Verdict says whether a request may go to a worker, and the fact that decided.
@@ -43,6 +46,8 @@
 	// when this process learned of it.
 	Version uint64
 	Known   time.Time
+	// Until is from when on the request may go there, the zero time if that isn't known.
+	Until time.Time
 }
 
 // Allowed tells whether the request may go there.
@@ -73,18 +78,28 @@
 	Weight(w workers.Worker, now time.Time) float64
 }
 
+// Throttle bounds what workers get by what they ask for in their answers. Implementations are
+// safe for use by many goroutines.
+type Throttle interface {
+	// Judge says whether a worker may get a request from this process now. It counts nothing.
+	Judge(w workers.Worker, now time.Time) throttle.Verdict
+	// Take says whether a worker may get a request that is about to be sent, and counts it.
+	Take(w workers.Worker, now time.Time) throttle.Verdict
+}
+
 // Decider decides where requests may run. It is safe for use by many goroutines.
 type Decider struct {
-	mu    sync.Mutex // of changes
-	facts atomic.Pointer[Facts]
-	ramp  Ramp
-	now   func() time.Time
+	mu       sync.Mutex // of changes
+	facts    atomic.Pointer[Facts]
+	ramp     Ramp
+	throttle Throttle
+	now      func() time.Time
 }
 
-// NewDecider returns a decider that knows the regions of data halls and bounds what cold
-// workers get by a ramp.
-func NewDecider(regions map[string]string, ramp Ramp, now func() time.Time) *Decider {
-	d := &Decider{ramp: ramp, now: now}
+// NewDecider returns a decider that knows the regions of data halls, bounds what cold workers
+// get by a ramp, and what workers get that ask for less by a throttle.
+func NewDecider(regions map[string]string, ramp Ramp, throttle Throttle, now func() time.Time) *Decider {
+	d := &Decider{ramp: ramp, throttle: throttle, now: now}
 	d.facts.Store(NewFacts(regions))
 	return d
 }
@@ -121,28 +136,45 @@
 		return v
 	}
 	now := d.now()
+	v.bind(d.throttle.Judge(w, now))
+	if !v.Allowed() {
+		return v
+	}
 	cold, room := d.ramp.Room(w, now)
 	if !room {
 		v.Reason = Cold
 	} else if cold {
-		v.Weight = d.ramp.Weight(w, now)
+		v.Weight = min(v.Weight, d.ramp.Weight(w, now))
 	}
 	return v
 }
 
 // Send says whether a request may be sent to a worker at this moment, and counts it
-// where the worker is cold.
+// where what the worker gets is bounded.
 func (d *Decider) Send(r Request, w workers.Worker) Verdict {
 	v := d.judgeHall(r, w)
 	if !v.Allowed() {
 		return v
 	}
-	if !d.ramp.Take(w, d.now()) {
+	now := d.now()
+	if v.bind(d.throttle.Judge(w, now)); !v.Allowed() {
+		return v // nothing is taken from the ramp for it
+	}
+	if !d.ramp.Take(w, now) {
 		v.Reason = Cold
+		return v
 	}
+	v.bind(d.throttle.Take(w, now))
 	return v
 }
 
+// bind takes in what the worker asks for.
+func (v *Verdict) bind(t throttle.Verdict) {
+	v.Reason = Reason(t.Reason)
+	v.Until = t.Until
+	v.Weight = min(v.Weight, t.Weight)
+}
+
 // judgeHall decides by the worker's data hall alone. Regions are looked at first: who is
 // told that a hall is closed may run there once it is open.
 func (d *Decider) judgeHall(r Request, w workers.Worker) Verdict {
@@ -171,3 +203,16 @@
 
 // Weight tells that all work counts alike.
 func (NoRamp) Weight(workers.Worker, time.Time) float64 { return 1 }
+
+// NoThrottle is the throttle where workers never ask for anything.
+type NoThrottle struct{}
+
+// Judge tells that there is room.
+func (NoThrottle) Judge(workers.Worker, time.Time) throttle.Verdict {
+	return throttle.Verdict{Weight: 1}
+}
+
+// Take tells that there is room.
+func (NoThrottle) Take(workers.Worker, time.Time) throttle.Verdict {
+	return throttle.Verdict{Weight: 1}
+}
--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -84,7 +84,7 @@
 func (w *world) start(i int) *daemon {
 	d := &daemon{
 		cache:      relay.NewCache(table, mostAge, w.clock).TellDifferences(),
-		decider:    placement.NewDecider(nil, placement.NoRamp{}, w.clock),
+		decider:    placement.NewDecider(nil, placement.NoRamp{}, placement.NoThrottle{}, w.clock),
 		standstill: placement.NewStandstill(w.clock, func(time.Duration) {}),
 	}
 	d.reader = relay.NewReader(relay.ReaderOptions{
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -18,7 +18,7 @@
 func in(hall string) workers.Worker { return workers.Worker{ID: "w", Hall: hall} }
 
 func TestDecider_AClosedHallGetsNothingUntilItIsOpened(t *testing.T) {
-	d := NewDecider(halls, NoRamp{}, func() time.Time { return noon })
+	d := NewDecider(halls, NoRamp{}, NoThrottle{}, func() time.Time { return noon })
 	closed, opened := d.Apply(Update{Changes: []Change{{Hall: "h1", Closed: true, Version: 7}}, Version: 7})
 	must.Eq(t, []Closing{{Hall: "h1", Version: 7, Known: noon}}, closed)
 	must.SliceEmpty(t, opened)
@@ -34,7 +34,7 @@
 
 // TestDecider_AFullReadOpensWhatItDoesNotList: history was dropped while the row went.
 func TestDecider_AFullReadOpensWhatItDoesNotList(t *testing.T) {
-	d := NewDecider(halls, NoRamp{}, func() time.Time { return noon })
+	d := NewDecider(halls, NoRamp{}, NoThrottle{}, func() time.Time { return noon })
 	d.Apply(Update{Changes: []Change{{Hall: "h1", Closed: true, Version: 7}, {Hall: "h2", Closed: true, Version: 8}}, Version: 8})
 	closed, opened := d.Apply(Update{Changes: []Change{{Hall: "h2", Closed: true, Version: 8}}, Full: true, Version: 12})
 	must.SliceEmpty(t, closed)
@@ -62,7 +62,7 @@
 }
 
 func TestDecider_RouteAndCustomerBothBind(t *testing.T) {
-	d := NewDecider(halls, NoRamp{}, time.Now)
+	d := NewDecider(halls, NoRamp{}, NoThrottle{}, time.Now)
 	for _, c := range []struct {
 		route, customer catalog.Regions
 		hall            string
@@ -91,7 +91,7 @@
 func (fullRamp) Weight(w workers.Worker, _ time.Time) float64 { return 1 }
 
 func TestDecider_AColdWorkerGetsWhatItsRampHasRoomFor(t *testing.T) {
-	d := NewDecider(halls, fullRamp{}, time.Now)
+	d := NewDecider(halls, fullRamp{}, NoThrottle{}, time.Now)
 	must.EqOp(t, Cold, d.Judge(Request{}, in("h1")).Reason)
 	must.EqOp(t, Cold, d.Send(Request{}, in("h1")).Reason)
 	must.True(t, d.Send(Request{}, workers.Worker{ID: "other", Hall: "h1"}).Allowed())
@@ -100,7 +100,7 @@
 // TestDecider_SetRegions: what is decided from now on rests on the regions told last, and
 // closed halls stay closed.
 func TestDecider_SetRegions(t *testing.T) {
-	d := NewDecider(map[string]string{"h1": "r1"}, NoRamp{}, time.Now)
+	d := NewDecider(map[string]string{"h1": "r1"}, NoRamp{}, NoThrottle{}, time.Now)
 	d.Apply(Update{Changes: []Change{{Hall: "h2", Closed: true, Version: 3}}, Version: 3})
 	bound := Request{Route: catalog.Regions{"r2"}}
 	must.EqOp(t, RegionBarred, d.Judge(bound, workers.Worker{Hall: "h1"}).Reason)
@@ -116,7 +116,7 @@
 func (halfRamp) Weight(workers.Worker, time.Time) float64             { return 0.5 }
 
 func TestDecider_TellsWhatWorkAtAColdWorkerCounts(t *testing.T) {
-	d := NewDecider(halls, halfRamp{}, time.Now)
+	d := NewDecider(halls, halfRamp{}, NoThrottle{}, time.Now)
 	must.Eq(t, Verdict{Weight: 0.5, Hall: "h1", Region: "north"}, d.Judge(Request{}, in("h1")))
 	must.EqOp(t, 1, d.Judge(Request{}, workers.Worker{ID: "other"}).Weight)
 }
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -38,7 +38,7 @@
 	registry.Apply(group("m", 1, workers.Open, 2), nil, true)
 	s := NewServer(Options{
 		Guard:     quarantine.NewGuard(time.Now),
-		Placement: placement.NewDecider(nil, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
+		Placement: placement.NewDecider(nil, placement.NoRamp{}, placement.NoThrottle{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &catalogs, Workers: registry.View, Upstream: aborting{}, Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
 		Allowance: func() retry.Allowance { return retry.Allowance{Window: time.Second} },
@@ -69,7 +69,7 @@
 		}
 	}
 	registry.Apply(all, nil, true)
-	places := placement.NewDecider(nil, placement.NoRamp{}, func() time.Time { return noon })
+	places := placement.NewDecider(nil, placement.NoRamp{}, placement.NoThrottle{}, func() time.Time { return noon })
 	balancer := NewBalancer("h1")
 	known := true
 	s := NewServer(Options{
--- a/serving/place.go
+++ b/serving/place.go
@@ -37,6 +37,7 @@
 func (e *exchange) permitted() (targets []Target, barred placement.Verdict) {
 	s := e.server
 	request := e.placementRequest()
+	var until time.Time // the first of the barred ones takes a request
 	for _, t := range Targets(s.opts.Workers(), e.service, e.req.Model) {
 		v := s.opts.Placement.Judge(request, t.Worker)
 		switch {
@@ -46,10 +47,14 @@
 		case v.Telling(barred):
 			barred = v
 		}
+		if !v.Until.IsZero() && (until.IsZero() || v.Until.Before(until)) {
+			until = v.Until
+		}
 		if v.UnknownRegion() {
 			s.noteUnknownRegion(v.Hall)
 		}
 	}
+	barred.Until = until
 	return targets, barred
 }
 
@@ -107,14 +112,18 @@
 		f.reason = barredReasons[barred.Reason]
 		e.server.opts.Counters.barred(barred.Reason)
 	}
-	if barred.Reason == placement.HallClosed && len(e.tried) == 0 {
-		f.retryAfter = closedRetry(e.server.opts.Now().Sub(barred.Known))
+	now := e.server.opts.Now()
+	switch {
+	case barred.Reason == placement.HallClosed && len(e.tried) == 0:
+		f.retryAfter = closedRetry(now.Sub(barred.Known))
+	case barred.Until.After(now):
+		f.retryAfter = min(max(barred.Until.Sub(now), absentRetry), mostClosedRetry)
 	}
 	return f
 }
 
-// mostClosedRetry bounds the wait named while halls are closed: callers at the sites known
-// give up after 6 s.
+// mostClosedRetry bounds the wait named while halls are closed, or workers take nothing:
+// callers at the sites known give up after 6 s.
 const mostClosedRetry = 4 * time.Second
 
 // closedRetry returns when to come back to halls that have been closed for a while: after as
@@ -130,4 +139,6 @@
 	placement.HallClosed:   "the data halls that serve this are closed",
 	placement.RegionBarred: "nothing serves this in the regions where it may run",
 	placement.Cold:         "the workers that serve this have just started",
+
+	placement.WorkerLimited: "the workers that serve this take fewer requests at present",
 }
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -108,8 +109,8 @@
 	registry.Apply(list, nil, true)
 	f.server = NewServer(Options{
 		Guard:     quarantine.NewGuard(time.Now),
-		Asks:      throttle.NewBook(metrics.NewSet(), &log.Logger{Level: log.PanicLevel}),
-		Placement: placement.NewDecider(fleetHalls, placement.NoRamp{}, time.Now), Settle: func(context.Context) {},
+		Asks:      throttle.New("x", throttle.NewBook(metrics.NewSet(), &log.Logger{Level: log.PanicLevel})),
+		Placement: placement.NewDecider(fleetHalls, placement.NoRamp{}, placement.NoThrottle{}, time.Now), Settle: func(context.Context) {},
 		Catalogs: &f.catalogs, Workers: registry.View, Upstream: f, Balancer: NewBalancer("h1"),
 		Counters: NewCounters(f.set), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
 		Allowance: func() retry.Allowance { return retry.Allowance{Extra: 1000, Window: time.Second} },
@@ -121,6 +122,12 @@
 	return f
 }
 
+// head returns the worker of one of the targets.
+func (f *fleet) head() string {
+	service, _ := f.catalogs.Current().Catalog.Service("s")
+	return Targets(f.server.opts.Workers(), service, "m")[0].Worker.ID
+}
+
 // ask sends a request and returns its answer; aborted tells that it was broken off.
 func (f *fleet) ask() (w *httptest.ResponseRecorder, aborted bool) {
 	w = httptest.NewRecorder()
@@ -289,7 +296,7 @@
 		f := newFleet(catalog.Repeatable, []string{"h1"}, fullRoom)
 		now := time.Now()
 		clock := func() time.Time { return now }
-		decider := placement.NewDecider(fleetHalls, placement.NoRamp{}, clock)
+		decider := placement.NewDecider(fleetHalls, placement.NoRamp{}, placement.NoThrottle{}, clock)
 		f.server.opts.Placement = decider
 		f.server.opts.Now = clock
 		f.configure(nil, nil)
@@ -302,6 +309,50 @@
 	}
 }
 
+// barredWorker is a throttle by which one worker gets nothing until some time from now.
+type barredWorker struct {
+	id    string
+	until time.Duration
+}
+
+func (b barredWorker) Judge(w workers.Worker, now time.Time) throttle.Verdict {
+	if w.ID != b.id {
+		return throttle.Verdict{Weight: 1}
+	}
+	return throttle.Verdict{Reason: throttle.Limited, Until: now.Add(b.until), Weight: 1}
+}
+
+func (b barredWorker) Take(w workers.Worker, now time.Time) throttle.Verdict { return b.Judge(w, now) }
+
+// TestServe_NoSendGoesPastWhatAWorkerAsksFor: neither the first one nor one after a refusal,
+// a lost answer or a broken stream. Where nothing else is left the refusal tells when to come
+// back.
+func TestServe_NoSendGoesPastWhatAWorkerAsksFor(t *testing.T) {
+	now := time.Now()
+	clock := func() time.Time { return now }
+	for _, kind := range allKinds {
+		for name, first := range map[string]answer{"turned away": fullRoom, "lost": lost, "broken off": streamCut} {
+			t.Run(fmt.Sprint(kind, " ", name), func(t *testing.T) {
+				f := newFleet(kind, []string{"h1", "h2"}, first, first)
+				f.configure(nil, nil)
+				f.server.opts.Placement = placement.NewDecider(fleetHalls, placement.NoRamp{}, barredWorker{f.head(), 2 * time.Second}, clock)
+				f.ask()
+				must.Len(t, 1, f.regions, must.Sprint("it got to the other worker alone"))
+			})
+		}
+	}
+	for until, want := range map[time.Duration]string{0: "0.400", time.Millisecond: "0.400", 2 * time.Second: "2.000", time.Hour: "4.000"} {
+		f := newFleet(catalog.Repeatable, []string{"h1"})
+		f.configure(nil, nil)
+		f.server.opts.Now = clock
+		f.server.opts.Placement = placement.NewDecider(fleetHalls, placement.NoRamp{}, barredWorker{f.head(), until}, clock)
+		w, _ := f.ask()
+		must.EqOp(t, http.StatusServiceUnavailable, w.Code)
+		must.EqOp(t, want, w.Header().Get("Retry-After"))
+		must.SliceEmpty(t, f.regions)
+	}
+}
+
 // closesOnJudging is a placement that learns of a closed hall right after it was asked
 // where a request may be planned.
 type closesOnJudging struct{ *placement.Decider }
--- a/testbed/standin/limits_test.go
+++ b/testbed/standin/limits_test.go
@@ -21,6 +21,13 @@
 //
 // Seen: workers that named a limit of 1 and 1.4 requests a second in their answers got 12 and
 // 18 requests in 4 s, where 11 and 13 are allowed, and went on to get as many.
+// How it came about: all daemons sent them what they sent any other worker, by what each had
+// under way there.
+// Cause: no daemon read what an answer asks for. What one worker takes from all daemons
+// together had no place among what decides where a request goes.
+// Proof: with answers decoded and logged, every daemon heard of each limit within a second and
+// sent as before; with each daemon keeping to a part of the limit the parts add up, whatever
+// they know of each other (package quota).
 func TestLimit_AllDaemonsTogetherKeepIt(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/throttle/book.go
+++ b/throttle/book.go
@@ -66,22 +66,35 @@
 	return b
 }
 
-// Heard takes in what an answer asks for.
-func (b *Book) Heard(a Answer) {
+// Heard takes in what an answer asks for, and tells whether it is the first to name a limit.
+func (b *Book) Heard(a Answer) (limitBegan bool) {
 	if !a.Ask.asks() && !b.knows(a.Worker.ID) {
-		return // nearly all answers
+		return false // nearly all answers
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(a.Worker)
 	if s == nil {
-		return
+		return false
 	}
 	s.last = a.At
+	was := s.limited
 	b.hearLimit(s, a)
 	b.hearPause(s, a)
 	b.hearLeaving(s, a)
 	b.hearUnreadable(s, a)
+	return s.limited && !was
+}
+
+// Limit returns the limit of a worker, false if it has none.
+func (b *Book) Limit(w workers.Worker) (rate float64, limited bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	s, known := b.states[w.ID]
+	if !known || workers.Restarted(s.worker, w) {
+		return 0, false
+	}
+	return s.rate, s.limited
 }
 
 func (b *Book) knows(id string) bool {
