testbed/standin: Workers that ask for a pause or leave get more (red)

Seen by callers: while five of 16 heads asked for a pause, one request of five was refused though eleven heads had room.

--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -20,6 +20,10 @@
 	if w.limit != "" {
 		rw.Header().Set(headerLimit, w.limit)
 	}
+	if w.leaving {
+		rw.Header().Set(headerLeaving, "1")
+	}
+	pause, leaving := w.pause, w.leaving
 	w.mu.Unlock()
 	if r.Header.Get(headerExpect) != w.id || (grouped && !head) {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
@@ -30,6 +34,18 @@
 	if cold {
 		w.store.judge.arrivesCold(w.id, w.service)
 	}
+	w.store.judge.arrivesPaused(w.id)
+	w.store.judge.arrivesLeaving(w.id)
+	if leaving {
+		defer w.store.judge.toldLeaving(w.id)
+	}
+	if pause > 0 {
+		rw.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+		rw.Header().Set(headerNotRun, "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		w.store.judge.asksForPause(w.id, pause)
+		return
+	}
 	if fault == Full {
 		rw.Header().Set(headerNotRun, "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
--- a/testbed/standin/judge.go
+++ b/testbed/standin/judge.go
@@ -25,6 +25,10 @@
 	arrivals   map[string][]time.Time
 	// limits are what workers take in a second from all daemons together.
 	limits map[string]*limit
+	// pauses are those that workers asked for, and leaving since when workers have told that
+	// they leave.
+	pauses  map[string][]*pause
+	leaving map[string]time.Time
 }
 
 func newJudge() *Judge {
@@ -36,6 +40,8 @@
 		coldBounds: map[string]int{},
 		arrivals:   map[string][]time.Time{},
 		limits:     map[string]*limit{},
+		pauses:     map[string][]*pause{},
+		leaving:    map[string]time.Time{},
 	}
 }
 
--- /dev/null
+++ b/testbed/standin/pauses_test.go
@@ -0,0 +1,114 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// askedPause is what workers ask for, and pausesSeen how many pauses a test watches.
+const (
+	askedPause = 3 * time.Second
+	pausesSeen = 2
+)
+
+// TestPause_IsKept tells an incident.
+//
+// Seen: heads of groups that turned requests away and asked for a pause of 3 s got three to
+// twelve requests from one daemon in that time. All heads that did so got up to five times as
+// many requests as before, while half of the others' room went unused and one request of five
+// was refused.
+func TestPause_IsKept(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		grouped bool
+		others  Fault
+	}{
+		{"a group", true, Healthy},
+		{"a group, streams move there", true, CutsEvents},
+		{"a plain worker", false, Healthy},
+		{"a plain worker, others fail", false, Fails},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, 4)
+			s.start(true)
+			s.awaitGroups(2)
+			path, paused, other := "/get/x", s.workers["a0"], s.workers["a1"]
+			if c.grouped {
+				path, paused, other = "/ask/q", s.open()[0], s.open()[1]
+			}
+			other.SetFault(c.others)
+			paused.SetPause(askedPause)
+			begun := time.Now()
+			stop := s.press(path)
+			defer stop()
+			eventually(t, "it has asked for several pauses", func() bool {
+				return s.store.Judge().Pauses(paused.ID()) > pausesSeen && time.Since(begun) > pausesSeen*askedPause
+			})
+			paused.SetPause(0)
+			before := len(paused.Runs())
+			eventually(t, "it is used once the pause is over", func() bool { return len(paused.Runs()) > before+pausesSeen })
+		})
+	}
+}
+
+// TestPause_OfAllIsTold: where all workers ask for a pause, callers are refused at once and
+// told when it is over, and those who come then are served.
+func TestPause_OfAllIsTold(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, 0)
+	d := s.start(true)
+	for _, w := range s.workers {
+		w.SetPause(askedPause)
+	}
+	eventually(t, "both have asked for a pause", func() bool {
+		d.Send(t.Context(), s.ask(http.MethodPost, "/get/x"))
+		return s.store.Judge().Pauses("a0") > 0 && s.store.Judge().Pauses("a1") > 0
+	})
+	for _, w := range s.workers {
+		w.SetPause(0)
+	}
+	r := d.Send(t.Context(), s.ask(http.MethodPost, "/get/x"))
+	must.EqOp(t, http.StatusServiceUnavailable, r.Status)
+	must.Less(t, time.Second, r.Took)
+	wait, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+	must.NoError(t, err)
+	must.Between(t, 1, wait, askedPause.Seconds())
+	time.Sleep(time.Duration(wait * float64(time.Second)))
+	must.EqOp(t, http.StatusOK, d.Send(t.Context(), s.ask(http.MethodPost, "/get/x")).Status)
+}
+
+// TestLeaving_WhoTellsThatItLeavesGetsNothingNew: a worker says so in its answers before its
+// entry does, as the head of a group or alone.
+func TestLeaving_WhoTellsThatItLeavesGetsNothingNew(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		grouped bool
+		others  Fault
+	}{
+		{"a group", true, Healthy},
+		{"a group, streams move there", true, CutsEvents},
+		{"a plain worker", false, Healthy},
+		{"a plain worker, others turn requests away", false, Full},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newStage(t, 4)
+			s.start(true)
+			s.awaitGroups(2)
+			path, leaving, other := "/get/x", s.workers["a0"], s.workers["a1"]
+			if c.grouped {
+				path, leaving, other = "/ask/q", s.open()[0], s.open()[1]
+			}
+			other.SetFault(c.others)
+			leaving.SetLeaving()
+			stop := s.press(path)
+			defer stop()
+			eventually(t, "it has told long ago that it leaves", func() bool { return s.store.Judge().Leaving(leaving.ID()) > 2*leavingKnownWithin })
+		})
+	}
+}
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -20,6 +20,7 @@
 	headerSignature = "X-Pointpass-Response-Signature"
 	headerTenant    = "X-Pointpass-Tenant"
 	headerLimit     = "Server-Limit"
+	headerLeaving   = "Server-Leaving"
 )
 
 // Fault is how a worker misbehaves.
@@ -114,6 +115,11 @@
 	coldUntil time.Time
 	// limit is the limit that the worker names in its answers, "" if none.
 	limit string
+	// pause is for how long the worker wants no request of a daemon that it turns away, 0 if
+	// it turns none away.
+	pause time.Duration
+	// leaving tells that the worker says in its answers that it leaves.
+	leaving bool
 	// crashBody is the body of the request under which the worker ends, and onCrash what
 	// runs then.
 	crashBody string
@@ -217,6 +223,20 @@
 	w.store.judge.setLimit(w.id, rate)
 }
 
+// SetPause has the worker turn requests away and ask for a pause. 0 ends that.
+func (w *Worker) SetPause(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pause = d
+}
+
+// SetLeaving has the worker say in its answers that it leaves, and not in its entry.
+func (w *Worker) SetLeaving() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
 // Runs returns the requests that the worker ran.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
