throttle: Keep the pauses that workers ask for

Seen by callers: while five of 16 heads turned requests away, 12 to 36 requests of 100 a second were refused and 7 to 22 late, though eleven heads had room. Cause: nothing read the pause that a refusal asks for. A refusal leaves nothing under way, so that the worker looked the least busy of all, also to the second attempt of the same request. Ruled out: pauses kept by first attempts alone (all sends went there); workers tried as a last resort (eleven of 16 heads answered). Change: a worker that asked this daemon for a pause gets nothing of it until the pause is over; where all workers do, callers are refused at once with the time until the first pause ends. Why it holds: every send passes placement, where the pause is asked for under the worker's id and start.

--- a/placement/decide.go
+++ b/placement/decide.go
@@ -32,6 +32,8 @@
 	Cold Reason = "cold"
 	// WorkerLimited tells that this process has sent its part of the worker's limit.
 	WorkerLimited = Reason(throttle.Limited)
+	// WorkerPaused tells that the worker asked this process for a pause.
+	WorkerPaused = Reason(throttle.Paused)
 )
 
 // Verdict says whether a request may go to a worker, and the fact that decided.
--- a/testbed/standin/pauses_test.go
+++ b/testbed/standin/pauses_test.go
@@ -21,6 +21,14 @@
 // twelve requests from one daemon in that time. All heads that did so got up to five times as
 // many requests as before, while half of the others' room went unused and one request of five
 // was refused.
+// How it came about: a refusal is over after a millisecond and leaves nothing under way, so that
+// the worker looked the least busy of all to the next request, and to the second attempt of the
+// same one: two refusals in a row, and the caller was refused.
+// Cause: no daemon read the pause that a refusal asks for, and a refusal left no mark on who
+// gave it.
+// Proof: arrivals at the five heads rose fivefold while they refused, and fell back as they
+// took requests again; here nothing else is wrong, and the worker gets thousands of requests in
+// each pause without the repair.
 func TestPause_IsKept(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/throttle/book.go
+++ b/throttle/book.go
@@ -26,17 +26,23 @@
 	Sent, At time.Time
 }
 
-// state is what one start of a worker has asked for.
-type state struct {
-	worker workers.Worker
-	// limited tells that rate is in force. It was first named at since and last at heard.
-	limited      bool
-	rate         float64
-	since, heard time.Time
+// wish is what a worker asked for that is in force.
+type wish struct {
+	// limited tells that there is a limit, of rate requests a second.
+	limited bool
+	rate    float64
 	// pausedUntil is until when the worker wants nothing.
 	pausedUntil time.Time
 	// leavingSince is when the worker first said that it leaves, the zero time if it hasn't.
 	leavingSince time.Time
+}
+
+// state is what one start of a worker has asked for.
+type state struct {
+	wish
+	worker workers.Worker
+	// since is when the limit in force was first named, and heard when it was last.
+	since, heard time.Time
 	// unreadable is the header last logged that couldn't be read.
 	unreadable string
 	// last is when the worker last answered.
@@ -86,15 +92,25 @@
 	return s.limited && !was
 }
 
-// Limit returns the limit of a worker, false if it has none.
-func (b *Book) Limit(w workers.Worker) (rate float64, limited bool) {
+// asked returns what a worker has asked for, the zero value if nothing.
+func (b *Book) asked(w workers.Worker) wish {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	s, known := b.states[w.ID]
 	if !known || workers.Restarted(s.worker, w) {
-		return 0, false
+		return wish{}
 	}
-	return s.rate, s.limited
+	return s.wish
+}
+
+// verdict says whether a worker takes a request of this daemon, but for its limit. A refusal
+// leaves nothing under way: without a mark of its own the worker would look the least busy of
+// all, and get more requests the faster it refuses.
+func (a wish) verdict(now time.Time) Verdict {
+	if now.Before(a.pausedUntil) {
+		return Verdict{Reason: Paused, Until: a.pausedUntil, Weight: 1}
+	}
+	return Verdict{Weight: 1}
 }
 
 func (b *Book) knows(id string) bool {
@@ -148,7 +164,9 @@
 	if !a.At.Before(s.pausedUntil) {
 		b.line(s, "worker_paused").Dur("pause", a.Ask.Pause).Msg("")
 	}
-	s.pausedUntil = a.At.Add(a.Ask.Pause)
+	if until := a.At.Add(a.Ask.Pause); until.After(s.pausedUntil) {
+		s.pausedUntil = until
+	}
 }
 
 func (b *Book) hearLeaving(s *state, a Answer) {
--- a/throttle/limit.go
+++ b/throttle/limit.go
@@ -1,7 +1,6 @@
 package throttle
 
 import (
-	"sync"
 	"time"
 
 	"github.com/pointpass/pointpass/quota"
@@ -44,85 +43,6 @@
 	}
 }
 
-// Reason is why a worker may not get a request from this daemon now.
-type Reason string
-
-// The reasons. The zero value means that it may.
-const (
-	Allowed Reason = ""
-	// Limited tells that this daemon has sent its part of the worker's limit.
-	Limited Reason = "worker_limited"
-)
-
-// Verdict says whether a worker may get a request.
-type Verdict struct {
-	Reason Reason
-	// Until is from when on the worker may get one, the zero time if that isn't known.
-	Until time.Time
-	// Weight is which part of all daemons may send there, 1 unless the worker is limited.
-	Weight float64
-}
-
-// Throttle decides what workers get of this daemon by what they ask for. It is safe for use
-// by many goroutines.
-type Throttle struct {
-	book   *Book
-	roster *quota.Roster
-
-	mu     sync.Mutex
-	ledger *quota.Ledger
-}
-
-// New returns a throttle of a daemon by what a book tells.
-func New(self string, book *Book) *Throttle {
-	return &Throttle{book: book, roster: quota.NewRoster(self, rosterMargin), ledger: quota.NewLedger(longestPeriod)}
-}
-
-// LearnDaemons takes in which daemons there are.
-func (t *Throttle) LearnDaemons(v quota.View, now time.Time) { t.roster.Learn(v, now) }
-
-// Standing returns whether this daemon may send its part to workers with a limit.
-func (t *Throttle) Standing(now time.Time) quota.Standing { return t.roster.Standing(now) }
-
-// Heard takes in what an answer asks for. The request that told of a limit counts as the
-// first one by it, so that daemons which hear of it at the same time don't all send again.
-func (t *Throttle) Heard(a Answer) {
-	if !t.book.Heard(a) {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.ledger.Take(a.Worker.ID, a.Sent)
-}
-
-// Judge says whether a worker may get a request from this daemon now. It counts nothing. A
-// limit is one for all daemons: each that kept to the whole of it would let the worker get as
-// many times that as there are daemons.
-func (t *Throttle) Judge(w workers.Worker, now time.Time) Verdict {
-	rate, limited := t.book.Limit(w)
-	if !limited {
-		return Verdict{Weight: 1}
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.judgeLimit(w, rate, now)
-}
-
-// Take says whether a worker may get a request that is about to be sent, and counts it.
-func (t *Throttle) Take(w workers.Worker, now time.Time) Verdict {
-	rate, limited := t.book.Limit(w)
-	if !limited {
-		return Verdict{Weight: 1}
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v := t.judgeLimit(w, rate, now)
-	if v.Reason == Allowed {
-		t.ledger.Take(w.ID, now)
-	}
-	return v
-}
-
 // judgeLimit says whether this daemon has room for one more request to a worker with a
 // limit. The caller holds the lock.
 func (t *Throttle) judgeLimit(w workers.Worker, rate float64, now time.Time) Verdict {
@@ -140,15 +60,3 @@
 	}
 	return Verdict{Weight: part.Weight}
 }
-
-// Keep forgets the workers that haven't answered for long and that listed doesn't name, and
-// what was sent that no window holds any more.
-func (t *Throttle) Keep(listed func(id string) bool, now time.Time) {
-	t.book.Keep(listed, now)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.ledger.Forget(now)
-}
-
-// Limited returns how many workers have a limit in force, as far as this daemon knows.
-func (t *Throttle) Limited() int { return t.book.Limited() }
--- a/throttle/limit_test.go
+++ b/throttle/throttle_test.go
@@ -151,6 +151,30 @@
 	must.EqOp(t, 10, senders)
 }
 
+// TestThrottle_APauseIsForThisDaemon, ends by itself, and by a new start of the worker.
+func TestThrottle_APauseIsForThisDaemon(t *testing.T) {
+	all, now := newActive(2)
+	asks := Answer{Worker: busy, Ask: Ask{Pause: 3 * time.Second, Failed: true}, Sent: now, At: now}
+	all[0].Heard(asks)
+	for _, judge := range []func(workers.Worker, time.Time) Verdict{all[0].Judge, all[0].Take} {
+		must.Eq(t, Verdict{Reason: Paused, Until: now.Add(3 * time.Second), Weight: 1}, judge(busy, now.Add(3*time.Second-1)))
+		must.EqOp(t, Allowed, judge(busy, now.Add(3*time.Second)).Reason)
+		must.EqOp(t, Allowed, judge(workers.Worker{ID: busy.ID, Born: 2}, now).Reason)
+		must.EqOp(t, Allowed, judge(workers.Worker{ID: "other"}, now).Reason)
+	}
+	must.EqOp(t, Allowed, all[1].Judge(busy, now).Reason)
+}
+
+// TestThrottle_TheLongestPauseCounts: answers to requests that were under way together may
+// come in any order.
+func TestThrottle_TheLongestPauseCounts(t *testing.T) {
+	d := New("d0", newTestBook())
+	for _, pause := range []time.Duration{3 * time.Second, time.Second} {
+		d.Heard(Answer{Worker: busy, Ask: Ask{Pause: pause, Failed: true}, Sent: noon, At: noon})
+	}
+	must.EqOp(t, Paused, d.Judge(busy, noon.Add(2*time.Second)).Reason)
+}
+
 func BenchmarkJudge(b *testing.B) {
 	for _, daemons := range []int{9, 984} {
 		rows := rowsOf(daemons)
