throttle: Send nothing new to workers that say they leave

Seen by callers: requests sent to a worker that ends may be lost with it. Cause: that a worker leaves was read from its entry alone; what its answers say of it was dropped. Ruled out: taking it back with a later answer (answers come in any order, and a start doesn't change its mind). Change: a worker that said in an answer that it leaves gets nothing new of this daemon. Why it holds: every send passes placement; the mark stands for the worker's start.

--- a/placement/decide.go
+++ b/placement/decide.go
@@ -34,6 +34,8 @@
 	WorkerLimited = Reason(throttle.Limited)
 	// WorkerPaused tells that the worker asked this process for a pause.
 	WorkerPaused = Reason(throttle.Paused)
+	// WorkerLeaving tells that the worker is about to end.
+	WorkerLeaving = Reason(throttle.Leaving)
 )
 
 // Verdict says whether a request may go to a worker, and the fact that decided.
--- a/serving/place.go
+++ b/serving/place.go
@@ -141,5 +141,6 @@
 	placement.Cold:         "the workers that serve this have just started",
 
 	placement.WorkerLimited: "the workers that serve this take fewer requests at present",
+	placement.WorkerLeaving: "the workers that serve this are leaving",
 	placement.WorkerPaused:  "the workers that serve this take no requests at present",
 }
--- a/testbed/standin/pauses_test.go
+++ b/testbed/standin/pauses_test.go
@@ -92,6 +92,11 @@
 
 // TestLeaving_WhoTellsThatItLeavesGetsNothingNew: a worker says so in its answers before its
 // entry does, as the head of a group or alone.
+//
+// Seen: found beside the pauses that weren't kept, as another thing that answers say.
+// Cause: that a worker leaves was read from its entry alone, which comes later or, where the
+// store is away, not at all.
+// Proof: this test, in which the entry never says so.
 func TestLeaving_WhoTellsThatItLeavesGetsNothingNew(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/throttle/ask.go
+++ b/throttle/ask.go
@@ -1,6 +1,6 @@
 // Package throttle keeps what workers ask of those who send them requests, and bounds what
-// they get by it: a rate limit that all daemons share, and a pause for one daemon. They ask
-// for it in their answers.
+// they get by it: a rate limit that all daemons share, a pause for one daemon, and nothing
+// more since they leave. They ask for it in their answers.
 package throttle
 
 import "time"
--- a/throttle/book.go
+++ b/throttle/book.go
@@ -107,6 +107,9 @@
 // leaves nothing under way: without a mark of its own the worker would look the least busy of
 // all, and get more requests the faster it refuses.
 func (a wish) verdict(now time.Time) Verdict {
+	if !a.leavingSince.IsZero() {
+		return Verdict{Reason: Leaving, Weight: 1}
+	}
 	if now.Before(a.pausedUntil) {
 		return Verdict{Reason: Paused, Until: a.pausedUntil, Weight: 1}
 	}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -18,6 +18,8 @@
 	Limited Reason = "worker_limited"
 	// Paused tells that the worker asked this daemon for a pause.
 	Paused Reason = "worker_paused"
+	// Leaving tells that the worker is about to end.
+	Leaving Reason = "worker_leaving"
 )
 
 // Verdict says whether a worker may get a request.
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -175,6 +175,18 @@
 	must.EqOp(t, Paused, d.Judge(busy, noon.Add(2*time.Second)).Reason)
 }
 
+// TestThrottle_WhoLeavesGetsNothingMore, also if a later answer doesn't say so. A new start
+// under the same id does.
+func TestThrottle_WhoLeavesGetsNothingMore(t *testing.T) {
+	d := New("d0", newTestBook())
+	d.Heard(Answer{Worker: busy, Ask: Ask{Leaving: true}, Sent: noon, At: noon})
+	d.Heard(Answer{Worker: busy, Sent: noon.Add(time.Second), At: noon.Add(time.Second)})
+	for _, judge := range []func(workers.Worker, time.Time) Verdict{d.Judge, d.Take} {
+		must.EqOp(t, Leaving, judge(busy, noon.Add(time.Hour)).Reason)
+		must.EqOp(t, Allowed, judge(workers.Worker{ID: busy.ID, Born: 2}, noon).Reason)
+	}
+}
+
 func BenchmarkJudge(b *testing.B) {
 	for _, daemons := range []int{9, 984} {
 		rows := rowsOf(daemons)
