throttle: Tell all daemons of limits and of their end

Seen by callers: nothing yet; where there are more daemons than a limit has room for, those without a part would have left the worker alone for good, and its group been used by a few. Cause: what a daemon knew of a limit came from its own answers alone, and daemons without a part get none. Ruled out: asking the worker again after a while (as many requests as there are daemons without a part); a row in the store (a call for each change). Change: limits go along with the reports of load, which each daemon sends each second; the newest evidence counts.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -14,7 +14,6 @@
 	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/common/tcp"
 	"github.com/pointpass/pointpass/health"
-	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/node"
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/platform"
@@ -305,8 +304,12 @@
 	return r.following.enlister.Enlist(ctx, name, row)
 }
 
-// Load takes in what callers ask for at other daemons.
-func (r reports) Load(reporter string, s load.Sum) load.Sum { return r.loads.take(reporter, s) }
+// Load takes in what callers ask for at other daemons, and the limits of workers that they
+// know of.
+func (r reports) Load(reporter string, told relay.LoadReport) relay.LoadReport {
+	r.Throttle.Learn(told.Limits)
+	return relay.LoadReport{Sum: r.loads.take(reporter, told.Sum), Limits: r.Throttle.Limits(clock.Now())}
+}
 
 // Crashes takes in which workers crashed at another daemon.
 func (r reports) Crashes(report relay.CrashReport) { r.quarantine.take(report) }
--- a/deps/loads.go
+++ b/deps/loads.go
@@ -184,9 +184,11 @@
 		told = load.Sum{Offered: here, Daemons: 1, At: told.At}
 	}
 	for _, m := range l.edge.following.gatherers() {
-		all, err := l.peers.Load(ctx, m.Addr, l.edge.settings.Current().Name(), told)
+		report := relay.LoadReport{Sum: told, Limits: l.edge.Throttle.Limits(clock.Now())}
+		all, err := l.peers.Load(ctx, m.Addr, l.edge.settings.Current().Name(), report)
 		if err == nil {
-			l.learn(all)
+			l.learn(all.Sum)
+			l.edge.Throttle.Learn(all.Limits)
 			return
 		}
 		l.edge.Log.Warn().Str("event", "load_report_failed").Str("to", m.Name).Err(err).Msg("")
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/rpc"
 )
@@ -19,7 +18,7 @@
 
 func (k *taker) Suspect(Report)                               {}
 func (k *taker) Begun()                                       {}
-func (k *taker) Load(_ string, s load.Sum) load.Sum           { return s }
+func (k *taker) Load(_ string, r LoadReport) LoadReport       { return r }
 func (k *taker) Enlist(context.Context, string, []byte) error { return nil }
 func (k *taker) Crashes(r CrashReport)                        { k.told = append(k.told, r) }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/rpc"
 	"github.com/pointpass/pointpass/store"
+	"github.com/pointpass/pointpass/throttle"
 )
 
 var quiet = &log.Logger{Level: log.PanicLevel}
@@ -200,7 +201,8 @@
 	return nil
 }
 
-func (r reported) Load(reporter string, s load.Sum) load.Sum {
+func (r reported) Load(reporter string, told LoadReport) LoadReport {
+	s := told.Sum
 	r <- fmt.Sprint("load of ", reporter, " ", s.Daemons)
 	all := load.Sum{Offered: load.Offered{}, Daemons: 90, At: s.At.Add(-time.Second), Hall: load.Offered{}}
 	for m, work := range s.Offered {
@@ -208,7 +210,7 @@
 		all.Offered[m] = 80
 		all.Hall[m] = 20
 	}
-	return all
+	return LoadReport{Sum: all, Limits: told.Limits}
 }
 
 // serve serves a cache as a daemon would, whose clock is ahead of the caller's.
@@ -265,12 +267,24 @@
 	}
 	must.NoError(t, newTestClient(t, time.Now).Begun(t.Context(), addr))
 	must.EqOp(t, "begun", <-reports)
+	limits := []throttle.Limit{
+		{Worker: "w1", Born: 7, Rate: 1.4, At: time.Now().Add(-3 * time.Second)},
+		{Worker: "w2", Ended: true, At: time.Now()},
+	}
 	var told load.Sum
 	for _, regions := range [][]string{{}, {"north"}, {"north", "south"}} {
 		m := load.Model{Service: "llm", Name: "m", Regions: catalog.NewRegionSet(regions)}
 		told = load.Sum{Offered: load.Offered{m: 2.5}, Daemons: 7, At: time.Now()}
-		all, err := newTestClient(t, time.Now).Load(t.Context(), addr, "e1", told)
+		answer, err := newTestClient(t, time.Now).Load(t.Context(), addr, "e1", LoadReport{Sum: told, Limits: limits})
 		must.NoError(t, err)
+		all := answer.Sum
+		must.Len(t, len(limits), answer.Limits)
+		for i, l := range answer.Limits {
+			must.False(t, l.At.After(time.Now()))
+			must.Between(t, 0, limits[i].At.Sub(l.At).Abs(), reportTimeout, must.Sprint("it is as old as it was"))
+			l.At = limits[i].At
+			must.Eq(t, limits[i], l)
+		}
 		must.EqOp(t, "load of e1 7", <-reports)
 		must.EqOp(t, fmt.Sprint("llm m in ", regions, ": 2.5"), <-reports)
 		must.EqOp(t, 90, all.Daemons)
@@ -284,7 +298,7 @@
 	for name, row := range map[string][]byte{"refused": nil, "": nil, "e1": make([]byte, mostAnnounced+1)} {
 		must.True(t, errors.As(newTestClient(t, time.Now).Enlist(t.Context(), addr, name, row), &failed), must.Sprint(name))
 	}
-	_, err := newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", told)
+	_, err := newTestClient(t, time.Now).Load(t.Context(), "127.0.0.1:1", "e1", LoadReport{Sum: told})
 	must.True(t, errors.As(err, &failed))
 	must.True(t, errors.As(newTestClient(t, time.Now).Suspect(t.Context(), "127.0.0.1:1", Report{Group: "m.7"}), &failed))
 }
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -11,7 +11,6 @@
 
 	"github.com/twitchtv/twirp"
 
-	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/rpc"
 	"github.com/pointpass/pointpass/store"
 )
@@ -39,9 +38,9 @@
 	Suspect(r Report)
 	// Begun takes in that callers are being served somewhere.
 	Begun()
-	// Load takes in what callers ask for at a daemon and at those that tell it.
-	// It returns the sum over all daemons as it is known here.
-	Load(reporter string, s load.Sum) load.Sum
+	// Load takes in what callers ask for at a daemon and at those that tell it, and the
+	// limits that it knows of. It returns what is known of all daemons here.
+	Load(reporter string, r LoadReport) LoadReport
 	// Enlist writes the row by which a daemon announces itself.
 	Enlist(ctx context.Context, name string, row []byte) error
 	// Crashes takes in which workers crashed at a daemon.
--- a/throttle/book.go
+++ b/throttle/book.go
@@ -41,8 +41,9 @@
 type state struct {
 	wish
 	worker workers.Worker
-	// since is when the limit in force was first named, and heard when it was last.
-	since, heard time.Time
+	// since is when the limit in force was first named, and heard when it was last. Shown is
+	// when an answer last showed whether there is a limit, here or at another daemon.
+	since, heard, shown time.Time
 	// unreadable is the header last logged that couldn't be read.
 	unreadable string
 	// last is when the worker last answered.
@@ -144,19 +145,34 @@
 	switch {
 	case a.Ask.Limited:
 		b.limits.Inc()
-		if !s.limited {
-			s.since = a.At
-		}
-		if !s.limited || s.rate != a.Ask.Rate {
-			b.line(s, "worker_limited").Float64("rate", a.Ask.Rate).Bool("first", !s.limited).Msg("")
-		}
-		s.limited = true
-		s.rate = a.Ask.Rate
-		s.heard = a.At
+		s.shown = a.At
+		b.setLimit(s, a.Ask.Rate, a.At, "answer")
 	case s.limited && !a.Ask.Failed && a.Ask.Unreadable == "" && a.Sent.After(s.heard):
-		b.line(s, "worker_unlimited").Float64("rate", s.rate).Dur("after", a.At.Sub(s.since)).Msg("")
-		s.limited = false
+		s.shown = a.At
+		b.endLimit(s, a.At, "answer")
+	}
+}
+
+// setLimit puts a limit in force that was named at a time.
+func (b *Book) setLimit(s *state, rate float64, at time.Time, by string) {
+	if !s.limited {
+		s.since = at
+	}
+	if !s.limited || s.rate != rate {
+		b.line(s, "worker_limited").Float64("rate", rate).Bool("first", !s.limited).Str("by", by).Msg("")
+	}
+	s.limited = true
+	s.rate = rate
+	s.heard = at
+}
+
+// endLimit ends a limit, if there is one.
+func (b *Book) endLimit(s *state, at time.Time, by string) {
+	if !s.limited {
+		return
 	}
+	b.line(s, "worker_unlimited").Float64("rate", s.rate).Dur("after", at.Sub(s.since)).Str("by", by).Msg("")
+	s.limited = false
 }
 
 func (b *Book) hearPause(s *state, a Answer) {
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -100,5 +100,11 @@
 	t.ledger.Forget(now)
 }
 
+// Learn takes in what another daemon tells of limits.
+func (t *Throttle) Learn(limits []Limit) { t.book.Learn(limits) }
+
+// Limits returns what to tell other daemons of limits.
+func (t *Throttle) Limits(now time.Time) []Limit { return t.book.Limits(now) }
+
 // Limited returns how many workers have a limit in force, as far as this daemon knows.
 func (t *Throttle) Limited() int { return t.book.Limited() }
