serving: A worker that turns requests away gets as many (red)

Seen by callers: while a quarter of the heads turned every request away without asking for a pause, 5 to 10 of 100 callers were refused though the other heads had room.

--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -309,6 +309,33 @@
 	}
 }
 
+// TestServe_AWorkerThatRefusesGetsFew: it is the least busy of all, since what it refuses is
+// over at once.
+//
+// Seen: while a quarter of the heads turned every request away, they got a quarter to a half of
+// all requests, and 5 to 10 of 100 callers were refused though the other heads had room.
+func TestServe_AWorkerThatRefusesGetsFew(t *testing.T) {
+	const asked = 60
+	for _, kind := range allKinds {
+		refused := 0
+		var refuses string
+		f := newFleet(kind, []string{"h1", "h2"}, func(a Attempt) (*Reply, error) {
+			if a.Worker.ID == refuses {
+				refused++
+				return fullRoom(a)
+			}
+			return streamEnd(a)
+		})
+		f.configure(nil, nil)
+		refuses = f.head()
+		for range asked {
+			w, _ := f.ask()
+			must.EqOp(t, http.StatusOK, w.Code)
+		}
+		must.LessEq(t, asked/10, refused, must.Sprint(kind))
+	}
+}
+
 // barredWorker is a throttle by which one worker gets nothing until some time from now.
 type barredWorker struct {
 	id    string
