serving: Leave a worker alone for a moment that turned a request away

Seen by callers: 5 to 10 of 100 were refused while a quarter of the heads turned all requests away, though the others had room. Ruled out: one request more under way for a while (the worker still gets several a second of each daemon); the suspicion of failures (it would take a full group out of what admission counts on). Change: a worker that turned a request away gets no new ones for 250 ms, the wait that callers are told, doubled with each refusal in a row up to 4 s; one accepted request ends that. Where all refuse, all are tried as before. Why it holds: refusals of requests under way together count once; it is in no count of groups.

--- a/serving/balance.go
+++ b/serving/balance.go
@@ -70,6 +70,10 @@
 	// warnedUntil is the same on the word of other processes.
 	warnedUntil time.Time
 	failures    int
+	// refusedUntil is until when the target gets no new requests since it turned one away,
+	// and refusals counts those in a row.
+	refusedUntil time.Time
+	refusals     int
 	// errors counts the answers in a row that told of a failure.
 	errors int
 	// gap is the usual time between events of one stream, first that to a first
@@ -113,8 +117,8 @@
 }
 
 // Choose returns the target with the least work among those that aren't excluded,
-// and counts a request there. Suspect targets are chosen only where all are
-// suspect: trying one is better than refusing. Among equals it prefers the own
+// and counts a request there. Suspect targets, and those that turned a request away just now,
+// are chosen only where all are: trying one is better than refusing. Among equals it prefers the own
 // hall, unless anywhere is set. It returns false if there is none.
 func (b *Balancer) Choose(targets []Target, excluded []string, anywhere bool, now time.Time) (Target, bool) {
 	b.mu.Lock()
@@ -166,7 +170,7 @@
 	if workers.Restarted(l.worker, t.Worker) {
 		return score // what it failed at was its earlier start's
 	}
-	if now.Before(l.suspectUntil) || now.Before(l.warnedUntil) {
+	if now.Before(l.suspectUntil) || now.Before(l.warnedUntil) || now.Before(l.refusedUntil) {
 		score += suspectPenalty
 	}
 	return score
@@ -296,6 +300,27 @@
 	}
 }
 
+// Refused notes that a target turned a request away. It leaves nothing under way, so that the
+// target would look the less busy the faster it refuses: it gets no new requests for as long
+// as callers are told to wait, and longer with each refusal in a row.
+func (b *Balancer) Refused(key string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.of(key)
+	if now.Before(l.refusedUntil) {
+		return // requests that were under way at the same time are refused together
+	}
+	l.refusedUntil = now.Add(min(fullRetry<<min(l.refusals, 4), mostSuspicion))
+	l.refusals++
+}
+
+// Accepted notes that a target began an answer to a request, and so takes some.
+func (b *Balancer) Accepted(key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(key).refusals = 0
+}
+
 // Answered notes that a target answered a request well.
 func (b *Balancer) Answered(key string) {
 	b.mu.Lock()
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -179,6 +179,7 @@
 		return e.rejected(target, reply)
 	}
 	e.mayHaveRun = true
+	s.opts.Balancer.Accepted(target.Key)
 	e.stage = quarantine.Begun
 	if e.route.Kind == catalog.Stream && reply.Status == http.StatusOK {
 		return e.relayStream(ctx, target, reply, watch)
@@ -253,6 +254,7 @@
 // rejected handles a worker that did not run the request.
 func (e *exchange) rejected(target Target, reply *Reply) (again bool, f *fault) {
 	e.server.opts.Counters.rejected.Inc()
+	e.server.opts.Balancer.Refused(target.Key, e.server.opts.Now())
 	e.logAttempt(target, &rejectedError{status: reply.Status})
 	if reply.Mistaken {
 		e.failed(target, AnswerLost)
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -314,6 +314,11 @@
 //
 // Seen: while a quarter of the heads turned every request away, they got a quarter to a half of
 // all requests, and 5 to 10 of 100 callers were refused though the other heads had room.
+// How it came about: a refusal is over after a millisecond and leaves nothing under way, so that
+// who refuses was the least busy of all, to the next request and to the second attempt of the
+// same one.
+// Cause: a refusal left no mark on who gave it, unless it asked for a pause.
+// Proof: this test, in which one worker refuses and the other answers.
 func TestServe_AWorkerThatRefusesGetsFew(t *testing.T) {
 	const asked = 60
 	for _, kind := range allKinds {
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -100,6 +100,37 @@
 	must.SliceEmpty(t, b.Suspects(now.Add(firstSuspicion)))
 }
 
+// TestRefused_ARefusingTargetIsNotTheLeastBusy: others have much under way, which a target
+// that refuses never has.
+func TestRefused_ARefusingTargetIsNotTheLeastBusy(t *testing.T) {
+	b := NewBalancer("h1")
+	targets := []Target{{Key: "refuses", Weight: 1}, {Key: "works", Weight: 1}}
+	for range 10 {
+		b.Choose(targets, []string{"refuses"}, true, noon)
+	}
+	const asked = 100
+	refused := 0
+	for i := range asked { // for ten seconds
+		now := noon.Add(time.Duration(i) * 100 * time.Millisecond)
+		target, _ := b.Choose(targets, nil, true, now)
+		b.Done(target.Key)
+		if target.Key == "refuses" {
+			b.Refused(target.Key, now)
+			refused++
+		}
+	}
+	must.Between(t, 1, refused, asked/10)
+	b.Accepted("refuses")
+	now := noon.Add(time.Minute)
+	target, _ := b.Choose(targets, nil, true, now)
+	must.EqOp(t, "refuses", target.Key, must.Sprint("it is tried again"))
+	b.Refused(target.Key, now)
+	target, _ = b.Choose(targets, nil, true, now.Add(fullRetry))
+	must.EqOp(t, "refuses", target.Key, must.Sprint("one refusal after it took some counts little"))
+	_, found := b.Choose(targets[:1], nil, true, now)
+	must.True(t, found, must.Sprint("trying one is better than refusing"))
+}
+
 func TestError_FailuresInARowMakeSuspect(t *testing.T) {
 	b := NewBalancer("z1")
 	b.Error("a", 3, noon)
