dispatch: A target that turns requests away gets as many (red)

Seen by callers: nothing reported; the cause found in serving was looked for on the other path of requests.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -98,6 +98,33 @@
 	must.EqOp(t, admission.NothingServes, reasonOf(err))
 }
 
+// TestDispatcher_ATargetThatRefusesGetsFew: it is the least busy of all, since what it refuses
+// is over at once.
+//
+// Seen: found on the users' platform, and looked for here.
+func TestDispatcher_ATargetThatRefusesGetsFew(t *testing.T) {
+	const asked = 60
+	d := newDispatcher(t, 2, tree.PolicyDeadline)
+	now := time.Now()
+	d.opts.Now = func() time.Time { return now }
+	refused := 0
+	for range asked { // for six seconds
+		now = now.Add(100 * time.Millisecond)
+		for avoid := map[string]bool{}; ; {
+			permit, err := d.Acquire(t.Context(), testRequest(10, time.Minute), avoid)
+			must.NoError(t, err)
+			if permit.Target().ID() != "g0" {
+				permit.Done(true)
+				break
+			}
+			permit.Refused()
+			refused++
+			avoid["g0"] = true
+		}
+	}
+	must.Between(t, 1, refused, asked/10)
+}
+
 func TestDispatcher_ACallerThatLeavesGivesItsPlaceBack(t *testing.T) {
 	d := newDispatcher(t, 1, tree.PolicyDeadline)
 	held := []*Permit{acquire(t, d), acquire(t, d)}
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -7,7 +7,7 @@
 	"github.com/pointpass/pointpass/tree"
 )
 
-// Permit is the right to send one request to a target. Done must be called
+// Permit is the right to send one request to a target. Done or Refused must be called
 // once, when the request has ended.
 type Permit struct {
 	dispatcher *Dispatcher
@@ -29,6 +29,9 @@
 // Done gives the place back. Whole tells whether the answer came to its end.
 func (p *Permit) Done(whole bool) { p.dispatcher.release(p, whole) }
 
+// Refused gives the place back at a target that did not take the request.
+func (p *Permit) Refused() { p.dispatcher.release(p, false) }
+
 func (d *Dispatcher) permitFor(r Request, target presence.Target) *Permit {
 	return &Permit{dispatcher: d, request: r, target: target, priority: d.priority(r), begun: d.opts.Now()}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,7 +65,7 @@
 	target := permit.Target()
 	reply, err := g.opts.Sender.Send(ctx, g.engineCall(c, permit))
 	if err != nil {
-		permit.Done(false)
+		giveBack(permit, err)
 		return g.sendFailed(ctx, c, target, err, settle)
 	}
 	if running, waiting, told := reply.Load(); told {
@@ -89,6 +89,16 @@
 	return nil, false
 }
 
+// giveBack ends a permit whose request got no answer.
+func giveBack(permit *dispatch.Permit, err error) {
+	var notRun *engine.NotRunError
+	if errors.As(err, &notRun) {
+		permit.Refused()
+		return
+	}
+	permit.Done(false)
+}
+
 func setTarget(w http.ResponseWriter, target presence.Target) {
 	w.Header().Set(headerGroup, target.ID()+"; epoch="+strconv.FormatUint(target.Epoch(), 10))
 }
