dispatch: Leave a target alone for a moment that turned a request away

Seen by callers: nothing reported on this path. Cause: the same as in serving: a refusal left no mark on who gave it; its report of load was dropped as well, so that it counted as idle. Ruled out: leaving it out of the targets for good (its domain's probes decide that). Change: retry.Backoff, used by serving and dispatch: a target that turned a request away gets none for a second, the wait that callers are told here, up to 4 s with each refusal in a row; where all refuse, all are tried. Why it holds: refusals of requests under way together count once; a whole answer ends it.

--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -101,7 +101,10 @@
 // TestDispatcher_ATargetThatRefusesGetsFew: it is the least busy of all, since what it refuses
 // is over at once.
 //
-// Seen: found on the users' platform, and looked for here.
+// Seen: found where daemons serve before the users' platform, and looked for here.
+// Cause: the same: a refusal left no mark on who gave it, and what was known of its load was
+// dropped besides.
+// Proof: this test, in which one target refuses and the other answers.
 func TestDispatcher_ATargetThatRefusesGetsFew(t *testing.T) {
 	const asked = 60
 	d := newDispatcher(t, 2, tree.PolicyDeadline)
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -30,7 +30,10 @@
 func (p *Permit) Done(whole bool) { p.dispatcher.release(p, whole) }
 
 // Refused gives the place back at a target that did not take the request.
-func (p *Permit) Refused() { p.dispatcher.release(p, false) }
+func (p *Permit) Refused() {
+	p.dispatcher.noteRefusal(p)
+	p.dispatcher.release(p, false)
+}
 
 func (d *Dispatcher) permitFor(r Request, target presence.Target) *Permit {
 	return &Permit{dispatcher: d, request: r, target: target, priority: d.priority(r), begun: d.opts.Now()}
@@ -47,6 +50,13 @@
 	return -int(r.deadline.UnixMilli())
 }
 
+func (d *Dispatcher) noteRefusal(permit *Permit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.pools[permit.request.pool].load(permit.target.ID())
+	l.refusals.Refused(d.opts.Now(), firstBackoff, mostBackoff)
+}
+
 func (d *Dispatcher) release(permit *Permit, whole bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -57,7 +67,9 @@
 	id := permit.target.ID()
 	p.underWay--
 	p.load(id).underWay--
-	if p.load(id).underWay == 0 && !whole {
+	if l := p.load(id); whole {
+		l.refusals.Accepted()
+	} else if l.underWay == 0 && !l.refusals.Active(d.opts.Now()) {
 		delete(p.loads, id)
 	}
 	d.advance(p)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pointpass/pointpass/admission"
 	"github.com/pointpass/pointpass/presence"
+	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/routing"
 	"github.com/pointpass/pointpass/tree"
 )
@@ -28,8 +30,16 @@
 	underWay int
 	reported int
 	atReport int // underWay when the report came
+	refusals retry.Backoff
 }
 
+// How long a target gets no new requests that turned one away: for as long as callers are
+// told to wait at first.
+const (
+	firstBackoff = time.Second
+	mostBackoff  = 4 * time.Second
+)
+
 func (l *load) requests() int { return max(l.underWay, l.reported+l.underWay-l.atReport) }
 
 // refuse books a place for the caller's return.
@@ -85,7 +95,12 @@
 	return l
 }
 
+// choose returns the target for a request. Those that turned one away just now are left out,
+// unless all did: trying one is better than refusing.
 func (d *Dispatcher) choose(p *poolState, targets []presence.Target, pool tree.Pool, prefix uint64) presence.Target {
+	if willing := p.willing(targets, d.opts.Now()); len(willing) > 0 {
+		targets = willing
+	}
 	candidates := make([]routing.Candidate, 0, len(targets))
 	for _, t := range targets {
 		share := float64(p.load(t.ID()).requests()) / float64(pool.Streams)
@@ -94,6 +109,15 @@
 	return targets[routing.Choose(candidates, prefix, d.random)]
 }
 
+// willing returns the targets that have turned nothing away just now.
+func (p *poolState) willing(targets []presence.Target, now time.Time) []presence.Target {
+	refuses := func(t presence.Target) bool { return p.load(t.ID()).refusals.Active(now) }
+	if !slices.ContainsFunc(targets, refuses) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), refuses)
+}
+
 func (d *Dispatcher) start(p *poolState, w *waiter, target presence.Target) {
 	p.underWay++
 	p.load(target.ID()).underWay++
--- a/serving/balance.go
+++ b/serving/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -70,10 +71,8 @@
 	// warnedUntil is the same on the word of other processes.
 	warnedUntil time.Time
 	failures    int
-	// refusedUntil is until when the target gets no new requests since it turned one away,
-	// and refusals counts those in a row.
-	refusedUntil time.Time
-	refusals     int
+	// refusals leave the target alone that turned a request away.
+	refusals retry.Backoff
 	// errors counts the answers in a row that told of a failure.
 	errors int
 	// gap is the usual time between events of one stream, first that to a first
@@ -170,7 +169,7 @@
 	if workers.Restarted(l.worker, t.Worker) {
 		return score // what it failed at was its earlier start's
 	}
-	if now.Before(l.suspectUntil) || now.Before(l.warnedUntil) || now.Before(l.refusedUntil) {
+	if now.Before(l.suspectUntil) || now.Before(l.warnedUntil) || l.refusals.Active(now) {
 		score += suspectPenalty
 	}
 	return score
@@ -300,25 +299,19 @@
 	}
 }
 
-// Refused notes that a target turned a request away. It leaves nothing under way, so that the
-// target would look the less busy the faster it refuses: it gets no new requests for as long
-// as callers are told to wait, and longer with each refusal in a row.
+// Refused notes that a target turned a request away. It gets no new requests for as long as
+// callers are told to wait, and longer with each refusal in a row.
 func (b *Balancer) Refused(key string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.of(key)
-	if now.Before(l.refusedUntil) {
-		return // requests that were under way at the same time are refused together
-	}
-	l.refusedUntil = now.Add(min(fullRetry<<min(l.refusals, 4), mostSuspicion))
-	l.refusals++
+	b.of(key).refusals.Refused(now, fullRetry, mostSuspicion)
 }
 
 // Accepted notes that a target began an answer to a request, and so takes some.
 func (b *Balancer) Accepted(key string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(key).refusals = 0
+	b.of(key).refusals.Accepted()
 }
 
 // Answered notes that a target answered a request well.
