--- a/deps/edge.go
+++ b/deps/edge.go
@@ -18,6 +18,7 @@
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/quarantine"
+	"github.com/pointpass/pointpass/quota"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/retry"
@@ -250,6 +251,9 @@
 	e.Metrics.NewGauge("pointpass_requests_under_way", func() float64 { return float64(e.Server.UnderWay()) })
 	e.Metrics.NewGauge("pointpass_load_daemons", func() float64 { return float64(e.loads.Total().Daemons) })
 	e.cold.gauges()
+	e.Metrics.NewGauge("pointpass_limits_active", func() float64 {
+		return asNumber(e.Throttle.Standing(clock.Now()) == quota.Active)
+	})
 	e.Metrics.NewGauge("pointpass_lease_held", func() float64 {
 		_, held := e.Lease.Held()
 		return asNumber(held)
--- a/deps/edgestatus.go
+++ b/deps/edgestatus.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"github.com/pointpass/pointpass/quarantine"
+	"github.com/pointpass/pointpass/throttle"
 )
 
-// EdgeStatus is what a daemon knows of closed data halls and of requests that are held back,
-// as it tells operators.
+// EdgeStatus is what a daemon knows of closed data halls, of requests that are held back and
+// of workers that ask for less, as it tells operators.
 type EdgeStatus struct {
 	Node    string `json:"node"`
 	Hall    string `json:"hall"`
@@ -24,6 +25,23 @@
 	ClosedHalls []ClosedHall `json:"closed_halls"`
 	// HeldRequests are those that get to no worker, in order of their fingerprints.
 	HeldRequests []HeldRequest `json:"held_requests"`
+	// AskingWorkers are those that ask for less than they would get, in order of their ids.
+	AskingWorkers []AskingWorker `json:"asking_workers"`
+}
+
+// AskingWorker is a worker that asked in its answers for less than it would get.
+type AskingWorker struct {
+	Worker  string `json:"worker"`
+	Service string `json:"service"`
+	Hall    string `json:"hall"`
+	// Limit is how many requests a second it takes from all daemons together, LimitedMs for
+	// how long, -1 if it names no limit.
+	Limit     float64 `json:"limit"`
+	LimitedMs int64   `json:"limited_ms"`
+	// PausedMs is for how much longer it wants nothing of this daemon, 0 if it doesn't say.
+	PausedMs int64 `json:"paused_ms"`
+	// LeavingMs is for how long it has said that it leaves, -1 if it doesn't say.
+	LeavingMs int64 `json:"leaving_ms"`
 }
 
 // HeldRequest is a request that is held back since it crashes workers.
@@ -85,9 +103,28 @@
 		s.ClosedHalls = append(s.ClosedHalls, hall)
 	}
 	s.HeldRequests = heldRequests(e.Guard.Holds(), now)
+	s.AskingWorkers = askingWorkers(e.Throttle.Asking(now), now)
 	return s
 }
 
+func askingWorkers(asking []throttle.Asking, now time.Time) []AskingWorker {
+	since := func(at time.Time) int64 {
+		if at.IsZero() {
+			return -1
+		}
+		return now.Sub(at).Milliseconds()
+	}
+	list := []AskingWorker{}
+	for _, a := range asking {
+		w := AskingWorker{Worker: a.Worker, Service: a.Service, Hall: a.Hall, Limit: a.Rate, LimitedMs: since(a.LimitedSince), LeavingMs: since(a.LeavingSince)}
+		if !a.PausedUntil.IsZero() {
+			w.PausedMs = a.PausedUntil.Sub(now).Milliseconds()
+		}
+		list = append(list, w)
+	}
+	return list
+}
+
 func heldRequests(holds []quarantine.Hold, now time.Time) []HeldRequest {
 	list := []HeldRequest{}
 	for _, h := range holds {
--- a/testbed/standin/pauses_test.go
+++ b/testbed/standin/pauses_test.go
@@ -1,12 +1,15 @@
 package standin
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/deps"
 )
 
 // askedPause is what workers ask for, and pausesSeen how many pauses a test watches.
@@ -77,6 +80,10 @@
 		d.Send(t.Context(), s.ask(http.MethodPost, "/get/x"))
 		return s.store.Judge().Pauses("a0") > 0 && s.store.Judge().Pauses("a1") > 0
 	})
+	var status deps.EdgeStatus
+	must.NoError(t, json.Unmarshal([]byte(d.Status()), &status))
+	must.Len(t, 2, status.AskingWorkers, must.Sprint("operators are told"))
+	must.Positive(t, status.AskingWorkers[0].PausedMs)
 	for _, w := range s.workers {
 		w.SetPause(0)
 	}
--- a/throttle/book.go
+++ b/throttle/book.go
@@ -1,12 +1,15 @@
 package throttle
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -70,6 +73,7 @@
 		states:     map[string]*state{},
 	}
 	set.NewGauge("pointpass_workers_limited", func() float64 { return float64(b.Limited()) })
+	set.NewGauge("pointpass_workers_paused", func() float64 { return float64(b.paused(clock.Now())) })
 	return b
 }
 
@@ -227,6 +231,19 @@
 	return n
 }
 
+// paused returns how many workers want nothing of this daemon for a while.
+func (b *Book) paused(now time.Time) int {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	n := 0
+	for _, s := range b.states {
+		if now.Before(s.pausedUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 // Keep forgets the workers that haven't answered for long and that listed doesn't name.
 func (b *Book) Keep(listed func(id string) bool, now time.Time) {
 	b.mu.Lock()
@@ -237,3 +254,37 @@
 		}
 	}
 }
+
+// Asking is what a worker asks for at present.
+type Asking struct {
+	Worker, Service, Hall string
+	// Rate is the limit in requests a second, in force since LimitedSince; the zero time
+	// stands for none.
+	Rate         float64
+	LimitedSince time.Time
+	// PausedUntil is until when the worker wants nothing, LeavingSince when it said that it
+	// leaves; zero if it doesn't.
+	PausedUntil, LeavingSince time.Time
+}
+
+// Asking returns the workers that ask for something, in order of their ids.
+func (b *Book) Asking(now time.Time) []Asking {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var list []Asking
+	for id, s := range b.states {
+		a := Asking{Worker: id, Service: s.worker.Service, Hall: s.worker.Hall, LeavingSince: s.leavingSince}
+		if s.limited {
+			a.Rate = s.rate
+			a.LimitedSince = s.since
+		}
+		if now.Before(s.pausedUntil) {
+			a.PausedUntil = s.pausedUntil
+		}
+		if s.limited || !a.PausedUntil.IsZero() || !a.LeavingSince.IsZero() {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b Asking) int { return cmp.Compare(a.Worker, b.Worker) })
+	return list
+}
--- a/throttle/book_test.go
+++ b/throttle/book_test.go
@@ -66,3 +66,21 @@
 	b.Keep(nobody, noon.Add(keepGone+time.Second))
 	must.EqOp(t, 0, b.Limited())
 }
+
+// TestBook_TellsWhoAsksForWhat, in order, and not what is over.
+func TestBook_TellsWhoAsksForWhat(t *testing.T) {
+	b := newTestBook()
+	for id, ask := range map[string]Ask{"c": {Leaving: true}, "a": {Limited: true, Rate: 2}, "b": {Pause: time.Second}, "d": {Unreadable: "x"}} {
+		a := at(0, ask)
+		a.Worker.ID = id
+		b.Heard(a)
+	}
+	must.Eq(t, []Asking{
+		{Worker: "a", Service: "s", Rate: 2, LimitedSince: noon},
+		{Worker: "b", Service: "s", PausedUntil: noon.Add(time.Second)},
+		{Worker: "c", Service: "s", LeavingSince: noon},
+	}, b.Asking(noon))
+	must.EqOp(t, 1, b.paused(noon))
+	must.EqOp(t, 0, b.paused(noon.Add(time.Second)))
+	must.Len(t, 2, b.Asking(noon.Add(time.Second)))
+}
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -108,3 +108,6 @@
 
 // Limited returns how many workers have a limit in force, as far as this daemon knows.
 func (t *Throttle) Limited() int { return t.book.Limited() }
+
+// Asking returns the workers that ask for something, in order of their ids.
+func (t *Throttle) Asking(now time.Time) []Asking { return t.book.Asking(now) }
--- a/throttle/word_test.go
+++ b/throttle/word_test.go
@@ -10,7 +10,9 @@
 
 // TestLearn_TheNewestEvidenceCounts, whoever saw it and in whatever order it comes.
 func TestLearn_TheNewestEvidenceCounts(t *testing.T) {
-	named := func(s int) Limit { return Limit{Worker: "w", Born: 1, Rate: 2, At: noon.Add(time.Duration(s) * time.Second)} }
+	named := func(s int) Limit {
+		return Limit{Worker: "w", Born: 1, Rate: 2, At: noon.Add(time.Duration(s) * time.Second)}
+	}
 	ended := func(s int) Limit {
 		l := named(s)
 		l.Ended = true
