--- a/throttle/book.go
+++ b/throttle/book.go
@@ -29,8 +29,8 @@
 	Sent, At time.Time
 }
 
-// wish is what a worker asked for that is in force.
-type wish struct {
+// constraints are what a worker asked for that is in force.
+type constraints struct {
 	// limited tells that there is a limit, of rate requests a second.
 	limited bool
 	rate    float64
@@ -42,7 +42,7 @@
 
 // state is what one start of a worker has asked for.
 type state struct {
-	wish
+	constraints
 	worker workers.Worker
 	// since is when the limit in force was first named, and heard when it was last. Shown is
 	// when an answer last showed whether there is a limit, here or at another daemon.
@@ -98,25 +98,25 @@
 }
 
 // asked returns what a worker has asked for, the zero value if nothing.
-func (b *Book) asked(w workers.Worker) wish {
+func (b *Book) asked(w workers.Worker) constraints {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	s, known := b.states[w.ID]
 	if !known || workers.Restarted(s.worker, w) {
-		return wish{}
+		return constraints{}
 	}
-	return s.wish
+	return s.constraints
 }
 
 // verdict says whether a worker takes a request of this daemon, but for its limit. A refusal
 // leaves nothing under way: without a mark of its own the worker would look the least busy of
 // all, and get more requests the faster it refuses.
-func (a wish) verdict(now time.Time) Verdict {
-	if !a.leavingSince.IsZero() {
+func (c constraints) verdict(now time.Time) Verdict {
+	if !c.leavingSince.IsZero() {
 		return Verdict{Reason: Leaving, Weight: 1}
 	}
-	if now.Before(a.pausedUntil) {
-		return Verdict{Reason: Paused, Until: a.pausedUntil, Weight: 1}
+	if now.Before(c.pausedUntil) {
+		return Verdict{Reason: Paused, Until: c.pausedUntil, Weight: 1}
 	}
 	return Verdict{Weight: 1}
 }
--- a/throttle/word.go
+++ b/throttle/share.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// wordLife is how long after an answer showed a limit, or its end, other daemons are told:
+	// shareFor is how long after an answer showed a limit, or its end, other daemons are told:
 	// well above the time that takes through a relay and the holder of the lease.
-	wordLife = 20 * time.Second
-	// mostWords bounds how many limits are told at once, the newest first.
-	mostWords = 256
+	shareFor = 20 * time.Second
+	// mostShared bounds how many limits are told at once, the newest first.
+	mostShared = 256
 )
 
 // Limit is what daemons tell each other of a worker's limit. Those that have no part of it
@@ -35,14 +35,14 @@
 	defer b.mu.RUnlock()
 	var list []Limit
 	for id, s := range b.states {
-		if !s.shown.IsZero() && now.Sub(s.shown) <= wordLife {
+		if !s.shown.IsZero() && now.Sub(s.shown) <= shareFor {
 			list = append(list, Limit{Worker: id, Born: s.worker.Born, Rate: s.rate, Ended: !s.limited, At: s.shown})
 		}
 	}
 	slices.SortFunc(list, func(a, b Limit) int {
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Worker, b.Worker))
 	})
-	return list[:min(len(list), mostWords)]
+	return list[:min(len(list), mostShared)]
 }
 
 // Learn takes in what another daemon tells. What is older than what is known says nothing.
--- a/throttle/word_test.go
+++ b/throttle/share_test.go
@@ -33,7 +33,7 @@
 		{"named again", []Limit{named(1), ended(2), named(3)}, 1},
 		{"ended at the same moment", []Limit{named(1), ended(1)}, 1},
 		{"a new start", []Limit{named(1), born(ended(2), 2)}, 0},
-		{"word of a former start", []Limit{born(ended(2), 2), named(1)}, 0},
+		{"news of a former start", []Limit{born(ended(2), 2), named(1)}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newTestBook()
@@ -45,9 +45,9 @@
 	}
 }
 
-// TestLearn_AnswersAndWordsAgree: an answer here outweighs older word, and word of a later
+// TestLearn_AnswersAndNewsAgree: an answer here outweighs older news, and news of a later
 // answer elsewhere outweighs it.
-func TestLearn_AnswersAndWordsAgree(t *testing.T) {
+func TestLearn_AnswersAndNewsAgree(t *testing.T) {
 	b := newTestBook()
 	b.Heard(at(2*time.Second, Ask{Limited: true, Rate: 2}))
 	b.Learn([]Limit{{Worker: "w", Born: 1, Ended: true, At: noon.Add(time.Second)}})
@@ -68,17 +68,17 @@
 	here.Heard(at(time.Second, Ask{}))
 	there.Learn(here.Limits(noon.Add(time.Second)))
 	must.EqOp(t, 0, there.Limited())
-	must.Len(t, 1, there.Limits(noon.Add(time.Second+wordLife)), must.Sprint("it is passed on"))
-	must.SliceEmpty(t, there.Limits(noon.Add(time.Second+wordLife+1)))
+	must.Len(t, 1, there.Limits(noon.Add(time.Second+shareFor)), must.Sprint("it is passed on"))
+	must.SliceEmpty(t, there.Limits(noon.Add(time.Second+shareFor+1)))
 }
 
 // TestLimits_AreBounded: the newest are told.
 func TestLimits_AreBounded(t *testing.T) {
 	b := newTestBook()
-	for i := range 2 * mostWords {
+	for i := range 2 * mostShared {
 		b.Learn([]Limit{{Worker: fmt.Sprint("w", i), Rate: 1, At: noon.Add(time.Duration(i) * time.Millisecond)}})
 	}
 	list := b.Limits(noon)
-	must.Len(t, mostWords, list)
-	must.EqOp(t, fmt.Sprint("w", 2*mostWords-1), list[0].Worker)
+	must.Len(t, mostShared, list)
+	must.EqOp(t, fmt.Sprint("w", 2*mostShared-1), list[0].Worker)
 }
