testbed/standin: Workers that ask for this and that in random series

Cause: limits, pauses and leaving were tested one at a time, in steady need. The tables of cases and the callers of four tests become one; each test gets the cases of the others.

--- a/testbed/standin/cold_test.go
+++ b/testbed/standin/cold_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -31,44 +29,16 @@
 		s.start(i == 0)
 	}
 	s.addWorker("cold", "app", "").SetCold(time.Minute)
-	stop := s.keepAsking()
+	stop := s.press("/get/x", coldCallers)
 	eventually(t, "the cold worker gets requests", func() bool { return s.store.Judge().Arrivals("cold") > moreThan })
 	stop()
 	before := s.store.Judge().Arrivals("cold")
 	s.restartAll()
-	stop = s.keepAsking()
+	stop = s.press("/get/x", coldCallers)
 	defer stop()
 	eventually(t, "it gets some again", func() bool { return s.store.Judge().Arrivals("cold") > before+moreThan })
 }
 
-// keepAsking has callers ask all daemons until stop is called.
-func (s *stage) keepAsking() (stop func()) {
-	done := make(chan struct{})
-	var asking sync.WaitGroup
-	var ids sync.Mutex
-	for _, d := range s.daemons {
-		for range coldCallers {
-			asking.Go(func() {
-				for {
-					select {
-					case <-done:
-						return
-					case <-time.After(10 * time.Millisecond):
-					}
-					ids.Lock()
-					a := s.ask(http.MethodPost, "/get/x")
-					ids.Unlock()
-					d.Send(s.t.Context(), a)
-				}
-			})
-		}
-	}
-	return func() {
-		close(done)
-		asking.Wait()
-	}
-}
-
 // restartAll kills all daemons and starts them again under their names.
 func (s *stage) restartAll() {
 	for _, d := range s.daemons {
--- a/testbed/standin/limits_test.go
+++ b/testbed/standin/limits_test.go
@@ -1,12 +1,8 @@
 package standin
 
 import (
-	"fmt"
-	"net/http"
 	"strings"
-	"sync"
 	"testing"
-	"time"
 )
 
 const (
@@ -14,8 +10,6 @@
 	// many it then gets: it is to be used as far as it goes.
 	limitedRate = 1
 	usedAtLeast = 8
-	// limitedCallers ask each daemon at a time, far more than the limit allows.
-	limitedCallers = 2
 )
 
 // TestLimit_AllDaemonsTogetherKeepIt tells an incident.
@@ -30,36 +24,10 @@
 // sent as before; with each daemon keeping to a part of the limit the parts add up, whatever
 // they know of each other (package quota).
 func TestLimit_AllDaemonsTogetherKeepIt(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		// grouped tells that the worker heads a group. Others is how the others misbehave:
-		// their requests are sent again, their streams move.
-		grouped bool
-		others  Fault
-	}{
-		{"a group", true, Healthy},
-		{"a group, streams move there", true, CutsEvents},
-		{"a plain worker", false, Healthy},
-		{"a plain worker, others turn requests away", false, Full},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			s := newStage(t, 4)
-			for i := range 3 {
-				s.start(i == 0)
-			}
-			s.awaitGroups(2)
-			path, limited, other := "/get/x", s.workers["a0"], s.workers["a1"]
-			if c.grouped {
-				path, limited, other = "/ask/q", s.open()[0], s.open()[1]
-			}
-			stop := s.press(path)
-			other.SetFault(c.others)
-			limited.SetLimit(limitedRate)
-			s.limitIsUsed(limited)
-			stop()
-		})
-	}
+	forAsking(t, 3, func(t *testing.T, a *asking) {
+		a.worker.SetLimit(limitedRate)
+		a.s.limitIsUsed(a.worker)
+	})
 }
 
 // limitIsUsed waits until the judge has watched a worker with a limit for some spans, and
@@ -79,7 +47,7 @@
 	for i := range 3 {
 		s.start(i == 0)
 	}
-	stop := s.press("/get/x")
+	stop := s.press("/get/x", pressing)
 	defer stop()
 	w := s.workers["a0"]
 	w.SetLimit(limitedRate)
@@ -105,7 +73,7 @@
 	for i := range daemons {
 		s.start(i == 0)
 	}
-	stop := s.press("/get/x")
+	stop := s.press("/get/x", pressing)
 	defer stop()
 	s.workers["a0"].SetLimit(low)
 	s.eventuallyWithin(2*patience, "all know of the limit", func() bool { return s.limitedAt() == daemons })
@@ -123,28 +91,3 @@
 	}
 	return n
 }
-
-// press has callers ask all daemons until stop is called.
-func (s *stage) press(path string) (stop func()) {
-	done := make(chan struct{})
-	var asking sync.WaitGroup
-	for i, d := range s.daemons {
-		for j := range limitedCallers {
-			asking.Go(func() {
-				for n := 0; ; n++ {
-					select {
-					case <-done:
-						return
-					case <-time.After(10 * time.Millisecond):
-					}
-					a := Ask{ID: fmt.Sprintf("%02x%02x%012x", i, j, n), Method: http.MethodPost, Host: host, Path: path, Key: key, Body: "question", Wait: 5 * time.Second, Header: streamHeader()}
-					d.Send(s.t.Context(), a)
-				}
-			})
-		}
-	}
-	return func() {
-		close(done)
-		asking.Wait()
-	}
-}
--- a/testbed/standin/pauses_test.go
+++ b/testbed/standin/pauses_test.go
@@ -33,38 +33,17 @@
 // took requests again; here nothing else is wrong, and the worker gets thousands of requests in
 // each pause without the repair.
 func TestPause_IsKept(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		grouped bool
-		others  Fault
-	}{
-		{"a group", true, Healthy},
-		{"a group, streams move there", true, CutsEvents},
-		{"a plain worker", false, Healthy},
-		{"a plain worker, others fail", false, Fails},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			s := newStage(t, 4)
-			s.start(true)
-			s.awaitGroups(2)
-			path, paused, other := "/get/x", s.workers["a0"], s.workers["a1"]
-			if c.grouped {
-				path, paused, other = "/ask/q", s.open()[0], s.open()[1]
-			}
-			other.SetFault(c.others)
-			paused.SetPause(askedPause)
-			begun := time.Now()
-			stop := s.press(path)
-			defer stop()
-			eventually(t, "it has asked for several pauses", func() bool {
-				return s.store.Judge().Pauses(paused.ID()) > pausesSeen && time.Since(begun) > pausesSeen*askedPause
-			})
-			paused.SetPause(0)
-			before := len(paused.Runs())
-			eventually(t, "it is used once the pause is over", func() bool { return len(paused.Runs()) > before+pausesSeen })
+	forAsking(t, 1, func(t *testing.T, a *asking) {
+		pauses := func() int { return a.s.store.Judge().Pauses(a.worker.ID()) }
+		a.worker.SetPause(askedPause)
+		begun := time.Now()
+		eventually(t, "it has asked for several pauses", func() bool {
+			return pauses() > pausesSeen && time.Since(begun) > pausesSeen*askedPause
 		})
-	}
+		a.worker.SetPause(0)
+		before := len(a.worker.Runs())
+		eventually(t, "it is used once the pause is over", func() bool { return len(a.worker.Runs()) > before+pausesSeen })
+	})
 }
 
 // TestPause_OfAllIsTold: where all workers ask for a pause, callers are refused at once and
@@ -105,30 +84,10 @@
 // store is away, not at all.
 // Proof: this test, in which the entry never says so.
 func TestLeaving_WhoTellsThatItLeavesGetsNothingNew(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		grouped bool
-		others  Fault
-	}{
-		{"a group", true, Healthy},
-		{"a group, streams move there", true, CutsEvents},
-		{"a plain worker", false, Healthy},
-		{"a plain worker, others turn requests away", false, Full},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			s := newStage(t, 4)
-			s.start(true)
-			s.awaitGroups(2)
-			path, leaving, other := "/get/x", s.workers["a0"], s.workers["a1"]
-			if c.grouped {
-				path, leaving, other = "/ask/q", s.open()[0], s.open()[1]
-			}
-			other.SetFault(c.others)
-			leaving.SetLeaving()
-			stop := s.press(path)
-			defer stop()
-			eventually(t, "it has told long ago that it leaves", func() bool { return s.store.Judge().Leaving(leaving.ID()) > 2*leavingKnownWithin })
+	forAsking(t, 1, func(t *testing.T, a *asking) {
+		a.worker.SetLeaving()
+		eventually(t, "it has told long ago that it leaves", func() bool {
+			return a.s.store.Judge().Leaving(a.worker.ID()) > 2*leavingKnownWithin
 		})
-	}
+	})
 }
