--- a/rpc/bodies_test.go
+++ b/rpc/bodies_test.go
@@ -30,6 +30,8 @@
 	"pointpass.rpc.CrashesRequest.finished": true,
 	"pointpass.rpc.CrashesRequest.reporter": true,
 	"pointpass.rpc.WorkerCrash.worker":      true,
+	// The id of a worker that names a limit.
+	"pointpass.rpc.WorkerLimit.worker": true,
 }
 
 // TestRelay_PassesNoBodies: a request that is bound to regions must not pass a daemon in
