deps: Log versions and era of each call to the store

An incident's logs could not tell whether changes were skipped by version, passed on with false evidence or left out by the store: no line said as of which version a question was asked and answered. The era is decoded and logged; nothing acts on it yet.

--- a/check.sh
+++ b/check.sh
@@ -16,7 +16,7 @@
 echo "== names of the users' platform"
 # Only platform/, what is deployed, the stand-ins and the docs know them. Generated
 # code has a name of its own that is alike.
-wire='X-Pointpass-|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|schemaVersion|expectedRev|fencingToken|pathPrefix|apiKeys|targetGapMs|modelId|allowedRegions|coldLeftMs|coldPerS|coldS\b|Server-(Limit|Leaving)'
+wire='X-Pointpass-|rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|schemaVersion|expectedRev|fencingToken|pathPrefix|apiKeys|targetGapMs|modelId|allowedRegions|coldLeftMs|coldPerS|coldS\b|Server-(Limit|Leaving)|Store-Era'
 leaked=$(git grep -nE "$wire" -- '*.go' ':!platform' ':!testbed' ':!*.pb.go' ':!*.twirp.go' || true)
 if [ -n "$leaked" ]; then
   echo "$leaked"
--- a/deps/storecalls.go
+++ b/deps/storecalls.go
@@ -35,7 +35,7 @@
 func (c *storeCalls) Rows(ctx context.Context, table string) (store.Snapshot, error) {
 	begun := clock.Now()
 	s, err := c.client.Rows(ctx, table)
-	c.note("rows", table, begun, len(s.Rows), err)
+	c.note(call{op: "rows", table: table, begun: begun, rows: len(s.Rows), answer: s, err: err})
 	return s, err
 }
 
@@ -43,7 +43,7 @@
 func (c *storeCalls) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
 	begun := clock.Now()
 	s, err := c.client.Changes(ctx, table, since, wait)
-	c.note("changes", table, begun, len(s.Rows), err)
+	c.note(call{op: "changes", table: table, begun: begun, rows: len(s.Rows), since: since, answer: s, err: err})
 	return s, err
 }
 
@@ -51,7 +51,7 @@
 func (c *storeCalls) Commit(ctx context.Context, txn store.Txn) (store.Snapshot, error) {
 	begun := clock.Now()
 	s, err := c.client.Commit(ctx, txn)
-	c.note("commit", tableOf(txn), begun, len(txn.Writes)+len(txn.Deletes), err)
+	c.note(call{op: "commit", table: tableOf(txn), begun: begun, rows: len(txn.Writes) + len(txn.Deletes), answer: s, err: err})
 	return s, err
 }
 
@@ -62,12 +62,37 @@
 	return ""
 }
 
+// call is a call to the store and what came of it.
+type call struct {
+	op, table string
+	begun     time.Time
+	rows      int
+	// since is the version that changes were asked for from.
+	since  uint64
+	answer store.Snapshot
+	err    error
+}
+
+// era returns the store's era as the answer tells it, 0 if there is none.
+func (c call) era() uint64 {
+	var lost *store.HistoryLostError
+	var conflict *store.ConflictError
+	switch {
+	case errors.As(c.err, &lost):
+		return lost.Era
+	case errors.As(c.err, &conflict):
+		return conflict.Era
+	}
+	return c.answer.Era
+}
+
 // note logs and counts a call.
-func (c *storeCalls) note(op, table string, begun time.Time, rows int, err error) {
-	outcome := outcomeOf(err)
-	c.set.GetOrCreateCounter(`pointpass_store_calls_total{op="` + op + `",table="` + table + `",outcome="` + outcome + `"}`).Inc()
-	c.log.Info().Str("event", "store_call").Str("op", op).Str("table", table).Str("outcome", outcome).Int("rows", rows).
-		Int("relays", c.relays()).Dur("took", clock.Since(begun).Round(time.Microsecond)).Msg("")
+func (c *storeCalls) note(made call) {
+	outcome := outcomeOf(made.err)
+	c.set.GetOrCreateCounter(`pointpass_store_calls_total{op="` + made.op + `",table="` + made.table + `",outcome="` + outcome + `"}`).Inc()
+	c.log.Info().Str("event", "store_call").Str("op", made.op).Str("table", made.table).Str("outcome", outcome).Int("rows", made.rows).
+		Uint64("since", made.since).Uint64("version", made.answer.Version).Uint64("era", made.era()).
+		Int("relays", c.relays()).Dur("took", clock.Since(made.begun).Round(time.Microsecond)).Msg("")
 }
 
 // outcomeOf names what came of a call.
--- a/store/store.go
+++ b/store/store.go
@@ -24,6 +24,9 @@
 	Rows []Row
 	// Version is the store's newest version when it answered.
 	Version uint64
+	// Era counts how often the store has come back from an older copy, 0 where the answer
+	// doesn't tell.
+	Era uint64
 	// Clock is the store's own steady clock when it answered.
 	Clock time.Duration
 	// Evidence is when the store was asked, if another daemon asked it; the zero
@@ -71,7 +74,11 @@
 }
 
 // HistoryLostError tells that changes since a version can't be told any more.
-type HistoryLostError struct{ Table string }
+type HistoryLostError struct {
+	Table string
+	// Era is that of the answer, as in Snapshot.
+	Era uint64
+}
 
 // Error describes the error.
 func (e *HistoryLostError) Error() string {
@@ -79,7 +86,10 @@
 }
 
 // ConflictError tells that nothing was committed because a condition failed.
-type ConflictError struct{}
+type ConflictError struct {
+	// Era is that of the answer, as in Snapshot.
+	Era uint64
+}
 
 // Error describes the error.
 func (e *ConflictError) Error() string { return "a condition of the transaction does not hold" }
