--- a/testbed/standin/door.go
+++ b/testbed/standin/door.go
@@ -86,6 +86,7 @@
 		d.store.mu.Lock()
 		d.store.calls[name]++
 		trouble := d.trouble
+		d.store.tellEra(w)
 		d.store.mu.Unlock()
 		switch trouble {
 		case Busy:
--- a/testbed/standin/store.go
+++ b/testbed/standin/store.go
@@ -35,13 +35,15 @@
 	rows    map[string]Row
 	history []Row
 	floor   uint64 // history up to here is gone
+	log     []Row  // all changes of this era's past, also those that history has lost
+	era     uint64
 	calls   map[string]int
 	judge   *Judge
 }
 
 // NewStore starts a store, and returns it with a function that stops it.
 func NewStore() (*Store, func()) {
-	s := &Store{begun: time.Now(), changed: make(chan struct{}), rows: map[string]Row{}, calls: map[string]int{}, judge: newJudge()}
+	s := &Store{begun: time.Now(), changed: make(chan struct{}), rows: map[string]Row{}, calls: map[string]int{}, judge: newJudge(), era: 1}
 	s.own = s.NewDoor()
 	return s, s.stop
 }
@@ -135,6 +137,7 @@
 		s.rows[key] = r
 	}
 	s.history = append(s.history, r)
+	s.log = append(s.log, r)
 	s.wake()
 }
 
@@ -189,6 +192,7 @@
 	from := r.URL.Query().Get("from")
 	rows := s.list(r.URL.Query().Get("table"))
 	rows = slices.DeleteFunc(rows, func(row Row) bool { return row.Key < from })
+	s.tellEra(w)
 	json.NewEncoder(w).Encode(s.answer(rows))
 }
 
@@ -202,10 +206,11 @@
 	for {
 		s.mu.Lock()
 		rows := s.since(query.Get("table"), since)
-		gone := since < s.floor
+		gone := since < s.floor || since > s.version
 		reply := s.answer(rows)
 		changed := s.changed
 		sound := d.trouble.answers()
+		s.tellEra(w)
 		s.mu.Unlock()
 		switch {
 		case !sound:
@@ -258,6 +263,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tellEra(w)
 	for _, want := range t.Expected {
 		if s.rows[want.Table+"\x00"+want.Key].Version != want.Version {
 			w.WriteHeader(http.StatusPreconditionFailed)
