--- a/deps/apply.go
+++ b/deps/apply.go
@@ -30,7 +30,7 @@
 	changed, gone, unread := platform.Workers(u.Rows)
 	e.unread.note(unread, changed, gone)
 	if _, holds := e.Lease.Held(); holds || e.following.reader.Direct() {
-		e.entries.each(changed, gone, u.Version)
+		e.entries.each(changed, gone, u.At)
 	} else {
 		e.entries.note(changed, gone, u)
 	}
--- a/deps/cold_test.go
+++ b/deps/cold_test.go
@@ -52,7 +52,7 @@
 // TestCold_AnUpdateOpensAndCools: a full read no longer lists the closed hall.
 func TestCold_AnUpdateOpensAndCools(t *testing.T) {
 	e, w := newColdEdge(t)
-	e.applyHalls(store.Update{Full: true, Version: 9})
+	e.applyHalls(store.Update{Full: true, At: store.At(0, 9)})
 	must.True(t, e.Placement.Open("h1"))
 	must.EqOp(t, placement.Cold, e.Placement.Judge(placement.Request{}, w).Reason, must.Sprint("this daemon knows of no other yet"))
 	must.Greater(t, 2*time.Second, e.cold.left(w.ID))
--- a/deps/entrylog.go
+++ b/deps/entrylog.go
@@ -31,8 +31,8 @@
 type entrySum struct {
 	updates, changed, gone int
 	// all tells that all entries were read anew.
-	all     bool
-	version uint64
+	all bool
+	at  store.Position
 	// oldest is how old the evidence of an update was at the most.
 	oldest time.Duration
 }
@@ -48,7 +48,7 @@
 	l.sum.changed += len(changed)
 	l.sum.gone += len(gone)
 	l.sum.all = l.sum.all || u.Full
-	l.sum.version = max(l.sum.version, u.Version)
+	l.sum.at = store.Later(l.sum.at, u.At)
 	l.sum.oldest = max(l.sum.oldest, clock.Since(u.Evidence))
 	if l.due {
 		return
@@ -66,17 +66,17 @@
 	l.logged = clock.Now()
 	l.mu.Unlock()
 	l.log.Info().Str("event", "workers").Int("updates", sum.updates).Int("changed", sum.changed).Int("gone", sum.gone).Bool("all", sum.all).
-		Uint64("store_version", sum.version).Dur("evidence_age", sum.oldest).Msg("")
+		Uint64("store_version", sum.at.Version()).Uint64("store_era", sum.at.Era()).Dur("evidence_age", sum.oldest).Msg("")
 }
 
 // each writes a line for each change of a worker. Those who read the store themselves or give
 // orders do so, a few in each fleet.
-func (l *entryLog) each(changed []workers.Worker, gone []string, version uint64) {
+func (l *entryLog) each(changed []workers.Worker, gone []string, at store.Position) {
 	for _, w := range changed {
 		l.log.Info().Str("event", "worker").Str("worker", w.ID).Str("service", w.Service).Bool("draining", w.Draining).
-			Str("group", w.Membership.Group.Name).Int("rank", w.Membership.Rank).Str("state", string(w.Membership.State)).Strs("models", w.Models).Strs("staged", w.Staged).Str("domain", w.Domain).Dur("cold_left", w.ColdLeft).Uint64("store_version", version).Msg("")
+			Str("group", w.Membership.Group.Name).Int("rank", w.Membership.Rank).Str("state", string(w.Membership.State)).Strs("models", w.Models).Strs("staged", w.Staged).Str("domain", w.Domain).Dur("cold_left", w.ColdLeft).Uint64("store_version", at.Version()).Uint64("store_era", at.Era()).Msg("")
 	}
 	for _, id := range gone {
-		l.log.Info().Str("event", "worker_gone").Str("worker", id).Uint64("store_version", version).Msg("")
+		l.log.Info().Str("event", "worker_gone").Str("worker", id).Uint64("store_version", at.Version()).Uint64("store_era", at.Era()).Msg("")
 	}
 }
--- a/deps/entrylog_test.go
+++ b/deps/entrylog_test.go
@@ -36,7 +36,7 @@
 			l := &entryLog{log: &log.Logger{Writer: &log.IOWriter{Writer: out}}}
 			const seconds = 10
 			for i := range 50 * seconds {
-				l.note(make([]workers.Worker, each), nil, store.Update{Version: uint64(i), Evidence: time.Now()})
+				l.note(make([]workers.Worker, each), nil, store.Update{At: store.At(0, uint64(i)), Evidence: time.Now()})
 				l.note(nil, nil, store.Update{Evidence: time.Now()})
 				time.Sleep(time.Second / 50)
 			}
--- a/deps/following.go
+++ b/deps/following.go
@@ -106,6 +106,7 @@
 	reader *relay.Reader
 	caches map[string]*relay.Cache
 	peers  *relay.Client
+	eras   *eras
 	// enlister writes the rows of other daemons.
 	enlister *replica.Enlister
 	seeker   *seeker
@@ -134,7 +135,8 @@
 
 func newFollowing(e *Edge, client storeClient, peers *relay.Client) *following {
 	f := &following{edge: e, peers: peers, caches: map[string]*relay.Cache{}, directory: replica.NewDirectory(clock.Now), seeker: newSeeker(), learned: make(chan struct{})}
-	calls := &storeCalls{client: client, set: e.Metrics, log: e.Log, relays: func() int { return len(f.control.Load().upstreams) }}
+	f.eras = newEras(e.Metrics, e.Log)
+	calls := &storeCalls{client: client, eras: f.eras, set: e.Metrics, log: e.Log, relays: func() int { return len(f.control.Load().upstreams) }}
 	f.Writer = calls
 	f.enlister = replica.NewEnlister(calls)
 	for _, table := range followedTables {
@@ -206,6 +208,9 @@
 		Wait:   func() time.Duration { return f.hold(table) },
 		Pause:  func() time.Duration { return f.gather(table) },
 		Apply: func(u store.Update) {
+			if u.Restored {
+				f.logRestored(table, cache.At(), u)
+			}
 			cache.Apply(u)
 			apply(u)
 		},
@@ -214,6 +219,12 @@
 	}
 }
 
+// logRestored tells that a table was read anew after the store came back from an older copy.
+func (f *following) logRestored(table string, before store.Position, u store.Update) {
+	f.edge.Log.Warn().Str("event", "table_restored").Str("table", table).Uint64("era", u.At.Era()).Uint64("version", u.At.Version()).
+		Uint64("era_before", before.Era()).Uint64("version_before", before.Version()).Int("rows", len(u.Rows)).Dur("evidence_age", clock.Since(u.Evidence)).Msg("")
+}
+
 // hold returns how long a question for a table is held now.
 func (f *following) hold(table string) time.Duration {
 	p := paceOf(table)
--- a/deps/footprint_test.go
+++ b/deps/footprint_test.go
@@ -23,12 +23,12 @@
 		`"models":[{"name":"sya114500xx","version":1,"loras":[]}],"staged":["sya114500xx"],`+
 		`"group":{"name":"sya114500xx.%d","epoch":%d,"rank":%d,"state":"ready"}}`,
 		i%200, i/200, i%250, i%5, i/37, 10000+i/16, 10000+i/16, i%16)
-	return store.Row{Key: fmt.Sprintf("i-%010x", i*7919), Value: []byte(value), Version: version}
+	return store.Row{Key: fmt.Sprintf("i-%010x", i*7919), Value: []byte(value), At: store.At(0, version)}
 }
 
 func daemonRow(i int) store.Row {
 	value, _ := json.Marshal(replica.Node{Addr: fmt.Sprint("10.0.", i/250, ".", i%250, ":8340"), Hall: fmt.Sprint("hall-", i%5), Cores: 0.192})
-	return store.Row{Key: fmt.Sprint("node/edge-", i), Value: value, Version: uint64(i + 1)}
+	return store.Row{Key: fmt.Sprint("node/edge-", i), Value: value, At: store.At(0, uint64(i+1))}
 }
 
 func liveHeap() int64 {
@@ -56,7 +56,7 @@
 	}
 	f.entries.Remember(false)
 	f.control.Remember(false)
-	control := store.Update{Full: true, Version: uint64(daemons)}
+	control := store.Update{Full: true, At: store.At(0, uint64(daemons))}
 	for i := range daemons {
 		control.Rows = append(control.Rows, daemonRow(i))
 	}
@@ -72,7 +72,7 @@
 				version++
 				u.Rows = append(u.Rows, workerEntry(i, version))
 			}
-			u.Version = version
+			u.At = store.At(0, version)
 			f.entries.Apply(u)
 			changed, gone, _ := platform.Workers(u.Rows)
 			f.registry.Apply(changed, gone, u.Full)
--- a/deps/halls.go
+++ b/deps/halls.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		e.Log.Error().Str("event", "hall_unreadable").Err(err).Msg("")
 	}
-	update := placement.Update{Changes: changes, Full: u.Full, Version: u.Version, Evidence: u.Evidence}
+	update := placement.Update{Changes: changes, Full: u.Full, Version: u.At.Version(), Evidence: u.Evidence}
 	e.coolOpened(update)
 	closed, opened := e.Placement.Apply(update)
 	for _, c := range closed {
--- a/deps/standstill.go
+++ b/deps/standstill.go
@@ -70,7 +70,7 @@
 }
 
 // Changes asks for what changed in a table.
-func (r *settlingReader) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+func (r *settlingReader) Changes(ctx context.Context, table string, since store.Position, wait time.Duration) (store.Snapshot, error) {
 	r.ended = r.standstill.Asking()
 	s, err := r.reader.Changes(ctx, table, since, wait)
 	r.failed(err)
--- a/deps/standstill_test.go
+++ b/deps/standstill_test.go
@@ -19,7 +19,7 @@
 	return store.Snapshot{}, f.err
 }
 
-func (f failingReader) Changes(context.Context, string, uint64, time.Duration) (store.Snapshot, error) {
+func (f failingReader) Changes(context.Context, string, store.Position, time.Duration) (store.Snapshot, error) {
 	return store.Snapshot{}, f.err
 }
 
@@ -44,7 +44,7 @@
 			if all {
 				r.Rows(t.Context(), "t")
 			} else {
-				r.Changes(t.Context(), "t", 1, 0)
+				r.Changes(t.Context(), "t", store.At(0, 1), 0)
 			}
 			must.EqOp(t, c.before, standstill.Settled(), must.Sprint(c.err, all))
 			if c.takeIn {
--- a/deps/storecalls.go
+++ b/deps/storecalls.go
@@ -25,6 +25,7 @@
 // five a second, so that the lines are few.
 type storeCalls struct {
 	client storeClient
+	eras   *eras
 	set    *metrics.Set
 	log    *log.Logger
 	// relays returns how many daemons this one could ask in place of the store.
@@ -34,15 +35,15 @@
 // Rows returns all rows of a table.
 func (c *storeCalls) Rows(ctx context.Context, table string) (store.Snapshot, error) {
 	begun := clock.Now()
-	s, err := c.client.Rows(ctx, table)
+	s, err := c.eras.place(c.client.Rows(ctx, table))
 	c.note(call{op: "rows", table: table, begun: begun, rows: len(s.Rows), answer: s, err: err})
 	return s, err
 }
 
 // Changes returns what has changed in a table since a version.
-func (c *storeCalls) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+func (c *storeCalls) Changes(ctx context.Context, table string, since store.Position, wait time.Duration) (store.Snapshot, error) {
 	begun := clock.Now()
-	s, err := c.client.Changes(ctx, table, since, wait)
+	s, err := c.eras.place(c.client.Changes(ctx, table, since, wait))
 	c.note(call{op: "changes", table: table, begun: begun, rows: len(s.Rows), since: since, answer: s, err: err})
 	return s, err
 }
@@ -50,7 +51,7 @@
 // Commit commits a transaction.
 func (c *storeCalls) Commit(ctx context.Context, txn store.Txn) (store.Snapshot, error) {
 	begun := clock.Now()
-	s, err := c.client.Commit(ctx, txn)
+	s, err := c.eras.place(c.client.Commit(ctx, txn))
 	c.note(call{op: "commit", table: tableOf(txn), begun: begun, rows: len(txn.Writes) + len(txn.Deletes), answer: s, err: err})
 	return s, err
 }
@@ -67,31 +68,19 @@
 	op, table string
 	begun     time.Time
 	rows      int
-	// since is the version that changes were asked for from.
-	since  uint64
+	// since is the position that changes were asked for from.
+	since  store.Position
 	answer store.Snapshot
 	err    error
 }
 
-// era returns the store's era as the answer tells it, 0 if there is none.
-func (c call) era() uint64 {
-	var lost *store.HistoryLostError
-	var conflict *store.ConflictError
-	switch {
-	case errors.As(c.err, &lost):
-		return lost.Era
-	case errors.As(c.err, &conflict):
-		return conflict.Era
-	}
-	return c.answer.Era
-}
-
 // note logs and counts a call.
 func (c *storeCalls) note(made call) {
 	outcome := outcomeOf(made.err)
+	era, _ := eraOf(made.answer, made.err)
 	c.set.GetOrCreateCounter(`pointpass_store_calls_total{op="` + made.op + `",table="` + made.table + `",outcome="` + outcome + `"}`).Inc()
 	c.log.Info().Str("event", "store_call").Str("op", made.op).Str("table", made.table).Str("outcome", outcome).Int("rows", made.rows).
-		Uint64("since", made.since).Uint64("version", made.answer.Version).Uint64("era", made.era()).
+		Uint64("since", made.since.Version()).Uint64("version", made.answer.At.Version()).Uint64("era", era).
 		Int("relays", c.relays()).Dur("took", clock.Since(made.begun).Round(time.Microsecond)).Msg("")
 }
 
--- a/deps/warnings.go
+++ b/deps/warnings.go
@@ -111,7 +111,7 @@
 }
 
 // Changes returns *relay.EmptyError.
-func (nowhere) Changes(_ context.Context, table string, _ uint64, _ time.Duration) (store.Snapshot, error) {
+func (nowhere) Changes(_ context.Context, table string, _ store.Position, _ time.Duration) (store.Snapshot, error) {
 	return store.Snapshot{}, &relay.EmptyError{Table: table}
 }
 
--- a/health/publisher.go
+++ b/health/publisher.go
@@ -17,9 +17,6 @@
 // told by the warning's own time to live.
 const MostAge = 24 * time.Hour
 
-// warningsPerTerm is how many versions a term of the lease has room for.
-const warningsPerTerm = 1 << 24
-
 // Publisher turns reports into rows that daemons follow. It is safe for use by many
 // goroutines.
 type Publisher struct {
@@ -38,8 +35,8 @@
 	return &Publisher{cache: cache, now: now, board: NewBoard(), listed: map[string]bool{}}
 }
 
-// Begin has the publisher write under a term of the lease. Versions rise from term to
-// term, so that followers of an earlier holder read anew.
+// Begin has the publisher write under a term of the lease. Each term is an era of the table, so
+// that followers of an earlier holder read anew.
 func (p *Publisher) Begin(term uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -50,7 +47,7 @@
 	p.written = 0
 	p.board = NewBoard()
 	p.listed = map[string]bool{}
-	p.cache.Apply(store.Update{Full: true, Version: p.version(), Evidence: p.now()})
+	p.cache.Apply(store.Update{Full: true, At: p.position(), Evidence: p.now()})
 }
 
 // Report takes in a daemon's report about a group, of that many groups and daemons in
@@ -100,10 +97,10 @@
 // caller holds the lock.
 func (p *Publisher) write(w *Warning, now time.Time) {
 	p.written++
-	version := p.version()
+	at := p.position()
 	var rows []store.Row
 	if w != nil {
-		rows = append(rows, store.Row{Key: w.Group, Value: []byte(w.text()), Version: version})
+		rows = append(rows, store.Row{Key: w.Group, Value: []byte(w.text()), At: at})
 	}
 	current := map[string]bool{}
 	for _, group := range p.board.Warned(now) {
@@ -111,11 +108,11 @@
 	}
 	for group := range p.listed {
 		if !current[group] {
-			rows = append(rows, store.Row{Key: group, Version: version, Deleted: true})
+			rows = append(rows, store.Row{Key: group, At: at, Deleted: true})
 		}
 	}
 	p.listed = current
-	p.cache.Apply(store.Update{Rows: rows, Version: version, Evidence: now})
+	p.cache.Apply(store.Update{Rows: rows, At: at, Evidence: now})
 }
 
 // holdPrefix begins the keys of rows that tell of a request which is held back.
@@ -130,9 +127,9 @@
 		return
 	}
 	p.written++
-	version := p.version()
-	row := store.Row{Key: holdPrefix + fingerprint, Value: []byte("held"), Version: version}
-	p.cache.Apply(store.Update{Rows: []store.Row{row}, Version: version, Evidence: p.now()})
+	at := p.position()
+	row := store.Row{Key: holdPrefix + fingerprint, Value: []byte("held"), At: at}
+	p.cache.Apply(store.Update{Rows: []store.Row{row}, At: at, Evidence: p.now()})
 }
 
 // ParseHold returns which request a row of Table tells to be held back, false if it tells
@@ -146,4 +143,5 @@
 	return parse(r.Key, string(r.Value))
 }
 
-func (p *Publisher) version() uint64 { return p.term*warningsPerTerm + p.written }
+// position returns where the table stands. An empty one has a position too.
+func (p *Publisher) position() store.Position { return store.At(p.term, p.written+1) }
--- a/health/publisher_test.go
+++ b/health/publisher_test.go
@@ -20,7 +20,7 @@
 	return NewPublisher(cache, time.Now), cache
 }
 
-func changes(t *testing.T, c *relay.Cache, since uint64) store.Snapshot {
+func changes(t *testing.T, c *relay.Cache, since store.Position) store.Snapshot {
 	t.Helper()
 	s, err := c.Changes(t.Context(), since, 0)
 	must.NoError(t, err)
@@ -38,12 +38,12 @@
 	p.Report("g", "e2", groups, daemons)
 	_, warn = p.Report("g", "e3", groups, daemons)
 	must.True(t, warn)
-	s := changes(t, cache, begun.Version)
+	s := changes(t, cache, begun.At)
 	must.Len(t, 1, s.Rows)
 	must.Eq(t, Warning{Group: "g", Reporters: []string{"e1", "e2", "e3"}}, ParseWarning(s.Rows[0]))
 	must.True(t, p.Object("g"))
 	must.False(t, p.Object("g"))
-	s = changes(t, cache, s.Version)
+	s = changes(t, cache, s.At)
 	must.Len(t, 1, s.Rows)
 	must.True(t, s.Rows[0].Deleted)
 }
@@ -58,7 +58,7 @@
 	p.AnnounceHold("0a1b")
 	p.Dead("g", "e2")
 	p.Object("g")
-	s := changes(t, cache, begun.Version)
+	s := changes(t, cache, begun.At)
 	must.Len(t, 3, s.Rows, must.Sprint("nothing of before the term"))
 	fingerprint, is := ParseHold(s.Rows[0])
 	must.True(t, is)
@@ -81,12 +81,12 @@
 	old, _ := cache.Rows()
 	p.Begin(9)
 	now, _ := cache.Rows()
-	must.Greater(t, old.Version, now.Version)
+	must.True(t, old.At.Before(now.At))
 	must.SliceEmpty(t, now.Rows)
 	p.Begin(8)
 	again, _ := cache.Rows()
-	must.EqOp(t, now.Version, again.Version)
-	_, err := cache.Changes(t.Context(), old.Version, 0)
+	must.EqOp(t, now.At, again.At)
+	_, err := cache.Changes(t.Context(), old.At, 0)
 	must.Error(t, err)
 }
 
@@ -139,9 +139,9 @@
 }
 
 func (p *peer) Rows(ctx context.Context, table string) (store.Snapshot, error) {
-	return p.client.Changes(ctx, p.addr, table, 0, time.Second)
+	return p.client.Changes(ctx, p.addr, table, store.Position{}, time.Second)
 }
 
-func (p *peer) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+func (p *peer) Changes(ctx context.Context, table string, since store.Position, wait time.Duration) (store.Snapshot, error) {
 	return p.client.Changes(ctx, p.addr, table, since, wait)
 }
--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -1,7 +1,6 @@
 package placement_test
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"os"
@@ -63,7 +62,7 @@
 	reader     *relay.Reader
 	decider    *placement.Decider
 	standstill *placement.Standstill
-	since      uint64
+	since      store.Position
 	ready      bool
 	failed     time.Time // when a question last failed
 	frozen     time.Time // until when it stands still
@@ -107,7 +106,7 @@
 	}
 	key := rapid.SampledFrom(hallsPlayed).Draw(w.draw, "hall")
 	w.version++
-	row := store.Row{Key: key, Version: w.version, Value: []byte("{}")}
+	row := store.Row{Key: key, At: store.At(0, w.version), Value: []byte("{}")}
 	if _, closed := w.rows[key]; closed {
 		row.Deleted = true
 		delete(w.rows, key)
@@ -126,7 +125,7 @@
 	if w.cut() {
 		return store.Snapshot{}, errCut
 	}
-	s := store.Snapshot{Version: w.version}
+	s := store.Snapshot{At: store.At(0, w.version)}
 	for _, r := range w.rows {
 		s.Rows = append(s.Rows, r)
 	}
@@ -135,25 +134,25 @@
 }
 
 // Changes is the store's answer.
-func (w *world) Changes(_ context.Context, table string, since uint64, _ time.Duration) (store.Snapshot, error) {
+func (w *world) Changes(_ context.Context, table string, since store.Position, _ time.Duration) (store.Snapshot, error) {
 	w.pass()
 	if w.cut() {
 		return store.Snapshot{}, errCut
 	}
-	if since < w.dropped {
+	if since.Version() < w.dropped {
 		return store.Snapshot{}, &store.HistoryLostError{Table: table}
 	}
-	s := store.Snapshot{Version: w.version}
+	s := store.Snapshot{At: store.At(0, w.version)}
 	last := map[string]store.Row{}
 	for _, r := range w.changes {
-		if r.Version > since {
+		if since.Before(r.At) {
 			last[r.Key] = r
 		}
 	}
 	for _, r := range last {
 		s.Rows = append(s.Rows, r)
 	}
-	slices.SortFunc(s.Rows, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(s.Rows, func(a, b store.Row) int { return a.At.Compare(b.At) })
 	w.pass()
 	return s, nil
 }
@@ -162,7 +161,7 @@
 type peers struct{ *world }
 
 // Changes asks another daemon, which doesn't answer while it stands still.
-func (p peers) Changes(ctx context.Context, addr, _ string, since uint64, _ time.Duration) (store.Snapshot, error) {
+func (p peers) Changes(ctx context.Context, addr, _ string, since store.Position, _ time.Duration) (store.Snapshot, error) {
 	sent := p.now
 	p.pass()
 	d := p.daemons[int(addr[0]-'0')]
@@ -174,7 +173,7 @@
 	if !known {
 		return store.Snapshot{}, &relay.EmptyError{}
 	}
-	if since > 0 {
+	if since.Known() {
 		var err error
 		if s, err = d.cache.Changes(ctx, since, 0); err != nil {
 			return store.Snapshot{}, err
@@ -189,7 +188,7 @@
 func (w *world) ask(d *daemon) {
 	ended := d.standstill.Asking()
 	sent := w.now
-	full := d.since == 0
+	full := !d.since.Known()
 	var s store.Snapshot
 	var err error
 	if full {
@@ -199,7 +198,7 @@
 	}
 	var lost *store.HistoryLostError
 	if errors.As(err, &lost) {
-		d.since = 0
+		d.since = store.Position{}
 		return
 	}
 	if err != nil {
@@ -207,17 +206,17 @@
 		ended()
 		return
 	}
-	u := store.Update{Rows: s.Rows, Full: full, Gap: s.Gap, Evidence: sent, Version: s.Version}
+	u := store.Update{Rows: s.Rows, Full: full, Gap: s.Gap, Evidence: sent, At: s.At}
 	if !s.Evidence.IsZero() {
 		u.Evidence = s.Evidence
 	}
 	d.cache.Apply(u)
 	var changes []placement.Change
 	for _, r := range u.Rows {
-		changes = append(changes, placement.Change{Hall: r.Key, Closed: !r.Deleted, Version: r.Version})
+		changes = append(changes, placement.Change{Hall: r.Key, Closed: !r.Deleted, Version: r.At.Version()})
 	}
-	d.decider.Apply(placement.Update{Changes: changes, Full: full, Version: u.Version, Evidence: u.Evidence})
-	d.since = max(d.since, s.Version)
+	d.decider.Apply(placement.Update{Changes: changes, Full: full, Version: u.At.Version(), Evidence: u.Evidence})
+	d.since = store.Later(d.since, s.At)
 	d.ready = true
 	ended()
 }
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -80,7 +80,7 @@
 }
 
 func rowOf(w store.Write, version uint64) store.Row {
-	return store.Row{Key: w.Key, Value: w.Value, Version: version}
+	return store.Row{Key: w.Key, Value: w.Value, At: store.At(0, version)}
 }
 
 func TestRows_TellWhatWasStored(t *testing.T) {
@@ -105,8 +105,8 @@
 // TestRows_OneThatCantBeReadTakesNoneWithIt also covers rows of other writers.
 func TestRows_OneThatCantBeReadTakesNoneWithIt(t *testing.T) {
 	rows := []store.Row{
-		{Key: heldPrefix + "nothing", Value: []byte("{}"), Version: 1},
-		{Key: heldPrefix + print(1).String(), Value: []byte(`{"charge":"three"`), Version: 2},
+		{Key: heldPrefix + "nothing", Value: []byte("{}"), At: store.At(0, 1)},
+		{Key: heldPrefix + print(1).String(), Value: []byte(`{"charge":"three"`), At: store.At(0, 2)},
 		rowOf(Store("control", Hold{Fingerprint: print(2)}).Writes[0], 3),
 	}
 	holds, err := HeldIn(rows)
--- a/quarantine/rows.go
+++ b/quarantine/rows.go
@@ -77,7 +77,7 @@
 			err = &RowError{Row: r.Key, Err: failed} // the name alone holds it back
 		}
 		h.Fingerprint = f
-		h.Version = r.Version
+		h.Version = r.At.Version()
 		holds = append(holds, h)
 	}
 	return holds, err
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -5,7 +5,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -24,13 +23,13 @@
 	mostAge time.Duration
 	now     func() time.Time
 
-	mu      sync.Mutex
-	rows    map[string]store.Row
-	version uint64
-	// changes are the latest changes in order of version; all since base are there, but for
-	// what came and went within a gap.
+	mu   sync.Mutex
+	rows map[string]store.Row
+	at   store.Position
+	// changes are the latest changes in order, all of one era; all since base are there, but
+	// for what came and went within a gap.
 	changes []store.Row
-	base    uint64
+	base    store.Position
 	gaps    []gap
 	// differences tells that followers are told what differs once all rows were read anew.
 	differences bool
@@ -58,29 +57,36 @@
 	return c
 }
 
-// gap is where all rows were read anew: what came after the version from and went before the
-// version to is not known. Whoever knows the rows as of from, or as of to, misses nothing by it.
-type gap struct{ from, to uint64 }
+// gap is where all rows were read anew: what came after from and went before to is not known.
+// Whoever knows the rows as of from, or as of to, misses nothing by it.
+type gap struct{ from, to store.Position }
 
-func (g gap) holds(version uint64) bool { return g.from < version && version < g.to }
+func (g gap) holds(p store.Position) bool { return g.from.Before(p) && p.Before(g.to) }
 
 // mostGaps is how many gaps are remembered. What happened before the earlier ones is
 // forgotten with them.
 const mostGaps = 16
 
-// Apply takes in what the store said.
+// Apply takes in what the store said. What it said in an earlier era than is known tells
+// nothing any more.
 func (c *Cache) Apply(u store.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if u.At.Era() < c.at.Era() {
+		return
+	}
+	if u.At.Era() > c.at.Era() {
+		c.reset()
+	}
 	if u.Full {
 		c.readAnew(u)
 	} else {
 		if u.Gap {
-			c.addGap(u.Version)
+			c.addGap(u.At)
 		}
 		c.record(u.Rows)
 	}
-	c.version = max(c.version, u.Version)
+	c.at = store.Later(c.at, u.At)
 	c.forget()
 	c.clock = max(c.clock, u.Clock)
 	if u.Evidence.After(c.evidence) {
@@ -92,6 +98,17 @@
 	}
 }
 
+// reset forgets what was known of an earlier era, whose versions and clock say nothing about
+// those of the present one. The caller holds the lock.
+func (c *Cache) reset() {
+	clear(c.rows)
+	c.changes = nil
+	c.gaps = nil
+	c.at = store.Position{}
+	c.base = store.Position{}
+	c.clock = 0
+}
+
 // readAnew takes in all rows. The caller holds the lock.
 func (c *Cache) readAnew(u store.Update) {
 	changed, sure := c.difference(u)
@@ -99,52 +116,52 @@
 		clear(c.rows)
 		c.changes = nil
 		c.gaps = nil
-		c.base = max(u.Version, c.version)
+		c.base = store.Later(u.At, c.at)
 		for _, r := range u.Rows {
 			c.rows[r.Key] = r
 		}
 		return
 	}
-	c.addGap(u.Version)
+	c.addGap(u.At)
 	c.record(changed)
 }
 
-// addGap notes that what happened up to a version is not known. The caller holds the lock.
-func (c *Cache) addGap(to uint64) {
-	if to <= c.version {
+// addGap notes that what happened up to a position is not known. The caller holds the lock.
+func (c *Cache) addGap(to store.Position) {
+	if !c.at.Before(to) {
 		return
 	}
-	c.gaps = append(c.gaps, gap{from: c.version, to: to})
+	c.gaps = append(c.gaps, gap{from: c.at, to: to})
 	if len(c.gaps) > mostGaps {
-		c.base = max(c.base, c.gaps[0].to)
+		c.base = store.Later(c.base, c.gaps[0].to)
 		c.gaps = c.gaps[1:]
 	}
 }
 
-// difference returns what rows read anew tell to have changed since the version that is known
-// here, in order of version, and false if that can't be told. When a row went is not known; it
-// is told as of the new version.
+// difference returns what rows read anew tell to have changed since the position that is known
+// here, in order, and false if that can't be told. When a row went is not known; it is told as
+// of the new position.
 func (c *Cache) difference(u store.Update) (changed []store.Row, sure bool) {
-	if !c.differences || c.version == 0 || u.Version < c.version {
+	if !c.differences || !c.at.Known() || u.At.Before(c.at) {
 		return nil, false
 	}
 	listed := make(map[string]bool, len(u.Rows))
 	for _, r := range u.Rows {
 		listed[r.Key] = true
-		if c.rows[r.Key].Version == r.Version || r.Version > u.Version {
+		if c.rows[r.Key].At == r.At || u.At.Before(r.At) {
 			continue // a change between two pages of rows is told again, in order
 		}
-		if r.Version <= c.version {
+		if !c.at.Before(r.At) {
 			return nil, false
 		}
 		changed = append(changed, r)
 	}
 	for key := range c.rows {
 		if !listed[key] {
-			changed = append(changed, store.Row{Key: key, Version: u.Version, Deleted: true})
+			changed = append(changed, store.Row{Key: key, At: u.At, Deleted: true})
 		}
 	}
-	slices.SortFunc(changed, func(a, b store.Row) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(changed, func(a, b store.Row) int { return a.At.Compare(b.At) })
 	return changed, true
 }
 
@@ -162,11 +179,11 @@
 	if c.forgetful {
 		c.changes = nil
 		c.gaps = nil
-		c.base = c.version
+		c.base = c.at
 	}
 }
 
-// record takes in changes in order of version. The caller holds the lock.
+// record takes in changes in order. The caller holds the lock.
 func (c *Cache) record(changed []store.Row) {
 	for _, r := range changed {
 		if r.Deleted {
@@ -177,7 +194,7 @@
 	}
 	c.changes = append(c.changes, changed...)
 	if extra := len(c.changes) - mostChanges; extra > 0 {
-		c.base = c.changes[extra-1].Version
+		c.base = c.changes[extra-1].At
 		c.changes = slices.Clone(c.changes[extra:])
 	}
 }
@@ -190,7 +207,7 @@
 	for _, r := range c.rows {
 		s.Rows = append(s.Rows, r)
 	}
-	return s, c.version > 0
+	return s, c.at.Known()
 }
 
 // First returns all rows, and waits for the first update where there was none. It
@@ -219,6 +236,13 @@
 	return c.evidence
 }
 
+// At returns where the store's history stood as of the last update.
+func (c *Cache) At() store.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at
+}
+
 // nextNews returns the channel that the next update which changes rows closes.
 func (c *Cache) nextNews() <-chan struct{} {
 	c.mu.Lock()
@@ -226,11 +250,11 @@
 	return c.news
 }
 
-// Changes returns what has changed since a version, as soon as there is something,
+// Changes returns what has changed since a position, as soon as there is something,
 // or nothing after wait, or once what is here is too old for others: they may find
-// something younger elsewhere. It returns *EmptyError before the first update and
-// *store.HistoryLostError if the cache doesn't reach that far back.
-func (c *Cache) Changes(ctx context.Context, since uint64, wait time.Duration) (store.Snapshot, error) {
+// something younger elsewhere. It returns *EmptyError before the first update, also that of
+// the position's era, and *store.HistoryLostError if the cache doesn't reach that far back.
+func (c *Cache) Changes(ctx context.Context, since store.Position, wait time.Duration) (store.Snapshot, error) {
 	until := c.now().Add(wait)
 	for {
 		s, news, err := c.changed(since)
@@ -252,19 +276,22 @@
 	}
 }
 
-func (c *Cache) changed(since uint64) (store.Snapshot, <-chan struct{}, error) {
+func (c *Cache) changed(since store.Position) (store.Snapshot, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.version == 0 {
+	if !c.at.Known() || c.at.Era() < since.Era() {
 		return store.Snapshot{}, nil, &EmptyError{Table: c.table}
 	}
-	if since < c.base || slices.ContainsFunc(c.gaps, func(g gap) bool { return g.holds(since) }) {
-		return store.Snapshot{}, nil, &store.HistoryLostError{Table: c.table}
+	if since.Before(c.base) || slices.ContainsFunc(c.gaps, func(g gap) bool { return g.holds(since) }) {
+		return store.Snapshot{}, nil, &store.HistoryLostError{Table: c.table, Era: c.at.Era()}
 	}
 	s := c.snapshot()
-	from, _ := slices.BinarySearchFunc(c.changes, since+1, func(r store.Row, v uint64) int { return cmp.Compare(r.Version, v) })
+	from, found := slices.BinarySearchFunc(c.changes, since, func(r store.Row, p store.Position) int { return r.At.Compare(p) })
+	for found && from < len(c.changes) && c.changes[from].At == since {
+		from++
+	}
 	s.Rows = slices.Clone(c.changes[from:])
-	s.Gap = slices.ContainsFunc(c.gaps, func(g gap) bool { return g.to > since })
+	s.Gap = slices.ContainsFunc(c.gaps, func(g gap) bool { return since.Before(g.to) })
 	return s, c.news, nil
 }
 
@@ -276,5 +303,5 @@
 
 // snapshot returns all but the rows. The caller holds the lock.
 func (c *Cache) snapshot() store.Snapshot {
-	return store.Snapshot{Version: c.version, Clock: c.clock, Evidence: c.evidence}
+	return store.Snapshot{At: c.at, Clock: c.clock, Evidence: c.evidence}
 }
--- a/relay/cache_test.go
+++ b/relay/cache_test.go
@@ -12,11 +12,11 @@
 )
 
 func rowAt(key string, version uint64) store.Row {
-	return store.Row{Key: key, Value: []byte(fmt.Sprint(key, version)), Version: version}
+	return store.Row{Key: key, Value: []byte(fmt.Sprint(key, version)), At: store.At(0, version)}
 }
 
 func changesSince(t *testing.T, c *Cache, since uint64) ([]store.Row, error) {
-	s, err := c.Changes(t.Context(), since, 0)
+	s, err := c.Changes(t.Context(), store.At(0, since), 0)
 	return s.Rows, err
 }
 
@@ -24,13 +24,13 @@
 // read all rows; those who followed it are told what differs and read nothing anew.
 func TestCache_TellsWhatChangedWhileItReadAnew(t *testing.T) {
 	c := NewCache("t", time.Minute, time.Now).TellDifferences()
-	c.Apply(store.Update{Full: true, Version: 5, Rows: []store.Row{rowAt("kept", 1), rowAt("gone", 2), rowAt("other", 5)}, Evidence: time.Now()})
-	c.Apply(store.Update{Version: 6, Rows: []store.Row{rowAt("last", 6)}, Evidence: time.Now()})
-	c.Apply(store.Update{Full: true, Version: 20, Rows: []store.Row{rowAt("kept", 1), rowAt("last", 6), rowAt("other", 15), rowAt("new", 12), rowAt("later", 21)}, Evidence: time.Now()})
+	c.Apply(store.Update{Full: true, At: store.At(0, 5), Rows: []store.Row{rowAt("kept", 1), rowAt("gone", 2), rowAt("other", 5)}, Evidence: time.Now()})
+	c.Apply(store.Update{At: store.At(0, 6), Rows: []store.Row{rowAt("last", 6)}, Evidence: time.Now()})
+	c.Apply(store.Update{Full: true, At: store.At(0, 20), Rows: []store.Row{rowAt("kept", 1), rowAt("last", 6), rowAt("other", 15), rowAt("new", 12), rowAt("later", 21)}, Evidence: time.Now()})
 
 	rows, err := changesSince(t, c, 6)
 	must.NoError(t, err)
-	must.Eq(t, []store.Row{rowAt("new", 12), rowAt("other", 15), {Key: "gone", Version: 20, Deleted: true}}, rows)
+	must.Eq(t, []store.Row{rowAt("new", 12), rowAt("other", 15), {Key: "gone", At: store.At(0, 20), Deleted: true}}, rows)
 	rows, err = changesSince(t, c, 5)
 	must.NoError(t, err)
 	must.Len(t, 4, rows, must.Sprint("what it knew before is still told"))
@@ -42,7 +42,7 @@
 	rows, err = changesSince(t, c, 20)
 	must.NoError(t, err)
 	must.SliceEmpty(t, rows)
-	c.Apply(store.Update{Version: 22, Rows: []store.Row{rowAt("later", 21), rowAt("more", 22)}, Evidence: time.Now()})
+	c.Apply(store.Update{At: store.At(0, 22), Rows: []store.Row{rowAt("later", 21), rowAt("more", 22)}, Evidence: time.Now()})
 	rows, err = changesSince(t, c, 20)
 	must.NoError(t, err)
 	must.Eq(t, []store.Row{rowAt("later", 21), rowAt("more", 22)}, rows)
@@ -53,7 +53,7 @@
 func TestCache_ForgetsOldGapsWithWhatWasBefore(t *testing.T) {
 	c := NewCache("t", time.Minute, time.Now).TellDifferences()
 	for i := range uint64(mostGaps + 3) {
-		c.Apply(store.Update{Full: true, Version: 10 * (i + 1), Rows: []store.Row{rowAt("r", 10*(i+1))}, Evidence: time.Now()})
+		c.Apply(store.Update{Full: true, At: store.At(0, 10*(i+1)), Rows: []store.Row{rowAt("r", 10*(i+1))}, Evidence: time.Now()})
 	}
 	var lost *store.HistoryLostError
 	_, err := changesSince(t, c, 15)
@@ -70,7 +70,7 @@
 	c := NewCache("t", time.Minute, time.Now).TellDifferences()
 	c.Remember(false)
 	for i := range uint64(100) {
-		c.Apply(store.Update{Full: i == 0, Version: i + 1, Rows: []store.Row{rowAt("r", i+1)}, Evidence: time.Now()})
+		c.Apply(store.Update{Full: i == 0, At: store.At(0, i+1), Rows: []store.Row{rowAt("r", i+1)}, Evidence: time.Now()})
 	}
 	must.SliceEmpty(t, c.changes)
 	var lost *store.HistoryLostError
@@ -83,7 +83,7 @@
 	must.True(t, known)
 	must.Eq(t, []store.Row{rowAt("r", 100)}, s.Rows)
 	c.Remember(true)
-	c.Apply(store.Update{Version: 101, Rows: []store.Row{rowAt("r", 101)}, Evidence: time.Now()})
+	c.Apply(store.Update{At: store.At(0, 101), Rows: []store.Row{rowAt("r", 101)}, Evidence: time.Now()})
 	rows, err = changesSince(t, c, 100)
 	must.NoError(t, err)
 	must.Len(t, 1, rows)
--- a/relay/pack.go
+++ b/relay/pack.go
@@ -29,14 +29,14 @@
 
 // packed is an answer's rows, compressed, and the question that they answer.
 type packed struct {
-	since, version uint64
-	rows           int
-	data           []byte
+	since, at store.Position
+	rows      int
+	data      []byte
 }
 
-// fill puts rows that answer a question about the changes since a version into a
+// fill puts rows that answer a question about the changes since a position into a
 // reply.
-func (p *packer) fill(reply *rpc.ChangesReply, since uint64, s store.Snapshot) {
+func (p *packer) fill(reply *rpc.ChangesReply, since store.Position, s store.Snapshot) {
 	size := 0
 	for _, r := range s.Rows {
 		size += len(r.Key) + len(r.Value)
@@ -48,13 +48,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	last := &p.last
-	if last.since != since || last.version != s.Version || last.rows != len(s.Rows) {
+	if last.since != since || last.at != s.At || last.rows != len(s.Rows) {
 		data, err := proto.Marshal(&rpc.StoreRows{Rows: asMessages(s.Rows)})
 		if err != nil { // a key that is no text
 			reply.Rows = asMessages(s.Rows)
 			return
 		}
-		p.last = packed{since: since, version: s.Version, rows: len(s.Rows), data: s2.Encode(nil, data)}
+		p.last = packed{since: since, at: s.At, rows: len(s.Rows), data: s2.Encode(nil, data)}
 	}
 	reply.Packed = last.data
 }
@@ -71,7 +71,7 @@
 	}
 	rows := make([]store.Row, 0, len(messages))
 	for _, r := range messages {
-		rows = append(rows, store.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		rows = append(rows, store.Row{Key: r.Key, Value: r.Value, At: store.At(reply.Era, r.Version), Deleted: r.Deleted})
 	}
 	return rows, nil
 }
@@ -98,7 +98,7 @@
 func asMessages(rows []store.Row) []*rpc.StoreRow {
 	messages := make([]*rpc.StoreRow, 0, len(rows))
 	for _, r := range rows {
-		messages = append(messages, &rpc.StoreRow{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		messages = append(messages, &rpc.StoreRow{Key: r.Key, Value: r.Value, Version: r.At.Version(), Deleted: r.Deleted})
 	}
 	return messages
 }
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -33,9 +33,9 @@
 
 // Peers asks other daemons.
 type Peers interface {
-	// Changes returns what another daemon knows to have changed since a version, all
-	// rows if that is 0.
-	Changes(ctx context.Context, addr, table string, since uint64, wait time.Duration) (store.Snapshot, error)
+	// Changes returns what another daemon knows to have changed since a position, all
+	// rows if that isn't known.
+	Changes(ctx context.Context, addr, table string, since store.Position, wait time.Duration) (store.Snapshot, error)
 }
 
 // Reader reads tables through other daemons, and from the store where there are
@@ -46,8 +46,8 @@
 
 	mu      sync.Mutex
 	avoided map[string]avoidance
-	// newest is the newest version read, by table.
-	newest map[string]uint64
+	// newest is the newest position read, by table.
+	newest map[string]store.Position
 	// stale are the tables that daemons pass on too late.
 	stale map[relayed]bool
 	// away is for how long the store is left alone while relays have not heard from it
@@ -83,7 +83,7 @@
 
 // NewReader returns a reader.
 func NewReader(opts ReaderOptions) *Reader {
-	return &Reader{opts: opts, avoided: map[string]avoidance{}, newest: map[string]uint64{}, stale: map[relayed]bool{}}
+	return &Reader{opts: opts, avoided: map[string]avoidance{}, newest: map[string]store.Position{}, stale: map[relayed]bool{}}
 }
 
 // Direct tells whether the store itself is asked at present.
@@ -98,15 +98,15 @@
 
 // Rows returns all rows of a table.
 func (r *Reader) Rows(ctx context.Context, table string) (store.Snapshot, error) {
-	s, err := r.read(ctx, table, 0, firstHold)
+	s, err := r.read(ctx, table, store.Position{}, firstHold)
 	if err != nil {
 		return store.Snapshot{}, err
 	}
 	return r.note(table, s), nil
 }
 
-// Changes returns what has changed since a version.
-func (r *Reader) Changes(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+// Changes returns what has changed since a position.
+func (r *Reader) Changes(ctx context.Context, table string, since store.Position, wait time.Duration) (store.Snapshot, error) {
 	s, err := r.read(ctx, table, since, wait)
 	if err != nil {
 		return store.Snapshot{}, err
@@ -118,7 +118,7 @@
 // Where some answer but have not heard from the store lately, and it did not answer
 // this daemon either, it is away: then it is asked only now and then, and *StaleError
 // returned otherwise.
-func (r *Reader) read(ctx context.Context, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+func (r *Reader) read(ctx context.Context, table string, since store.Position, wait time.Duration) (store.Snapshot, error) {
 	var stale *StaleError
 	var empty *EmptyError
 	hold := wait
@@ -132,7 +132,10 @@
 		s, err := r.ask(ctx, m, table, since, hold)
 		var lost *store.HistoryLostError
 		switch {
-		case errors.As(err, &lost), ctx.Err() != nil:
+		case errors.As(err, &lost):
+			r.noteEra(table, lost.Era)
+			return store.Snapshot{}, err
+		case ctx.Err() != nil:
 			return store.Snapshot{}, err
 		case errors.As(err, &stale):
 		case errors.As(err, &empty):
@@ -140,7 +143,7 @@
 		case err != nil:
 			r.avoid(m, table, err)
 			hold = 0 // time has passed; what there is now is wanted
-		case since > 0 || s.Version >= r.newestOf(table):
+		case since.Known() && s.At.Era() == since.Era() || !since.Known() && !s.At.Before(r.newestOf(table)):
 			r.noteServed(false)
 			return s, nil
 		}
@@ -155,7 +158,7 @@
 }
 
 // ask asks one daemon.
-func (r *Reader) ask(ctx context.Context, m Member, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+func (r *Reader) ask(ctx context.Context, m Member, table string, since store.Position, wait time.Duration) (store.Snapshot, error) {
 	s, err := r.opts.Peers.Changes(ctx, m.Addr, table, since, wait)
 	if err != nil {
 		return store.Snapshot{}, err
@@ -186,13 +189,20 @@
 }
 
 // askStore asks the store. That it did not answer is kept in mind for a while.
-func (r *Reader) askStore(ctx context.Context, table string, since uint64, wait time.Duration) (s store.Snapshot, err error) {
-	if since == 0 {
-		s, err = r.opts.Direct.Rows(ctx, table)
-	} else {
+func (r *Reader) askStore(ctx context.Context, table string, since store.Position, wait time.Duration) (s store.Snapshot, err error) {
+	if since.Known() {
 		s, err = r.opts.Direct.Changes(ctx, table, since, wait)
+	} else {
+		s, err = r.opts.Direct.Rows(ctx, table)
+	}
+	if err == nil && since.Known() && (s.At.Era() != since.Era() || s.At.Before(since)) {
+		// The store doesn't go on from there, even where it has given the version out again.
+		s, err = store.Snapshot{}, &store.HistoryLostError{Table: table, Era: s.At.Era()}
 	}
 	var lost *store.HistoryLostError
+	if errors.As(err, &lost) {
+		r.noteEra(table, lost.Era)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil && !errors.As(err, &lost) {
@@ -281,16 +291,23 @@
 	}
 }
 
-func (r *Reader) newestOf(table string) uint64 {
+func (r *Reader) newestOf(table string) store.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.newest[table]
 }
 
-// note remembers the newest version, so that no older rows are taken in later.
+// noteEra remembers that a table is in an era, so that no rows of an earlier one are taken in.
+func (r *Reader) noteEra(table string, era uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.newest[table] = store.Later(r.newest[table], store.At(era, 0))
+}
+
+// note remembers the newest position, so that no older rows are taken in later.
 func (r *Reader) note(table string, s store.Snapshot) store.Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.newest[table] = max(r.newest[table], s.Version)
+	r.newest[table] = store.Later(r.newest[table], s.At)
 	return s
 }
--- a/relay/reader_test.go
+++ b/relay/reader_test.go
@@ -27,13 +27,13 @@
 
 func (a *asked) Rows(context.Context, string) (store.Snapshot, error) { return a.answer("store") }
 
-func (a *asked) Changes(context.Context, string, uint64, time.Duration) (store.Snapshot, error) {
+func (a *asked) Changes(context.Context, string, store.Position, time.Duration) (store.Snapshot, error) {
 	return a.answer("store")
 }
 
 type askedPeers struct{ *asked }
 
-func (a askedPeers) Changes(_ context.Context, addr, _ string, _ uint64, wait time.Duration) (store.Snapshot, error) {
+func (a askedPeers) Changes(_ context.Context, addr, _ string, _ store.Position, wait time.Duration) (store.Snapshot, error) {
 	a.holds = append(a.holds, wait)
 	return a.answer(addr)
 }
@@ -54,7 +54,7 @@
 
 func young(version uint64) func() (store.Snapshot, error) {
 	return func() (store.Snapshot, error) {
-		return store.Snapshot{Version: version, Evidence: time.Unix(999, 500e6)}, nil
+		return store.Snapshot{At: store.At(0, version), Evidence: time.Unix(999, 500e6)}, nil
 	}
 }
 
@@ -63,7 +63,7 @@
 }
 
 func stale() (store.Snapshot, error) {
-	return store.Snapshot{Version: 50, Evidence: time.Unix(1000, 0).Add(-testAge - time.Millisecond)}, nil
+	return store.Snapshot{At: store.At(0, 50), Evidence: time.Unix(1000, 0).Add(-testAge - time.Millisecond)}, nil
 }
 
 func TestReader_GoesOnToTheNextAndTheStore(t *testing.T) {
@@ -82,7 +82,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": c.first, "second": c.second, "store": young(9)})
-			_, err := r.Changes(t.Context(), "t", 5, time.Second)
+			_, err := r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 			must.NoError(t, err)
 			must.Eq(t, c.calls, a.calls)
 			must.EqOp(t, c.direct, r.Direct())
@@ -94,10 +94,10 @@
 // whole of a held question, and what changed meanwhile has to be known soon.
 func TestReader_AsksTheNextWithoutAHold(t *testing.T) {
 	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": failing, "second": young(9), "store": young(9)})
-	_, err := r.Changes(t.Context(), "t", 5, time.Second)
+	_, err := r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 	must.NoError(t, err)
 	must.Eq(t, []time.Duration{time.Second, 0}, a.holds)
-	_, err = r.Changes(t.Context(), "t", 5, time.Second)
+	_, err = r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 	must.NoError(t, err)
 	must.Eq(t, []time.Duration{time.Second, 0, time.Second}, a.holds)
 }
@@ -110,7 +110,7 @@
 	var asked []time.Time
 	for range 600 {
 		a.calls = nil
-		_, err := r.Changes(t.Context(), "t", 5, time.Second)
+		_, err := r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 		must.Error(t, err)
 		if len(a.calls) > 2 {
 			asked = append(asked, a.now)
@@ -126,9 +126,9 @@
 		must.Between(t, length/2, at.Sub(asked[i]), length+100*time.Millisecond)
 		length = min(2*length, testInTouch-directCall)
 	}
-	a.answers["first"] = func() (store.Snapshot, error) { return store.Snapshot{Version: 9, Evidence: a.now}, nil }
+	a.answers["first"] = func() (store.Snapshot, error) { return store.Snapshot{At: store.At(0, 9), Evidence: a.now}, nil }
 	a.calls = nil
-	_, err := r.Changes(t.Context(), "t", 5, time.Second)
+	_, err := r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 	must.NoError(t, err)
 	must.Eq(t, []string{"first"}, a.calls)
 }
@@ -143,7 +143,7 @@
 		r.opts.InTouch = func() time.Duration { return inTouch }
 		for range 20 {
 			a.now = r.away.until
-			r.askStore(t.Context(), "t", 5, time.Second)
+			r.askStore(t.Context(), "t", store.At(0, 5), time.Second)
 			must.LessEq(t, inTouch, r.away.until.Sub(a.now)+call, must.Sprint(inTouch))
 		}
 	}
@@ -155,7 +155,7 @@
 	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": stale, "second": stale, "store": failing})
 	for range 80 { // 8 s
 		for _, table := range []string{"t", "u", "v"} {
-			_, err := r.Changes(t.Context(), table, 5, time.Second)
+			_, err := r.Changes(t.Context(), table, store.At(0, 5), time.Second)
 			must.Error(t, err)
 		}
 		a.now = a.now.Add(100 * time.Millisecond)
@@ -180,7 +180,7 @@
 	must.Eq(t, []string{"first", "second", "store"}, a.calls)
 	must.Eq(t, []time.Duration{firstHold, 0}, a.holds)
 	a.answers["first"] = young(10)
-	_, err = r.Changes(t.Context(), "t", 9, time.Second)
+	_, err = r.Changes(t.Context(), "t", store.At(0, 9), time.Second)
 	must.NoError(t, err)
 	must.Eq(t, "first", a.calls[len(a.calls)-1])
 }
@@ -191,9 +191,9 @@
 	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": stale, "second": stale, "store": young(60)})
 	for range 50 {
 		for _, table := range []string{"t", "u", "v"} {
-			s, err := r.Changes(t.Context(), table, 5, time.Second)
+			s, err := r.Changes(t.Context(), table, store.At(0, 5), time.Second)
 			must.NoError(t, err)
-			must.EqOp(t, 60, s.Version)
+			must.EqOp(t, store.At(0, 60), s.At)
 		}
 		a.now = a.now.Add(100 * time.Millisecond)
 	}
@@ -205,10 +205,10 @@
 	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": stale, "second": stale})
 	var during error
 	a.answers["store"] = func() (store.Snapshot, error) {
-		_, during = r.Changes(t.Context(), "u", 5, time.Second)
+		_, during = r.Changes(t.Context(), "u", store.At(0, 5), time.Second)
 		return store.Snapshot{}, &CallError{Err: http.ErrServerClosed}
 	}
-	_, err := r.Changes(t.Context(), "t", 5, time.Second)
+	_, err := r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 	must.Error(t, err)
 	var old *StaleError
 	must.True(t, errors.As(during, &old))
@@ -219,10 +219,10 @@
 func TestReader_AsksAFailedDaemonAgainLater(t *testing.T) {
 	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": failing, "second": young(9), "store": young(9)})
 	for range 600 {
-		_, err := r.Changes(t.Context(), "t", 5, time.Second)
+		_, err := r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 		must.NoError(t, err)
 		a.now = a.now.Add(100 * time.Millisecond)
-		a.answers["second"] = func() (store.Snapshot, error) { return store.Snapshot{Version: 9, Evidence: a.now}, nil }
+		a.answers["second"] = func() (store.Snapshot, error) { return store.Snapshot{At: store.At(0, 9), Evidence: a.now}, nil }
 	}
 	tries := 0
 	for _, name := range a.calls {
@@ -234,8 +234,8 @@
 	a.answers["first"] = a.answers["second"]
 	a.now = a.now.Add(mostAvoid)
 	a.calls = nil
-	r.Changes(t.Context(), "t", 5, time.Second)
-	r.Changes(t.Context(), "t", 5, time.Second)
+	r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
+	r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 	must.Eq(t, []string{"first", "first"}, a.calls)
 }
 
@@ -248,7 +248,7 @@
 	a.answers["first"] = young(19)
 	s, err := r.Rows(t.Context(), "t")
 	must.NoError(t, err)
-	must.EqOp(t, 21, s.Version)
+	must.EqOp(t, store.At(0, 21), s.At)
 	must.Eq(t, []string{"first", "first", "second", "store"}, a.calls)
 }
 
@@ -256,7 +256,7 @@
 	lost := func() (store.Snapshot, error) { return store.Snapshot{}, &store.HistoryLostError{Table: "t"} }
 	r, _ := newTestReader(map[string]func() (store.Snapshot, error){"first": lost, "second": young(9), "store": young(9)})
 	var want *store.HistoryLostError
-	_, err := r.Changes(t.Context(), "t", 5, time.Second)
+	_, err := r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 	must.True(t, errors.As(err, &want))
 	must.False(t, r.Direct())
 }
@@ -267,10 +267,10 @@
 	lost := func() (store.Snapshot, error) { return store.Snapshot{}, &store.HistoryLostError{Table: "t"} }
 	r, a := newTestReader(map[string]func() (store.Snapshot, error){"first": stale, "second": stale, "store": lost})
 	var want *store.HistoryLostError
-	_, err := r.Changes(t.Context(), "t", 5, time.Second)
+	_, err := r.Changes(t.Context(), "t", store.At(0, 5), time.Second)
 	must.True(t, errors.As(err, &want))
 	a.answers["store"] = young(60)
 	s, err := r.Rows(t.Context(), "t")
 	must.NoError(t, err)
-	must.EqOp(t, 60, s.Version)
+	must.EqOp(t, store.At(0, 60), s.At)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -33,11 +33,11 @@
 const testInTouch = 5 * time.Second
 
 func row(key string, version uint64) store.Row {
-	return store.Row{Key: key, Value: []byte(strconv.FormatUint(version, 10)), Version: version}
+	return store.Row{Key: key, Value: []byte(strconv.FormatUint(version, 10)), At: store.At(0, version)}
 }
 
 func gone(key string, version uint64) store.Row {
-	return store.Row{Key: key, Version: version, Deleted: true}
+	return store.Row{Key: key, At: store.At(0, version), Deleted: true}
 }
 
 func filled(t *testing.T, updates ...store.Update) *Cache {
@@ -51,22 +51,22 @@
 
 func changes(t *testing.T, c *Cache, since uint64) []store.Row {
 	t.Helper()
-	s, err := c.Changes(t.Context(), since, 0)
+	s, err := c.Changes(t.Context(), store.At(0, since), 0)
 	must.NoError(t, err)
 	return s.Rows
 }
 
 func TestCache_TellsWhatChanged(t *testing.T) {
 	c := filled(t,
-		store.Update{Full: true, Version: 10, Rows: []store.Row{row("a", 4), row("b", 9)}},
-		store.Update{Version: 12, Rows: []store.Row{row("a", 11), gone("b", 12)}},
+		store.Update{Full: true, At: store.At(0, 10), Rows: []store.Row{row("a", 4), row("b", 9)}},
+		store.Update{At: store.At(0, 12), Rows: []store.Row{row("a", 11), gone("b", 12)}},
 	)
 	must.Eq(t, []store.Row{row("a", 11), gone("b", 12)}, changes(t, c, 10))
 	must.Eq(t, []store.Row{gone("b", 12)}, changes(t, c, 11))
 	must.SliceEmpty(t, changes(t, c, 12))
 	all, known := c.Rows()
 	must.True(t, known)
-	must.EqOp(t, 12, all.Version)
+	must.EqOp(t, store.At(0, 12), all.At)
 	must.Eq(t, []store.Row{row("a", 11)}, all.Rows)
 }
 
@@ -74,41 +74,41 @@
 // In between a row may have come and gone, which a follower of the cache may know.
 func TestCache_ForgetsChangesBeforeARead(t *testing.T) {
 	c := filled(t,
-		store.Update{Full: true, Version: 10, Rows: []store.Row{row("a", 4)}},
-		store.Update{Full: true, Version: 30, Rows: []store.Row{row("a", 4)}},
+		store.Update{Full: true, At: store.At(0, 10), Rows: []store.Row{row("a", 4)}},
+		store.Update{Full: true, At: store.At(0, 30), Rows: []store.Row{row("a", 4)}},
 	)
 	var lost *store.HistoryLostError
-	_, err := c.Changes(t.Context(), 20, 0)
+	_, err := c.Changes(t.Context(), store.At(0, 20), 0)
 	must.True(t, errors.As(err, &lost))
 	must.SliceEmpty(t, changes(t, c, 30))
 }
 
 func TestCache_KnowsHowFarItReaches(t *testing.T) {
 	var empty *EmptyError
-	_, err := NewCache("t", testAge, time.Now).Changes(t.Context(), 5, 0)
+	_, err := NewCache("t", testAge, time.Now).Changes(t.Context(), store.At(0, 5), 0)
 	must.True(t, errors.As(err, &empty))
-	c := filled(t, store.Update{Full: true, Version: 10, Rows: []store.Row{row("a", 4)}})
+	c := filled(t, store.Update{Full: true, At: store.At(0, 10), Rows: []store.Row{row("a", 4)}})
 	var lost *store.HistoryLostError
-	_, err = c.Changes(t.Context(), 9, 0)
+	_, err = c.Changes(t.Context(), store.At(0, 9), 0)
 	must.True(t, errors.As(err, &lost))
 	for v := uint64(11); v < 11+mostChanges+5; v++ {
-		c.Apply(store.Update{Version: v, Rows: []store.Row{row("a", v)}})
+		c.Apply(store.Update{At: store.At(0, v), Rows: []store.Row{row("a", v)}})
 	}
 	must.Len(t, mostChanges, c.changes)
-	_, err = c.Changes(t.Context(), 14, 0)
+	_, err = c.Changes(t.Context(), store.At(0, 14), 0)
 	must.True(t, errors.As(err, &lost))
 	must.Len(t, mostChanges, changes(t, c, 15))
 }
 
 func TestCache_AnswersAsSoonAsThereIsSomething(t *testing.T) {
-	c := filled(t, store.Update{Full: true, Version: 10, Evidence: time.Now().Add(time.Hour)})
+	c := filled(t, store.Update{Full: true, At: store.At(0, 10), Evidence: time.Now().Add(time.Hour)})
 	answered := make(chan store.Snapshot, 1)
 	go func() {
-		s, _ := c.Changes(context.Background(), 10, time.Hour)
+		s, _ := c.Changes(context.Background(), store.At(0, 10), time.Hour)
 		answered <- s
 	}()
-	c.Apply(store.Update{Version: 11}) // evidence alone wakes nobody
-	c.Apply(store.Update{Version: 12, Rows: []store.Row{row("a", 12)}})
+	c.Apply(store.Update{At: store.At(0, 11)}) // evidence alone wakes nobody
+	c.Apply(store.Update{At: store.At(0, 12), Rows: []store.Row{row("a", 12)}})
 	must.Eq(t, []store.Row{row("a", 12)}, (<-answered).Rows)
 }
 
@@ -116,10 +116,10 @@
 // before or while the question is held: others may know more.
 func TestCache_HoldsNobodyOnceItIsOld(t *testing.T) {
 	for _, age := range []time.Duration{testAge + time.Second, testAge - 20*time.Millisecond} {
-		c := filled(t, store.Update{Full: true, Version: 10, Evidence: time.Now().Add(-age)})
+		c := filled(t, store.Update{Full: true, At: store.At(0, 10), Evidence: time.Now().Add(-age)})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		s, err := c.Changes(ctx, 10, time.Hour)
+		s, err := c.Changes(ctx, store.At(0, 10), time.Hour)
 		must.NoError(t, err)
 		must.SliceEmpty(t, s.Rows)
 	}
@@ -137,7 +137,7 @@
 		s, _ := c.First(context.Background(), time.Hour)
 		answered <- s
 	}()
-	c.Apply(store.Update{Full: true, Version: 10, Rows: []store.Row{row("a", 4)}})
+	c.Apply(store.Update{Full: true, At: store.At(0, 10), Rows: []store.Row{row("a", 4)}})
 	must.Eq(t, []store.Row{row("a", 4)}, (<-answered).Rows)
 }
 
@@ -145,10 +145,10 @@
 // bytes, once packed for all who ask the same.
 func TestServer_PacksLongAnswers(t *testing.T) {
 	long := strings.Repeat(`{"host":"a.example","prefix":"/b/","service":"c"},`, 6000)
-	config := store.Row{Key: "config", Value: []byte(long), Version: 11}
+	config := store.Row{Key: "config", Value: []byte(long), At: store.At(0, 11)}
 	c := filled(t,
-		store.Update{Full: true, Version: 10, Evidence: time.Now(), Rows: []store.Row{row("config", 4)}},
-		store.Update{Version: 11, Evidence: time.Now(), Rows: []store.Row{config}},
+		store.Update{Full: true, At: store.At(0, 10), Evidence: time.Now(), Rows: []store.Row{row("config", 4)}},
+		store.Update{At: store.At(0, 11), Evidence: time.Now(), Rows: []store.Row{config}},
 	)
 	server := NewServer(make(reported, 1), time.Now, c)
 	for _, since := range []uint64{0, 10, 0} {
@@ -161,7 +161,7 @@
 		must.Eq(t, []store.Row{config}, rows)
 	}
 	addr, _ := serve(t, c, time.Now)
-	s, err := newTestClient(t, time.Now).Changes(t.Context(), addr, "t", 10, 0)
+	s, err := newTestClient(t, time.Now).Changes(t.Context(), addr, "t", store.At(0, 10), 0)
 	must.NoError(t, err)
 	must.Eq(t, []store.Row{config}, s.Rows)
 	first, err := server.Changes(t.Context(), &rpc.ChangesRequest{Table: "t", Since: 10})
@@ -236,27 +236,27 @@
 func TestEvidence_IsNeverYoungerThanItWas(t *testing.T) {
 	sent := time.Unix(1000, 0)
 	asked := sent.Add(time.Second)
-	c := filled(t, store.Update{Full: true, Version: 10, Evidence: asked, Rows: []store.Row{row("a", 4)}})
+	c := filled(t, store.Update{Full: true, At: store.At(0, 10), Evidence: asked, Rows: []store.Row{row("a", 4)}})
 	moments := []time.Time{sent.Add(3 * time.Second), sent.Add(5 * time.Second)}
 	addr, _ := serve(t, c, func() time.Time {
 		now := moments[0]
 		moments = moments[1:]
 		return now
 	})
-	s, err := newTestClient(t, func() time.Time { return sent }).Changes(t.Context(), addr, "t", 0, 0)
+	s, err := newTestClient(t, func() time.Time { return sent }).Changes(t.Context(), addr, "t", store.At(0, 0), 0)
 	must.NoError(t, err)
 	must.False(t, s.Evidence.After(asked))
 	must.Eq(t, []store.Row{row("a", 4)}, s.Rows)
 }
 
 func TestServer_TellsLostHistoryAndUnknownTables(t *testing.T) {
-	addr, _ := serve(t, filled(t, store.Update{Full: true, Version: 10}), time.Now)
+	addr, _ := serve(t, filled(t, store.Update{Full: true, At: store.At(0, 10)}), time.Now)
 	client := newTestClient(t, time.Now)
 	var lost *store.HistoryLostError
-	_, err := client.Changes(t.Context(), addr, "t", 3, 0)
+	_, err := client.Changes(t.Context(), addr, "t", store.At(0, 3), 0)
 	must.True(t, errors.As(err, &lost))
 	var failed *CallError
-	_, err = client.Changes(t.Context(), addr, "other", 3, 0)
+	_, err = client.Changes(t.Context(), addr, "other", store.At(0, 3), 0)
 	must.True(t, errors.As(err, &failed))
 }
 
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -99,27 +99,34 @@
 		return nil, asTwirp(err)
 	}
 	reply := &rpc.ChangesReply{
-		Version:    snapshot.Version,
+		Version:    snapshot.At.Version(),
+		Era:        snapshot.At.Era(),
 		ClockUs:    snapshot.Clock.Microseconds(),
 		EvidenceUs: snapshot.Evidence.Sub(arrived).Microseconds() - 1, // rounded towards older
 		Gap:        snapshot.Gap,
 	}
-	s.packers[m.Table].fill(reply, m.Since, snapshot)
+	s.packers[m.Table].fill(reply, sinceOf(m), snapshot)
 	return reply, nil
 }
 
 func read(ctx context.Context, cache *Cache, m *rpc.ChangesRequest) (store.Snapshot, error) {
 	wait := min(time.Duration(m.WaitMs)*time.Millisecond, mostWait)
-	if m.Since == 0 {
+	since := sinceOf(m)
+	if !since.Known() {
 		return cache.First(ctx, wait)
 	}
-	return cache.Changes(ctx, m.Since, wait)
+	return cache.Changes(ctx, since, wait)
 }
 
+func sinceOf(m *rpc.ChangesRequest) store.Position { return store.At(m.Era, m.Since) }
+
+// metaEra names what an answer that history is lost tells of the present era.
+const metaEra = "era"
+
 func asTwirp(err error) error {
 	var lost *store.HistoryLostError
 	if errors.As(err, &lost) {
-		return twirp.NewError(twirp.OutOfRange, err.Error())
+		return twirp.NewError(twirp.OutOfRange, err.Error()).WithMeta(metaEra, strconv.FormatUint(lost.Era, 10))
 	}
 	var empty *EmptyError
 	if errors.As(err, &empty) {
@@ -178,12 +185,12 @@
 // Changes asks one daemon what has changed. The evidence is dated by when this call
 // was sent: the other daemon received it later, so that its evidence is not older
 // than that.
-func (c *Client) Changes(ctx context.Context, addr, table string, since uint64, wait time.Duration) (store.Snapshot, error) {
+func (c *Client) Changes(ctx context.Context, addr, table string, since store.Position, wait time.Duration) (store.Snapshot, error) {
 	wait = min(wait, mostWait)
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	sent := c.now()
-	reply, err := c.stub(addr).Changes(ctx, &rpc.ChangesRequest{Table: table, Since: since, WaitMs: wait.Milliseconds()})
+	reply, err := c.stub(addr).Changes(ctx, &rpc.ChangesRequest{Table: table, Since: since.Version(), Era: since.Era(), WaitMs: wait.Milliseconds()})
 	if err != nil {
 		return store.Snapshot{}, fromTwirp(addr, table, err)
 	}
@@ -193,7 +200,7 @@
 	}
 	return store.Snapshot{
 		Rows:     rows,
-		Version:  reply.Version,
+		At:       store.At(reply.Era, reply.Version),
 		Clock:    time.Duration(reply.ClockUs) * time.Microsecond,
 		Evidence: sent.Add(time.Duration(reply.EvidenceUs) * time.Microsecond),
 		Gap:      reply.Gap,
@@ -206,7 +213,8 @@
 	if errors.As(err, &failed) {
 		switch failed.Code() {
 		case twirp.OutOfRange:
-			return &store.HistoryLostError{Table: table}
+			era, _ := strconv.ParseUint(failed.Meta(metaEra), 10, 64) // 0 from a daemon that doesn't tell it
+			return &store.HistoryLostError{Table: table, Era: era}
 		case twirp.FailedPrecondition:
 			return &EmptyError{Table: table}
 		}
--- a/replica/directory.go
+++ b/replica/directory.go
@@ -19,10 +19,10 @@
 	Announced map[string]uint64
 	// Others are the rows that are neither of a node nor of the lease.
 	Others []store.Row
-	// Version is the store's newest version then, and Clock the least that its clock shows
+	// At is where the store's history stood then, and Clock the least that its clock shows
 	// now.
-	Version uint64
-	Clock   time.Duration
+	At    store.Position
+	Clock time.Duration
 	// Evidence is when the store was asked.
 	Evidence time.Time
 
@@ -104,7 +104,7 @@
 	json.Unmarshal(r.Value, &n) // a row that can't be read still counts as a node
 	n.Name = name
 	d.nodes[name] = n
-	d.known.Announced[name] = r.Version
+	d.known.Announced[name] = r.At.Version()
 }
 
 func (d *Directory) takeLease(r store.Row) {
@@ -114,7 +114,7 @@
 		return
 	}
 	json.Unmarshal(r.Value, &d.known.lease) // a row that can't be read is a lease that ended
-	d.known.leaseVersion = r.Version
+	d.known.leaseVersion = r.At.Version()
 }
 
 func (d *Directory) takeOther(r store.Row) {
@@ -127,7 +127,10 @@
 
 // note takes in when the store was asked. The caller holds the lock.
 func (d *Directory) note(u store.Update) {
-	d.known.Version = max(d.known.Version, u.Version)
+	if d.known.At.Era() < u.At.Era() {
+		d.known.Clock = 0
+	}
+	d.known.At = store.Later(d.known.At, u.At)
 	if u.Clock > d.known.Clock {
 		d.known.Clock = u.Clock
 		d.received = d.now()
@@ -142,7 +145,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	k := d.known
-	if k.Version == 0 {
+	if !k.At.Known() {
 		return k, false
 	}
 	k.Clock += d.now().Sub(d.received)
--- a/replica/directory_test.go
+++ b/replica/directory_test.go
@@ -17,7 +17,7 @@
 
 func nodeRow(i int, version uint64) store.Row {
 	n := Node{Addr: fmt.Sprint("10.0.0.", i, ":8340"), Hall: fmt.Sprint("hall", i%5), Cores: float64(version)}
-	return store.Row{Key: fmt.Sprint(nodePrefix, "edge", i), Value: encode(n), Version: version}
+	return store.Row{Key: fmt.Sprint(nodePrefix, "edge", i), Value: encode(n), At: store.At(0, version)}
 }
 
 // TestDirectory_Histories: what is followed row by row is what all rows read at once tell,
@@ -33,9 +33,9 @@
 				r := nodeRow(rapid.IntRange(0, 4).Draw(t, "node"), version)
 				switch rapid.IntRange(0, 3).Draw(t, "what") {
 				case 0:
-					r = store.Row{Key: leaseKey, Value: encode(leaseRow{Holder: "edge1", Term: version}), Version: version}
+					r = store.Row{Key: leaseKey, Value: encode(leaseRow{Holder: "edge1", Term: version}), At: store.At(0, version)}
 				case 1:
-					r = store.Row{Key: "held/x", Value: []byte{byte(version)}, Version: version}
+					r = store.Row{Key: "held/x", Value: []byte{byte(version)}, At: store.At(0, version)}
 				}
 				r.Deleted = rapid.IntRange(0, 3).Draw(t, "deleted") == 0
 				changed = append(changed, r)
@@ -46,12 +46,12 @@
 			}
 			before, _ := followed.Known()
 			versions, nodes := maps.Clone(before.Announced), slices.Clone(before.Nodes)
-			others := followed.Apply(store.Update{Rows: changed, Version: version})
+			others := followed.Apply(store.Update{Rows: changed, At: store.At(0, version)})
 			must.Eq(t, versions, before.Announced)
 			must.Eq(t, nodes, before.Nodes)
 
 			read := NewDirectory(stopped)
-			read.Apply(store.Update{Rows: slices.Collect(maps.Values(rows)), Full: true, Version: version})
+			read.Apply(store.Update{Rows: slices.Collect(maps.Values(rows)), Full: true, At: store.At(0, version)})
 			got, _ := followed.Known()
 			want, _ := read.Known()
 			must.Eq(t, want.Announced, got.Announced)
@@ -61,7 +61,7 @@
 			must.EqOp(t, want.Term, got.Term)
 			must.EqOp(t, want.leaseVersion, got.leaseVersion)
 			must.EqOp(t, len(want.Others), len(got.Others))
-			must.EqOp(t, want.Version, got.Version)
+			must.EqOp(t, want.At, got.At)
 		}
 	})
 }
@@ -79,10 +79,10 @@
 // others together, and a renewal costs the same however many nodes there are.
 func TestDirectory_ARenewalCostsNothingOfTheNodes(t *testing.T) {
 	d := NewDirectory(stopped)
-	d.Apply(store.Update{Rows: fleetRows(), Full: true, Version: 984})
-	renewal := []store.Row{{Key: leaseKey, Value: encode(leaseRow{Holder: "edge1", Term: 1}), Version: 985}}
+	d.Apply(store.Update{Rows: fleetRows(), Full: true, At: store.At(0, 984)})
+	renewal := []store.Row{{Key: leaseKey, Value: encode(leaseRow{Holder: "edge1", Term: 1}), At: store.At(0, 985)}}
 	allocations := testing.AllocsPerRun(20, func() {
-		d.Apply(store.Update{Rows: renewal, Version: 985})
+		d.Apply(store.Update{Rows: renewal, At: store.At(0, 985)})
 		d.Known()
 	})
 	must.Less(t, 20, allocations)
@@ -94,13 +94,13 @@
 	d := NewDirectory(stopped)
 	b.Run("all", func(b *testing.B) {
 		for b.Loop() {
-			d.Apply(store.Update{Rows: rows, Full: true, Version: 984})
+			d.Apply(store.Update{Rows: rows, Full: true, At: store.At(0, 984)})
 		}
 	})
-	renewal := []store.Row{{Key: leaseKey, Value: encode(leaseRow{Holder: "edge1", Term: 1}), Version: 985}}
+	renewal := []store.Row{{Key: leaseKey, Value: encode(leaseRow{Holder: "edge1", Term: 1}), At: store.At(0, 985)}}
 	b.Run("renewal", func(b *testing.B) {
 		for b.Loop() {
-			d.Apply(store.Update{Rows: renewal, Version: 985})
+			d.Apply(store.Update{Rows: renewal, At: store.At(0, 985)})
 		}
 	})
 }
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -234,7 +234,7 @@
 		return
 	}
 	l.opts.Memory.Remember(row.Last)
-	l.commit(ctx, leaseRow{Holder: l.opts.Self().Name, Term: known.Version + 1}, version, known.Clock)
+	l.commit(ctx, leaseRow{Holder: l.opts.Self().Name, Term: known.At.Version() + 1}, version, known.Clock)
 }
 
 // turn tells whether it is this node's turn to take a lease that is free. The nodes
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -35,7 +35,7 @@
 		return Known{}, errOut
 	}
 	d := NewDirectory(func() time.Time { return m.now })
-	d.Apply(store.Update{Full: true, Rows: slices.Collect(maps.Values(m.rows)), Version: m.version, Clock: m.clock()})
+	d.Apply(store.Update{Full: true, Rows: slices.Collect(maps.Values(m.rows)), At: store.At(0, m.version), Clock: m.clock()})
 	known, _ := d.Known()
 	return known, nil
 }
@@ -52,18 +52,18 @@
 	if !m.apply(txn) {
 		return store.Snapshot{}, &store.ConflictError{}
 	}
-	return store.Snapshot{Version: m.version, Clock: m.clock()}, nil
+	return store.Snapshot{At: store.At(0, m.version), Clock: m.clock()}, nil
 }
 
 func (m *memoryTable) apply(txn store.Txn) bool {
 	for _, c := range txn.Conditions {
-		if m.rows[c.Key].Version != c.Version {
+		if m.rows[c.Key].At.Version() != c.Version {
 			return false
 		}
 	}
 	m.version++
 	for _, w := range txn.Writes {
-		m.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: m.version}
+		m.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, At: store.At(0, m.version)}
 	}
 	for _, w := range txn.Deletes {
 		delete(m.rows, w.Key)
@@ -156,7 +156,7 @@
 	step(leases[0])
 	step(leases[1])
 	first := table.rows[own]
-	must.Positive(t, first.Version)
+	must.True(t, first.At.Known())
 	step(newLease(table, 1, leases[0].opts.Now))
 	must.Eq(t, first, table.rows[own])
 	delete(table.rows, own)
@@ -283,9 +283,9 @@
 	known, _ := table.Known(ctx)
 	n, _ := known.Node("n0")
 	must.EqOp(t, 0.8, n.Cores)
-	announced := table.rows[nodePrefix+"n0"].Version
+	announced := table.rows[nodePrefix+"n0"].At
 	table.now = table.now.Add(announceAgain)
 	l.round(ctx)
 	l.announceIfMissing(ctx)
-	must.EqOp(t, announced, table.rows[nodePrefix+"n0"].Version)
+	must.EqOp(t, announced, table.rows[nodePrefix+"n0"].At)
 }
--- a/replica/leasestate.go
+++ b/replica/leasestate.go
@@ -94,7 +94,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.current = row
-	s.version = snapshot.Version
+	s.version = snapshot.At.Version()
 	s.until = until
 	s.storeClock = snapshot.Clock
 	s.sent = sent
--- a/store/follow.go
+++ b/store/follow.go
@@ -17,7 +17,11 @@
 	// Evidence is when the call was sent. What the update says was true then or
 	// later; nothing is known about the time after.
 	Evidence time.Time
-	Version  uint64
+	// At is where the store's history stood.
+	At Position
+	// Restored tells that the store came back from an older copy since the last update: rows
+	// may have gone back, and what is missing may be written again.
+	Restored bool
 	// Clock is what the store's own clock showed at Evidence or later.
 	Clock time.Duration
 }
@@ -40,6 +44,8 @@
 	Now    func() time.Time
 
 	broken bool
+	// last is when the table was last heard of.
+	last Position
 }
 
 // Pauses between failed calls, with jitter so that processes that lost the
@@ -52,7 +58,7 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
-	var since uint64
+	var since Position
 	for ctx.Err() == nil {
 		next, err := f.step(ctx, since)
 		if err == nil {
@@ -66,7 +72,8 @@
 		}
 		var lost *HistoryLostError
 		if errors.As(err, &lost) {
-			since = 0
+			since = Position{}
+			pause = firstPause // whoever says so is there
 		}
 		if ctx.Err() != nil {
 			return
@@ -77,23 +84,26 @@
 	}
 }
 
-// step makes one call and returns the version to go on from.
-func (f *Follower) step(ctx context.Context, since uint64) (uint64, error) {
+// step makes one call and returns the position to go on from.
+func (f *Follower) step(ctx context.Context, since Position) (Position, error) {
 	sent := f.Now()
-	if since == 0 {
+	if !since.Known() {
 		snapshot, err := f.Reader.Rows(ctx, f.Table)
 		if err != nil {
-			return 0, err
+			return Position{}, err
 		}
-		f.Apply(Update{Rows: snapshot.Rows, Full: true, Evidence: evidenceOf(snapshot, sent), Version: snapshot.Version, Clock: snapshot.Clock})
-		return snapshot.Version, nil
+		restored := f.last.Known() && f.last.Era() < snapshot.At.Era()
+		f.last = snapshot.At
+		f.Apply(Update{Rows: snapshot.Rows, Full: true, Restored: restored, Evidence: evidenceOf(snapshot, sent), At: snapshot.At, Clock: snapshot.Clock})
+		return snapshot.At, nil
 	}
 	snapshot, err := f.Reader.Changes(ctx, f.Table, since, f.Wait())
 	if err != nil {
 		return since, err
 	}
-	f.Apply(Update{Rows: newest(snapshot.Rows), Gap: snapshot.Gap, Evidence: evidenceOf(snapshot, sent), Version: snapshot.Version, Clock: snapshot.Clock})
-	return max(since, snapshot.Version), nil
+	f.last = Later(since, snapshot.At)
+	f.Apply(Update{Rows: newest(snapshot.Rows), Gap: snapshot.Gap, Evidence: evidenceOf(snapshot, sent), At: snapshot.At, Clock: snapshot.Clock})
+	return f.last, nil
 }
 
 // evidenceOf returns when the store was asked.
--- a/store/follow_test.go
+++ b/store/follow_test.go
@@ -12,11 +12,11 @@
 // scripted is a Reader that gives prepared answers.
 type scripted struct {
 	answers []func() (Snapshot, error)
-	since   []uint64
+	since   []Position
 	done    context.CancelFunc
 }
 
-func (s *scripted) next(since uint64) (Snapshot, error) {
+func (s *scripted) next(since Position) (Snapshot, error) {
 	s.since = append(s.since, since)
 	if len(s.answers) == 0 {
 		s.done()
@@ -27,15 +27,15 @@
 	return answer()
 }
 
-func (s *scripted) Rows(context.Context, string) (Snapshot, error) { return s.next(0) }
+func (s *scripted) Rows(context.Context, string) (Snapshot, error) { return s.next(Position{}) }
 
-func (s *scripted) Changes(_ context.Context, _ string, since uint64, _ time.Duration) (Snapshot, error) {
+func (s *scripted) Changes(_ context.Context, _ string, since Position, _ time.Duration) (Snapshot, error) {
 	return s.next(since)
 }
 
 // follow runs a follower over answers and returns its updates, the health
 // reports and the versions asked from.
-func follow(answers ...func() (Snapshot, error)) (updates []Update, health []error, since []uint64) {
+func follow(answers ...func() (Snapshot, error)) (updates []Update, health []error, since []Position) {
 	ctx, cancel := context.WithCancel(context.Background())
 	reader := &scripted{answers: answers, done: cancel}
 	f := &Follower{
@@ -51,7 +51,7 @@
 }
 
 func answer(version uint64, rows ...Row) func() (Snapshot, error) {
-	return func() (Snapshot, error) { return Snapshot{Rows: rows, Version: version}, nil }
+	return func() (Snapshot, error) { return Snapshot{Rows: rows, At: At(0, version)}, nil }
 }
 
 func failure(err error) func() (Snapshot, error) {
@@ -61,22 +61,22 @@
 func TestChangesOfOneRowInOneAnswerLeaveTheLast(t *testing.T) {
 	updates, _, _ := follow(
 		answer(5),
-		answer(9, Row{Key: "a", Value: []byte("1"), Version: 6}, Row{Key: "b", Version: 7}, Row{Key: "a", Value: []byte("2"), Version: 8}, Row{Key: "b", Deleted: true, Version: 9}),
+		answer(9, Row{Key: "a", Value: []byte("1"), At: At(0, 6)}, Row{Key: "b", At: At(0, 7)}, Row{Key: "a", Value: []byte("2"), At: At(0, 8)}, Row{Key: "b", Deleted: true, At: At(0, 9)}),
 	)
 	must.Len(t, 2, updates)
-	must.Eq(t, []Row{{Key: "a", Value: []byte("2"), Version: 8}, {Key: "b", Deleted: true, Version: 9}}, updates[1].Rows)
+	must.Eq(t, []Row{{Key: "a", Value: []byte("2"), At: At(0, 8)}, {Key: "b", Deleted: true, At: At(0, 9)}}, updates[1].Rows)
 }
 
 func TestLostHistoryIsReadAnew(t *testing.T) {
 	updates, health, since := follow(answer(5), failure(&HistoryLostError{Table: "t"}), answer(20), answer(21))
-	must.Eq(t, []uint64{0, 5, 0, 20, 21}, since)
+	must.Eq(t, []Position{{}, At(0, 5), {}, At(0, 20), At(0, 21)}, since)
 	must.True(t, updates[1].Full)
 	must.Len(t, 2, health)
 }
 
 func TestFailedCallsGoOnFromWhereTheyWere(t *testing.T) {
 	updates, health, since := follow(answer(5), failure(errors.New("reset")), failure(errors.New("reset")), answer(7))
-	must.Eq(t, []uint64{0, 5, 5, 5, 7}, since)
+	must.Eq(t, []Position{{}, At(0, 5), At(0, 5), At(0, 5), At(0, 7)}, since)
 	must.Len(t, 2, updates)
 	must.Len(t, 2, health)
 	must.Error(t, health[0])
@@ -91,7 +91,33 @@
 		Apply:  func(u Update) { update = u },
 		Now:    func() time.Time { return asked },
 	}
-	_, err := f.step(context.Background(), 0)
+	_, err := f.step(context.Background(), Position{})
 	must.NoError(t, err)
 	must.Eq(t, asked, update.Evidence)
 }
+
+// A table that was read anew after a restore of the store is taken for one whose history was
+// dropped.
+func TestAnUpdateTellsThatTheStoreCameBackOlder(t *testing.T) {
+	at := func(p Position) func() (Snapshot, error) {
+		return func() (Snapshot, error) { return Snapshot{At: p}, nil }
+	}
+	updates, _, since := follow(at(At(1, 90)), at(At(1, 95)), failure(&HistoryLostError{Era: 2}), failure(errors.New("reset")), at(At(2, 40)), at(At(2, 41)))
+	must.Eq(t, []Position{{}, At(1, 90), At(1, 95), {}, {}, At(2, 40), At(2, 41)}, since)
+	var restored []bool
+	for _, u := range updates {
+		restored = append(restored, u.Restored)
+	}
+	must.Eq(t, []bool{false, false, true, false}, restored)
+}
+
+// A larger version is taken for a later one.
+func TestPosition_TheEraCountsFirst(t *testing.T) {
+	rising := []Position{{}, At(0, 1), At(0, 9), At(1, 0), At(1, 5), At(2, 4)}
+	for i, p := range rising {
+		for j, other := range rising {
+			must.EqOp(t, i < j, p.Before(other))
+			must.EqOp(t, rising[max(i, j)], Later(p, other))
+		}
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -13,8 +13,8 @@
 type Row struct {
 	Key   string
 	Value []byte
-	// Version is the store's transaction counter at the row's last change.
-	Version uint64
+	// At is when the row last changed.
+	At Position
 	// Deleted tells that the row is gone; only changes carry it.
 	Deleted bool
 }
@@ -22,11 +22,8 @@
 // Snapshot is an answer about rows.
 type Snapshot struct {
 	Rows []Row
-	// Version is the store's newest version when it answered.
-	Version uint64
-	// Era counts how often the store has come back from an older copy, 0 where the answer
-	// doesn't tell.
-	Era uint64
+	// At is where the store's history stood when it answered.
+	At Position
 	// Clock is the store's own steady clock when it answered.
 	Clock time.Duration
 	// Evidence is when the store was asked, if another daemon asked it; the zero
@@ -37,7 +34,8 @@
 	Gap bool
 }
 
-// Condition demands that a row has a version; 0 demands that there is none.
+// Condition demands that a row has a version of the store's present era; 0 demands that there
+// is none.
 type Condition struct {
 	Table, Key string
 	Version    uint64
@@ -60,10 +58,10 @@
 type Reader interface {
 	// Rows returns all rows of a table.
 	Rows(ctx context.Context, table string) (Snapshot, error)
-	// Changes returns what has changed since a version, as soon as there is
+	// Changes returns what has changed since a position, as soon as there is
 	// something, or nothing after wait. It returns *HistoryLostError if the
-	// store no longer knows that far back.
-	Changes(ctx context.Context, table string, since uint64, wait time.Duration) (Snapshot, error)
+	// store no longer knows that far back, or is in another era.
+	Changes(ctx context.Context, table string, since Position, wait time.Duration) (Snapshot, error)
 }
 
 // Writer commits transactions.
@@ -73,10 +71,10 @@
 	Commit(ctx context.Context, txn Txn) (Snapshot, error)
 }
 
-// HistoryLostError tells that changes since a version can't be told any more.
+// HistoryLostError tells that changes since a position can't be told any more.
 type HistoryLostError struct {
 	Table string
-	// Era is that of the answer, as in Snapshot.
+	// Era is the store's when it answered.
 	Era uint64
 }
 
@@ -87,7 +85,7 @@
 
 // ConflictError tells that nothing was committed because a condition failed.
 type ConflictError struct {
-	// Era is that of the answer, as in Snapshot.
+	// Era is the store's when it answered.
 	Era uint64
 }
 
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -125,7 +125,7 @@
 // it came by a longer way.
 func (r *Registry) put(w Worker) {
 	known, listed := r.builder.worker(w.ID)
-	if listed && w.Version < known.Version {
+	if listed && w.At.Before(known.At) {
 		return
 	}
 	w.Last = ""
--- a/workers/registry_test.go
+++ b/workers/registry_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/store"
 )
 
 func member(id string, group GroupID, rank int, state GroupState) Worker {
@@ -123,7 +125,7 @@
 
 func bornAt(w Worker, born int64, version uint64) Worker {
 	w.Born = born
-	w.Version = version
+	w.At = store.At(0, version)
 	return w
 }
 
@@ -179,12 +181,12 @@
 		bornAt(member("b", NewGroupID("m", 2), 0, Ready), 1000, 1),
 		member("c@x", NewGroupID("m", 3), 0, Ready),
 	}, nil, true)
-	r.Apply([]Worker{bornAt(Worker{ID: "a"}, 1000, 2), bornAt(Worker{ID: "b"}, 1000, 2), {ID: "c@x", Version: 2}}, nil, false)
+	r.Apply([]Worker{bornAt(Worker{ID: "a"}, 1000, 2), bornAt(Worker{ID: "b"}, 1000, 2), {ID: "c@x", At: store.At(0, 2)}}, nil, false)
 	told := r.Idle(10)
 	must.Eq(t, map[string]string{"a@1000": "m", "b@1000": "m", "c@x": "m"}, told)
 
 	next := newTestRegistry()
-	next.Apply([]Worker{bornAt(Worker{ID: "a"}, 1000, 2), bornAt(Worker{ID: "b"}, 2000, 3), {ID: "c@x", Version: 2}}, nil, true)
+	next.Apply([]Worker{bornAt(Worker{ID: "a"}, 1000, 2), bornAt(Worker{ID: "b"}, 2000, 3), {ID: "c@x", At: store.At(0, 2)}}, nil, true)
 	next.Remember(told)
 	for id, want := range map[string]string{"a": "m", "b": "", "c@x": "m"} {
 		w, _ := next.View().Worker(id)
--- a/workers/view_test.go
+++ b/workers/view_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/store"
 )
 
 // plain keeps workers as a registry does, and looks at all of them for each answer.
@@ -18,7 +20,7 @@
 		p.remove(slices.Collect(maps.Keys(p.workers)))
 	}
 	for _, w := range changed {
-		if known, listed := p.workers[w.ID]; listed && w.Version < known.Version {
+		if known, listed := p.workers[w.ID]; listed && w.At.Before(known.At) {
 			continue
 		}
 		p.workers[w.ID] = w
@@ -79,7 +81,7 @@
 				}
 				state := []GroupState{Joining, Ready, Open}[rapid.IntRange(0, 2).Draw(t, "state")]
 				w := member(id, groups[rapid.IntRange(0, 3).Draw(t, "group")], rapid.IntRange(0, 3).Draw(t, "rank"), state)
-				w.Version = uint64(version + rapid.IntRange(0, 1).Draw(t, "late"))
+				w.At = store.At(0, uint64(version+rapid.IntRange(0, 1).Draw(t, "late")))
 				w.Draining = rapid.IntRange(0, 4).Draw(t, "draining") == 0
 				changed = append(changed, w)
 			}
@@ -123,7 +125,7 @@
 		if i%20 == 0 {
 			w.Membership = Membership{}
 		}
-		w.Version = uint64(i + 1)
+		w.At = store.At(0, uint64(i+1))
 		list = append(list, w)
 	}
 	return list
--- a/workers/worker.go
+++ b/workers/worker.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pointpass/pointpass/store"
 )
 
 // GroupState is how far a worker is in its group.
@@ -40,8 +42,8 @@
 	// Born tells one start of a worker from the next under the same id: milliseconds since
 	// 1970 by the worker's own clock, which may step back. 0 if the entry doesn't tell.
 	Born int64
-	// Version is the store's version at which the entry last changed.
-	Version  uint64
+	// At is when the entry last changed.
+	At       store.Position
 	Service  string
 	Address  string
 	Hall     string
