replica: Keep the lease over a restore of the store

Nothing stopped two daemons from holding it: one by a grant that the store had lost, one by a row of before. Terms, and with them fencing tokens and epochs, would have gone back.

Cause: the lease's row was told apart by its version alone, and its term taken from the version alone.

Change: the row tells the era in which it was written. A row of an earlier era, or one that is missing though it may be lost, says nothing of who holds the lease: it is taken 3 s after it was first seen, once all grants of before have run out. Who holds it by such a grant writes it again at once and keeps its term and planner. A condition that fails in another era isn't a successor's word, and a commit answered in another era grants nothing. Terms are era x 10^10 + version.

Why it holds: grants of before end at most 2.3 s after the restore by their holder's clock; a late write of before may replace the row, but then its era shows it.

--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -84,7 +84,7 @@
 	}
 	act()
 	table.now = table.now.Add(2 * time.Second)
-	lease.renew(ctx)
+	lease.renew(ctx, Known{})
 	act()
 	must.MapNotEmpty(t, orders.lists)
 	c.opts.Ceiling = func() LoadCeiling { return LoadCeiling{Window: time.Second} }
@@ -95,7 +95,7 @@
 	_, held = lease.Held()
 	must.False(t, held)
 	act()
-	lease.renew(ctx)
+	lease.renew(ctx, Known{})
 	again, held := lease.Held()
 	must.True(t, held)
 	must.EqOp(t, term, again)
--- a/replica/directory.go
+++ b/replica/directory.go
@@ -30,6 +30,10 @@
 	leaseVersion uint64
 }
 
+// leasePosition returns when the lease's row last changed; its version is 0 where there is no
+// row.
+func (k Known) leasePosition() store.Position { return store.At(k.At.Era(), k.leaseVersion) }
+
 // Directory follows LeaseTable row by row. The lease's row changes every 1.5 s, and is one of
 // a thousand where there are as many nodes: to read them all takes 2.4 ms and 0.5 MB of
 // garbage, to take in a renewal 1.3 us (BenchmarkDirectory, 984 nodes). Each node looks at
--- a/replica/lease.go
+++ b/replica/lease.go
@@ -53,14 +53,23 @@
 	Holder string `json:"holder"`
 	// UntilMs is when the lease ends, by the store's clock.
 	UntilMs int64 `json:"until_ms"`
-	// Term is above the store's version when the holder asked for the lease, and
-	// not above that of its transaction, so that it rises with each holder.
+	// Term is that of termAfter where the store stood when the holder asked for the lease,
+	// and not above where its transaction left it, so that it rises with each holder.
 	Term uint64 `json:"term"`
+	// Era is the store's era when the row was written, as far as its writer knew.
+	Era uint64 `json:"era,omitempty"`
 	// Last is what the holder knew of workers in no group: the model that each
 	// can rejoin at once. The next holder goes on with it.
 	Last map[string]string `json:"last,omitempty"`
 }
 
+// versionsPerEra is how many terms an era has room for: 27 years at a million versions a day.
+// At 10,000 groups a term, epochs stay below 2^53 for 90 eras, and 2^64 for 184,000.
+const versionsPerEra = 10_000_000_000
+
+// termAfter returns a term above all that were taken before a position.
+func termAfter(p store.Position) uint64 { return p.Era()*versionsPerEra + p.Version() + 1 }
+
 // Memory is what one holder hands to the next.
 type Memory interface {
 	// Idle returns the last models of workers in no group, limit at most.
@@ -141,7 +150,7 @@
 }
 
 func (l *Lease) pause() time.Duration {
-	if _, held := l.Held(); held {
+	if _, held := l.Held(); held && !l.state.behind() {
 		return renewEvery
 	}
 	return standbyEvery
@@ -151,14 +160,18 @@
 func (l *Lease) Release(ctx context.Context) error {
 	l.released.Store(true)
 	txn := store.Txn{Deletes: []store.Write{{Table: LeaseTable, Key: nodePrefix + l.opts.Self().Name}}}
-	row, version := l.state.row()
+	row, at := l.state.row()
 	if _, held := l.Held(); held {
 		l.state.drop()
 		row.UntilMs = 0
-		txn.Conditions = []store.Condition{{Table: LeaseTable, Key: leaseKey, Version: version}}
+		txn.Conditions = []store.Condition{{Table: LeaseTable, Key: leaseKey, Version: at.Version()}}
 		txn.Writes = []store.Write{{Table: LeaseTable, Key: leaseKey, Value: encode(row)}}
 	}
 	_, err := l.opts.Table.Commit(ctx, txn)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) { // the lease is another's, or runs out by itself
+		_, err = l.opts.Table.Commit(ctx, store.Txn{Deletes: txn.Deletes})
+	}
 	return err
 }
 
@@ -212,10 +225,10 @@
 	}
 	known, err := l.opts.Table.Known(ctx)
 	if err == nil {
-		l.state.note(known.Control)
+		l.note(known)
 	}
 	if _, held := l.Held(); held {
-		l.renew(ctx)
+		l.renew(ctx, known)
 		return
 	}
 	if err != nil {
@@ -225,47 +238,92 @@
 		l.state.forgetFree()
 		return
 	}
-	row, version := known.lease, known.leaseVersion
-	if row.Holder == l.opts.Self().Name && version != 0 && row.UntilMs > known.Clock.Milliseconds() {
+	if !l.mayTake(known) {
+		return
+	}
+	l.opts.Memory.Remember(known.lease.Last)
+	l.commit(ctx, leaseRow{Holder: l.opts.Self().Name, Term: termAfter(known.At)}, known.leasePosition(), known.Clock)
+}
+
+// note takes in what the table says. A node whose row may be lost announces itself at once.
+func (l *Lease) note(known Known) {
+	before := l.state.note(known)
+	if !before.Known() || before.Era() == known.At.Era() {
+		return
+	}
+	l.announced = time.Time{}
+	term, held := l.Held()
+	l.opts.Log.Warn().Str("event", "lease_restored").Uint64("era", known.At.Era()).Str("holder", known.Holder).Uint64("term", known.Term).
+		Bool("held_here", held).Uint64("term_here", term).Msg("grants since the copy are lost")
+}
+
+// mayTake tells whether this node may take the lease now.
+func (l *Lease) mayTake(known Known) bool {
+	row := known.lease
+	if l.lostGrants(known) {
+		return l.turn(known, leaseLength)
+	}
+	ended := row.UntilMs <= known.Clock.Milliseconds()
+	if !ended && row.Holder == l.opts.Self().Name && known.leaseVersion != 0 {
 		// An earlier life of this node, or a renewal whose answer was lost. What it
 		// may have ordered counts as another holder's.
 		l.opts.Log.Info().Str("event", "lease_found_own").Uint64("term", row.Term).Msg("")
-	} else if row.UntilMs > known.Clock.Milliseconds() || !l.turn(known) {
-		return
+		return true
+	}
+	return ended && l.turn(known, 0)
+}
+
+// lostGrants tells whether the row may be older than the last lease that was granted: it is
+// of an earlier era, or is missing where it may have been lost. A node that was granted the
+// lease then may hold it until leaseLength after the row was first seen.
+func (l *Lease) lostGrants(known Known) bool {
+	if known.leaseVersion != 0 {
+		return known.lease.Era != known.At.Era()
 	}
-	l.opts.Memory.Remember(row.Last)
-	l.commit(ctx, leaseRow{Holder: l.opts.Self().Name, Term: known.At.Version() + 1}, version, known.Clock)
+	return known.At.Era() > 0 && (!l.opts.FirstStart || l.state.restored())
 }
 
-// turn tells whether it is this node's turn to take a lease that is free. The nodes
-// with the most processor time come first, and the others a little later each, so
-// that they don't all write at once.
-func (l *Lease) turn(known Known) bool {
+// turn tells whether it is this node's turn to take a lease that is free a while after its
+// row was first seen so. The nodes with the most processor time come first, and the others
+// a little later each, so that they don't all write at once.
+func (l *Lease) turn(known Known, after time.Duration) bool {
 	rank := min(known.Rank(l.opts.Self()), mostRank)
-	return l.opts.Now().Sub(l.state.freeSince(known.leaseVersion, l.opts.Now())) >= time.Duration(rank)*rankPause
+	seen := l.state.freeSince(known.leasePosition(), l.opts.Now())
+	return l.opts.Now().Sub(seen) >= after+time.Duration(rank)*rankPause
 }
 
-func (l *Lease) renew(ctx context.Context) {
-	row, version := l.state.row()
+// renew writes the lease that is held anew. Where the store came back without the last
+// renewals, the row there is replaced: nobody else takes it before they would have run out.
+func (l *Lease) renew(ctx context.Context, known Known) {
+	row, at := l.state.row()
+	if at.Era() < known.At.Era() {
+		l.commit(ctx, row, known.leasePosition(), known.Clock)
+		return
+	}
 	clock, sent := l.state.clock()
 	elapsed := l.opts.Now().Sub(sent)
 	// The store's clock stands at least this far now: it read clock after sent.
-	l.commit(ctx, row, version, clock+elapsed)
+	l.commit(ctx, row, at, clock+elapsed)
 }
 
-// commit writes the lease anew. Clock is what the store's clock shows now, at
-// the least.
-func (l *Lease) commit(ctx context.Context, row leaseRow, version uint64, clock time.Duration) {
+// commit writes the lease anew where its row is as of a position. Clock is what the store's
+// clock shows now, at the least.
+func (l *Lease) commit(ctx context.Context, row leaseRow, at store.Position, clock time.Duration) {
 	_, before := l.Held()
 	row.UntilMs = (clock + leaseLength).Milliseconds()
+	row.Era = at.Era()
 	row.Last = l.opts.Memory.Idle(mostRemembered)
 	sent := l.opts.Now()
 	snapshot, err := l.opts.Table.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Table: LeaseTable, Key: leaseKey, Version: version}},
+		Conditions: []store.Condition{{Table: LeaseTable, Key: leaseKey, Version: at.Version()}},
 		Writes:     []store.Write{{Table: LeaseTable, Key: leaseKey, Value: encode(row)}},
 	})
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
+		if before && conflict.Era > at.Era() {
+			l.state.fallBehind()
+			return
+		}
 		l.state.drop()
 		if before {
 			l.opts.Log.Warn().Str("event", "lease_lost").Uint64("term", row.Term).Msg("")
@@ -277,6 +335,11 @@
 		// renewal that fails on the condition ends the lease early.
 		return
 	}
+	if snapshot.At.Era() != at.Era() {
+		// Another node may have been granted the lease before the store came back.
+		l.state.fallBehind()
+		return
+	}
 	// The store's clock showed snapshot.Clock after sent, so that it shows
 	// UntilMs at the earliest this much after sent.
 	left := time.Duration(row.UntilMs)*time.Millisecond - snapshot.Clock
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -20,10 +20,15 @@
 type memoryTable struct {
 	now       time.Time
 	offset    time.Duration // of the store's clock
+	era       uint64
 	version   uint64
 	rows      map[string]store.Row
 	out, lose bool
 	late      []store.Txn
+	// copies are the rows as they were at each version of this era.
+	copies []map[string]store.Row
+	// cached is what the nodes know of the table, nil where they read it each time.
+	cached *Known
 }
 
 var errOut = &store.CallError{Op: "test", Err: errors.New("out")}
@@ -34,8 +39,11 @@
 	if m.out {
 		return Known{}, errOut
 	}
+	if m.cached != nil {
+		return *m.cached, nil
+	}
 	d := NewDirectory(func() time.Time { return m.now })
-	d.Apply(store.Update{Full: true, Rows: slices.Collect(maps.Values(m.rows)), At: store.At(0, m.version), Clock: m.clock()})
+	d.Apply(store.Update{Full: true, Rows: slices.Collect(maps.Values(m.rows)), At: store.At(m.era, m.version), Clock: m.clock()})
 	known, _ := d.Known()
 	return known, nil
 }
@@ -50,9 +58,9 @@
 		return store.Snapshot{}, errOut
 	}
 	if !m.apply(txn) {
-		return store.Snapshot{}, &store.ConflictError{}
+		return store.Snapshot{}, &store.ConflictError{Era: m.era}
 	}
-	return store.Snapshot{At: store.At(0, m.version), Clock: m.clock()}, nil
+	return store.Snapshot{At: store.At(m.era, m.version), Clock: m.clock()}, nil
 }
 
 func (m *memoryTable) apply(txn store.Txn) bool {
@@ -61,9 +69,10 @@
 			return false
 		}
 	}
+	m.copies = append(m.copies, maps.Clone(m.rows))
 	m.version++
 	for _, w := range txn.Writes {
-		m.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, At: store.At(0, m.version)}
+		m.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, At: store.At(m.era, m.version)}
 	}
 	for _, w := range txn.Deletes {
 		delete(m.rows, w.Key)
@@ -71,6 +80,19 @@
 	return true
 }
 
+// restore has the table come back from a copy that lacks the last transactions.
+func (m *memoryTable) restore(lost int) {
+	kept := max(0, len(m.copies)-lost)
+	if kept == len(m.copies) {
+		m.era++
+		return
+	}
+	m.era++
+	m.version -= uint64(len(m.copies) - kept)
+	m.rows = m.copies[kept]
+	m.copies = m.copies[:kept]
+}
+
 // deliverLate applies the writes whose answers were lost, if they still fit.
 func (m *memoryTable) deliverLate() {
 	for _, txn := range m.late {
--- a/replica/leasestate.go
+++ b/replica/leasestate.go
@@ -15,13 +15,17 @@
 type leaseState struct {
 	mu      sync.Mutex
 	current leaseRow
-	version uint64
-	until   time.Time // when this node stops holding the lease
-	nodes   []Node    // those that announced themselves, in order of their names
-	read    bool      // whether they were read
-	// free is since when the lease was seen free at a version of its row.
-	free        time.Time
-	freeVersion uint64
+	at      store.Position // of the row
+	until   time.Time      // when this node stops holding the lease
+	nodes   []Node         // those that announced themselves, in order of their names
+	// table is as of when the table is known, and firstEra the era of its first read.
+	table    store.Position
+	firstEra uint64
+	// lags tells that the store is in a later era than the row, which this node has not read.
+	lags bool
+	// free is since when the lease was seen free at a position of its row.
+	free   time.Time
+	freeAt store.Position
 
 	// storeClock is what the store's clock showed at some moment after sent.
 	storeClock time.Duration
@@ -49,13 +53,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n, found := Control{Nodes: s.nodes}.Node(self.Name)
-	return found && n == self, s.read
+	return found && n == self, s.table.Known()
 }
 
-func (s *leaseState) row() (leaseRow, uint64) {
+func (s *leaseState) row() (leaseRow, store.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.current, s.version
+	return s.current, s.at
 }
 
 func (s *leaseState) clock() (time.Duration, time.Time) {
@@ -64,20 +68,46 @@
 	return s.storeClock, s.sent
 }
 
-// note takes in who has announced themselves.
-func (s *leaseState) note(c Control) {
+// note takes in what the table says, and returns as of when it was known before.
+func (s *leaseState) note(known Known) (before store.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nodes = c.Nodes
-	s.read = true
+	before = s.table
+	if !before.Known() {
+		s.firstEra = known.At.Era()
+	}
+	s.nodes = known.Nodes
+	s.table = known.At
+	return before
+}
+
+// restored tells whether the store has come back from an older copy since the table was first
+// read.
+func (s *leaseState) restored() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Era() != s.firstEra
+}
+
+// fallBehind notes that the store is in a later era than the lease's row is known of.
+func (s *leaseState) fallBehind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lags = true
+}
+
+func (s *leaseState) behind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lags
 }
 
-// freeSince returns since when the lease was seen free at a version of its row.
-func (s *leaseState) freeSince(version uint64, now time.Time) time.Time {
+// freeSince returns since when the lease was seen free at a position of its row.
+func (s *leaseState) freeSince(at store.Position, now time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.freeVersion != version || s.free.IsZero() {
-		s.freeVersion = version
+	if s.freeAt != at || s.free.IsZero() {
+		s.freeAt = at
 		s.free = now
 	}
 	return s.free
@@ -94,7 +124,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.current = row
-	s.version = snapshot.At.Version()
+	s.at = snapshot.At
+	s.lags = false
 	s.until = until
 	s.storeClock = snapshot.Clock
 	s.sent = sent
