workers: Workers that left don't come back with an older copy of the store

A worker that had said that it leaves, or whose entry had gone, would have got requests again once the store came back from a copy of before: its entry there is ready, and a daemon took all rows of the copy for news.

Entries of an older copy count as leaving where the start had said so, until the worker writes another; where its entry had only gone, for 6 s at most, within which the store drops those of workers that are gone.

TestRestore_WhoLeftDoesNotComeBack fails without Restore (entries count as ready).

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -1,6 +1,8 @@
 package deps
 
 import (
+	"time"
+
 	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/store"
@@ -35,10 +37,29 @@
 		e.entries.note(changed, gone, u)
 	}
 	e.cold.learnEntries(changed, gone, u.Full)
-	e.Workers.Apply(changed, gone, u.Full)
+	if u.Restored {
+		e.restoreWorkers(changed)
+	} else {
+		e.Workers.Apply(changed, gone, u.Full)
+	}
 	e.workersRead.Store(true)
 }
 
+// lapseTime is within what time of its return a store that came back from an older copy has
+// dropped the entries of workers that are gone: three heartbeats of silence, and two seconds
+// that those have who live.
+const lapseTime = 6 * time.Second
+
+// restoreWorkers takes in the entries of an older copy of the store.
+func (e *Edge) restoreWorkers(all []workers.Worker) {
+	withheld := e.Workers.Restore(all)
+	if withheld == 0 {
+		return
+	}
+	e.Log.Warn().Str("event", "workers_withheld").Int("workers", withheld).Dur("for", lapseTime).Msg("their entries had gone before the store came back from an older copy")
+	time.AfterFunc(lapseTime, e.Workers.TrustRestored)
+}
+
 func (e *Edge) workersChanged(view *workers.View) {
 	known := map[string]bool{}
 	for _, g := range view.Groups() {
--- /dev/null
+++ b/workers/leaving_test.go
@@ -0,0 +1,54 @@
+package workers
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func isDraining(t *testing.T, r *Registry, id string) bool {
+	t.Helper()
+	w, listed := r.View().Worker(id)
+	must.True(t, listed, must.Sprint(id))
+	return w.Draining
+}
+
+// An older copy of the store lists workers as ready that have said since that they leave, or
+// that have left, and they get requests again.
+func TestRestore_WhoLeftDoesNotComeBack(t *testing.T) {
+	r := newTestRegistry()
+	leaves, left, started := bornAt(Worker{ID: "leaves"}, 1, 9), bornAt(Worker{ID: "left"}, 1, 9), bornAt(Worker{ID: "started"}, 1, 9)
+	leaves.Draining, left.Draining, started.Draining = true, true, true
+	r.Apply([]Worker{leaves, left, started, {ID: "stays"}, {ID: "went"}, {ID: "unlisted"}}, nil, true)
+	r.Apply(nil, []string{"left", "went"}, false)
+	r.Apply([]Worker{leaves, started, {ID: "stays"}}, nil, true)
+
+	withheld := r.Restore([]Worker{
+		bornAt(Worker{ID: "leaves"}, 1, 4), bornAt(Worker{ID: "left"}, 1, 4), bornAt(Worker{ID: "started"}, 2, 4),
+		bornAt(Worker{ID: "stays"}, 0, 4), bornAt(Worker{ID: "went"}, 0, 4), bornAt(Worker{ID: "unlisted"}, 0, 4),
+	})
+	must.EqOp(t, 2, withheld)
+	for id, draining := range map[string]bool{"leaves": true, "left": true, "started": false, "stays": false, "went": true, "unlisted": true} {
+		must.EqOp(t, draining, isDraining(t, r, id), must.Sprint(id))
+	}
+
+	r.Apply([]Worker{bornAt(Worker{ID: "went"}, 0, 5)}, nil, false)
+	must.False(t, isDraining(t, r, "went"), must.Sprint("it has written since"))
+	r.TrustRestored()
+	must.False(t, isDraining(t, r, "unlisted"), must.Sprint("its entry would have lapsed"))
+	must.True(t, isDraining(t, r, "leaves"), must.Sprint("it had said so"))
+	must.True(t, isDraining(t, r, "left"))
+}
+
+// Memory grows with each worker that leaves.
+func TestLeavers_AreBounded(t *testing.T) {
+	r := newTestRegistry()
+	for i := range mostLeavers + 10 {
+		id := fmt.Sprint("w", i)
+		r.Apply([]Worker{{ID: id}}, nil, false)
+		r.Apply(nil, []string{id}, false)
+	}
+	must.MapLen(t, mostLeavers, r.leavers.starts)
+	must.Len(t, mostLeavers, r.leavers.order)
+}
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,13 +20,14 @@
 	last map[string]lastModel
 	// lost are members of groups whose entry is gone unannounced.
 	lost    map[string]*Worker
+	leavers *leavers
 	view    atomic.Pointer[View]
 	changed func(*View)
 }
 
 // NewRegistry returns an empty registry that tells each new view to changed.
 func NewRegistry(changed func(*View)) *Registry {
-	r := &Registry{builder: newBuilder(), last: map[string]lastModel{}, lost: map[string]*Worker{}, changed: changed}
+	r := &Registry{builder: newBuilder(), last: map[string]lastModel{}, lost: map[string]*Worker{}, leavers: newLeavers(), changed: changed}
 	r.makeView()
 	return r
 }
@@ -41,18 +43,60 @@
 	if !full && len(changed) == 0 && len(gone) == 0 {
 		return
 	}
+	before := map[string]*Worker{}
 	if full {
-		r.removeAll()
+		before = r.removeAll()
 	}
 	for _, w := range changed {
+		delete(before, w.ID)
+		r.noteReady(w)
 		r.put(w)
 	}
 	for _, id := range gone {
 		r.remove(id)
 	}
+	for _, w := range before {
+		r.leavers.note(*w)
+	}
+	r.changed(r.makeView())
+}
+
+// Restore takes in all workers as a store tells them that came back from an older copy. Those
+// that were about to leave, or had left, get nothing new; it returns how many whose entry
+// only went are among them. TrustRestored ends that for these.
+func (r *Registry) Restore(all []Worker) (withheld int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.removeAll()
+	for _, w := range all {
+		r.put(r.leavers.restored(w))
+	}
+	r.changed(r.makeView())
+	return len(r.leavers.withheld)
+}
+
+// TrustRestored has the entries count that Restore withheld and that are still as they were.
+func (r *Registry) TrustRestored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, w := range r.leavers.takeWithheld() {
+		if known, listed := r.builder.worker(id); listed && known.At == w.At {
+			r.noteReady(w)
+			r.put(w)
+		}
+	}
 	r.changed(r.makeView())
 }
 
+// noteReady remembers whether a worker leaves.
+func (r *Registry) noteReady(w Worker) {
+	if w.Draining {
+		r.leavers.note(w)
+		return
+	}
+	r.leavers.forget(w.ID)
+}
+
 // lastModel is the model of the last group of a worker in one of its starts.
 type lastModel struct {
 	model string
@@ -146,7 +190,16 @@
 	r.builder.put(&w)
 }
 
+// remove takes in that a worker's entry is gone.
 func (r *Registry) remove(id string) {
+	if w, listed := r.builder.worker(id); listed {
+		r.leavers.note(*w)
+	}
+	r.drop(id)
+}
+
+// drop takes a worker out, and keeps what its next entry needs.
+func (r *Registry) drop(id string) {
 	w, listed := r.builder.worker(id)
 	if listed && w.Last != "" && len(r.last) < mostLost {
 		r.last[id] = lastModel{model: w.Last, born: w.Born}
@@ -158,10 +211,13 @@
 	r.builder.remove(id)
 }
 
-func (r *Registry) removeAll() {
-	for id := range r.builder.all() {
-		r.remove(id)
+// removeAll takes all workers out, and returns them.
+func (r *Registry) removeAll() map[string]*Worker {
+	all := maps.Collect(r.builder.all())
+	for id := range all {
+		r.drop(id)
 	}
+	return all
 }
 
 // makeView makes the newest view. Members of groups that nobody else is in any more are
