deps: Keep a data hall closed that an older copy of the store has open

A closing that was acknowledged and lost would have opened the hall to requests at every daemon until the operator closed it again.

Change: the closings that a daemon knows stay for 6 s after a restore; then only the store's word counts.

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -12,7 +12,7 @@
 // applyConfig takes in the operator's rows: data halls that are closed, and then the
 // configuration. A daemon is ready once it has one, and must know of closed halls by then.
 func (e *Edge) applyConfig(u store.Update) {
-	e.applyHalls(u)
+	e.followHalls(u)
 	c, err := platform.Catalog(u.Rows)
 	if err != nil {
 		e.Log.Error().Str("event", "config_unreadable").Err(err).Msg("the last configuration stays in force")
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -77,6 +77,9 @@
 	// begun tells that callers are being served, here or elsewhere.
 	begun     atomic.Bool
 	storeBack atomic.Pointer[time.Time]
+	// hallsConfirmed is when only the store's word counts again of closed halls, after it came
+	// back from an older copy; else the zero time.
+	hallsConfirmed time.Time
 }
 
 // NewEdge wires a daemon. Nothing runs before Run. The function returned frees
--- a/deps/halls.go
+++ b/deps/halls.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/placement"
@@ -9,13 +10,33 @@
 	"github.com/pointpass/pointpass/store"
 )
 
+// rewriteTime is within what time of its return the operator writes again what a store has
+// lost that came back from an older copy. A hall whose closing is lost stays closed for so
+// long.
+const rewriteTime = 6 * time.Second
+
+// followHalls takes in what one answer of the store tells of closed data halls. Only the
+// goroutine that follows the configuration's table calls it.
+func (e *Edge) followHalls(u store.Update) {
+	e.applyHalls(u)
+	now := clock.Now()
+	switch {
+	case u.Restored:
+		e.hallsConfirmed = now.Add(rewriteTime)
+	case !e.hallsConfirmed.IsZero() && now.After(e.hallsConfirmed):
+		e.hallsConfirmed = time.Time{}
+		all, _ := e.following.caches[platform.ConfigTable].Rows()
+		e.applyHalls(store.Update{Full: true, Rows: all.Rows, At: all.At, Evidence: all.Evidence})
+	}
+}
+
 // applyHalls takes in which data halls are closed to requests.
 func (e *Edge) applyHalls(u store.Update) {
 	changes, err := platform.Halls(u.Rows)
 	if err != nil {
 		e.Log.Error().Str("event", "hall_unreadable").Err(err).Msg("")
 	}
-	update := placement.Update{Changes: changes, Full: u.Full, Version: u.At.Version(), Evidence: u.Evidence}
+	update := placement.Update{Changes: changes, Full: u.Full, Restored: u.Restored, Version: u.At.Version(), Evidence: u.Evidence}
 	e.coolOpened(update)
 	closed, opened := e.Placement.Apply(update)
 	for _, c := range closed {
--- a/placement/facts.go
+++ b/placement/facts.go
@@ -91,6 +91,9 @@
 	// Changes are those since the last update, all closed halls if Full.
 	Changes []Change
 	Full    bool
+	// Restored tells that Full is of an older copy of the store: a hall that it doesn't list
+	// stays closed.
+	Restored bool
 	// Version is the store's version of the answer, and Evidence when it was asked.
 	Version  uint64
 	Evidence time.Time
@@ -115,7 +118,7 @@
 			opened = next.open(change.Hall, change.Version, now, opened)
 		}
 	}
-	if u.Full { // who isn't listed was opened while this process didn't listen
+	if u.Full && !u.Restored { // who isn't listed was opened while this process didn't listen
 		for _, c := range f.Closings() {
 			if !listed[c.Hall] {
 				opened = next.open(c.Hall, u.Version, now, opened)
