deps: Write holds of requests again that a restore of the store lost

A request that crashes workers would have got to them again, until three more had ended under it, where its row was lost with the store's suffix; a lost key would have been replaced by another, which makes other fingerprints of all requests. Found by looking for the cause's class.

Change: a hold whose row is lost counts as just announced, and those who decide (the holder of the lease and the next) write its row again; a key that daemons know is written again. Red without the change: TestRestore_AHeldRequestStaysHeldAndIsWrittenAgain.

--- a/deps/following.go
+++ b/deps/following.go
@@ -294,6 +294,9 @@
 	if f.isHolder() {
 		f.edge.Warnings.Begin(f.edge.Lease.Term())
 	}
+	if u.Restored {
+		f.edge.quarantine.restore(known.Others)
+	}
 	f.edge.quarantine.learn(known.Others)
 	f.learnOnce.Do(func() { close(f.learned) })
 }
--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -108,6 +109,29 @@
 	q.sightings.kick() // somebody else may decide from now on
 }
 
+// restore takes in all rows of the lease's table as a store has them that came back from an
+// older copy. Those who decide write lost holds again.
+func (q *quarantined) restore(rows []store.Row) {
+	there, _ := quarantine.HeldIn(rows) // rows that can't be read are told of by learn
+	lost := q.edge.Guard.Restore(there)
+	control := q.edge.following.control.Load()
+	decides := slices.ContainsFunc(control.Deciders(), func(n replica.Node) bool { return n.Name == q.self() })
+	if len(lost) == 0 || !decides {
+		return
+	}
+	due := clock.Now()
+	if !q.edge.following.isHolder() {
+		due = due.Add(holderFirst)
+	}
+	q.mu.Lock()
+	for _, h := range lost {
+		q.unstored[h.Fingerprint] = announcement{hold: h, due: due}
+	}
+	q.mu.Unlock()
+	q.edge.Log.Warn().Str("event", "holds_lost").Int("rows", len(lost)).Msg("the store came back without them; they are written again")
+	q.wakeUp()
+}
+
 func (q *quarantined) learnKey(rows []store.Row) {
 	k, found, err := quarantine.KeyIn(rows)
 	q.noteUnreadable(&q.badKey, err)
@@ -276,7 +300,11 @@
 
 // storeKey stores a key. Where another daemon was first, its key counts.
 func (q *quarantined) storeKey(ctx context.Context) {
-	txn := quarantine.FirstKey(replica.LeaseTable, quarantine.NewKey())
+	key, known := q.edge.Guard.Key() // its row is lost where the store came back without it
+	if !known {
+		key = quarantine.NewKey()
+	}
+	txn := quarantine.FirstKey(replica.LeaseTable, key)
 	if _, err := q.edge.following.Commit(ctx, txn); err != nil {
 		q.edge.Log.Warn().Str("event", "quarantine_key_failed").Err(err).Msg("")
 		return
--- a/deps/restore_test.go
+++ b/deps/restore_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/quarantine"
+	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/store"
 )
 
@@ -25,3 +27,31 @@
 	e.followHalls(store.Update{At: store.At(2, 10), Evidence: clock.Now()})
 	must.True(t, e.Placement.Open("h1"), must.Sprint("the operator didn't close it again"))
 }
+
+// A request that crashes workers gets to them again, since an older copy of the store doesn't
+// hold it back.
+func TestRestore_AHeldRequestStaysHeldAndIsWrittenAgain(t *testing.T) {
+	e, _ := newColdEdge(t)
+	k := quarantine.NewKey()
+	h := quarantine.Hold{Fingerprint: quarantine.Fingerprint{1}, Charge: 3}
+	rows := []store.Row{
+		{Key: "node/e1", Value: []byte(`{"addr":"10.1.0.4:83"}`), At: store.At(1, 3)},
+		{Key: "lease", Value: []byte(`{"holder":"e1","term":3}`), At: store.At(1, 4)},
+	}
+	for i, w := range append(quarantine.FirstKey(replica.LeaseTable, k).Writes, quarantine.Store(replica.LeaseTable, h).Writes...) {
+		rows = append(rows, store.Row{Key: w.Key, Value: w.Value, At: store.At(1, uint64(5+i))})
+	}
+	e.following.applyControl(store.Update{Full: true, Rows: rows, At: store.At(1, 9), Evidence: clock.Now()})
+	_, held := e.Guard.Held(h.Fingerprint)
+	must.True(t, held)
+
+	e.following.applyControl(store.Update{Full: true, Restored: true, Rows: rows[:2], At: store.At(2, 4), Evidence: clock.Now()})
+	_, held = e.Guard.Held(h.Fingerprint)
+	must.True(t, held)
+	due := e.quarantine.dueHolds(clock.Now())
+	must.Len(t, 1, due)
+	must.EqOp(t, h.Fingerprint, due[0].Fingerprint)
+	kept, known := e.Guard.Key()
+	must.True(t, known)
+	must.EqOp(t, k, kept, must.Sprint("another key would make other fingerprints"))
+}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -51,6 +51,15 @@
 // SetKey sets the key that all daemons share.
 func (g *Guard) SetKey(k Key) { g.key.Store(&k) }
 
+// Key returns the key that all daemons share, false while it isn't known.
+func (g *Guard) Key() (Key, bool) {
+	k := g.key.Load()
+	if k == nil {
+		return Key{}, false
+	}
+	return *k, true
+}
+
 // Fingerprint returns what names a request, false while the key isn't known.
 func (g *Guard) Fingerprint(c Content) (Fingerprint, bool) {
 	k := g.key.Load()
@@ -125,6 +134,27 @@
 	return began, ended
 }
 
+// Restore takes in that the store came back from an older copy, which has these rows. It
+// returns the requests whose rows are lost; they are held back as if just announced.
+func (g *Guard) Restore(rows []Hold) (lost []Hold) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	there := map[Fingerprint]bool{}
+	for _, h := range rows {
+		there[h.Fingerprint] = true
+	}
+	for f, h := range g.held {
+		if there[f] || h.Version == 0 {
+			continue
+		}
+		h.Version = 0
+		h.Known = g.now()
+		g.held[f] = h
+		lost = append(lost, h)
+	}
+	return lost
+}
+
 // Holds returns what is held back.
 func (g *Guard) Holds() []Hold {
 	g.mu.Lock()
