serving: Wait for the last group that a stream may go on at

Callers on the large site had their connection closed in the middle of an answer: a stream moved once, the second group sent nothing for 2.0 s, was given up, and no third attempt was allowed (LOST; a change of the configuration was under way).

Cause: whether a stream can't be followed elsewhere was asked only once the present attempt had an event, and counted only attempts whose head had come.

Change: a watch knows how many attempts there will have been with its own and whether the answer's head is out; it, and the word of others that the group is dead, cut nothing that has begun and can't go on. A request whose answer has not begun is cut as before: its caller may ask again.

TestWatch_AStreamThatMovedWaitsForItsLastGroup was red before (abort after 2.0 s), its group answers after 2.5 s. Tests that set the number of attempts by hand set it as it is before the watched one, which is when a watch is made.

--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -411,13 +411,15 @@
 func TestMayMove_OnlyWithinTheRegions(t *testing.T) {
 	f := newFleet(catalog.Stream, []string{"h1", "h3"}, streamEnd)
 	f.configure(nil, nil)
-	e := &exchange{server: f.server, req: &Request{Host: "a.example", Path: "/x", Model: "m"}, sent: 1, tried: []string{"m.2"}}
+	e := &exchange{server: f.server, req: &Request{Host: "a.example", Path: "/x", Model: "m"}, tried: []string{"m.2"}}
 	e.inForce = f.catalogs.Current()
 	e.route, _ = e.inForce.Catalog.Route("a.example", "/x")
 	e.service, _ = e.inForce.Catalog.Service("s")
-	must.True(t, e.mayMove(time.Now()))
+	w := e.watch("m.2", func(error) {})
+	defer w.stop()
+	must.True(t, w.mayMove(time.Now()))
 	f.configure(catalog.Regions{"south"}, nil)
-	must.False(t, e.mayMove(time.Now()))
+	must.False(t, w.mayMove(time.Now()))
 }
 
 // TestServe_CountsWhatIsAskedByRegions: what is refused for want of a group counts, so that
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -35,6 +35,11 @@
 	key      string
 	cancel   context.CancelCauseFunc
 	begun    time.Time
+	// resumes tells that the attempt goes on with an answer whose head is out, attempts how
+	// many there will have been with it, and tried the targets of all of them.
+	resumes  bool
+	attempts int
+	tried    []string
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -48,7 +53,7 @@
 // waited for until the deadline.
 func (e *exchange) watch(key string, cancel context.CancelCauseFunc) *watch {
 	now := e.server.opts.Now()
-	w := &watch{exchange: e, key: key, cancel: cancel, begun: now}
+	w := &watch{exchange: e, key: key, cancel: cancel, begun: now, resumes: e.begun, attempts: e.sent + 1, tried: slices.Clone(e.tried)}
 	if !e.route.Resumable {
 		return w
 	}
@@ -105,12 +110,15 @@
 func (w *watch) warn(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.last.IsZero() {
+	switch {
+	case !w.last.IsZero():
+		w.warned = true
+		w.arm(now, max(warnedSilence-now.Sub(w.last), 0))
+	case w.resumes && !w.mayMove(now):
+		w.warned = true
+	default:
 		w.cancel(errWarned)
-		return
 	}
-	w.warned = true
-	w.arm(now, max(warnedSilence-now.Sub(w.last), 0))
 }
 
 // check runs when this request has heard nothing for a while. The target is
@@ -125,7 +133,7 @@
 		return
 	}
 	limit, between := w.exchange.server.patience(w.key)
-	if !w.last.IsZero() && !w.exchange.mayMove(now) {
+	if (w.resumes || !w.last.IsZero()) && !w.mayMove(now) {
 		w.arm(now, between) // cutting it would only lose what may still come
 		return
 	}
@@ -146,13 +154,14 @@
 	w.arm(now, limit-silence)
 }
 
-// mayMove tells whether a stream that an attempt has begun may be taken up elsewhere.
-func (e *exchange) mayMove(now time.Time) bool {
-	if e.sent >= e.route.Attempts || !e.server.hasRetry(e.service.Name, now) {
+// mayMove tells whether the stream may be taken up elsewhere.
+func (w *watch) mayMove(now time.Time) bool {
+	e := w.exchange
+	if w.attempts >= e.route.Attempts || !e.server.hasRetry(e.service.Name, now) {
 		return false
 	}
 	targets, _ := e.permitted()
-	return slices.ContainsFunc(targets, func(t Target) bool { return !contains(e.tried, t.Key) })
+	return slices.ContainsFunc(targets, func(t Target) bool { return !contains(w.tried, t.Key) })
 }
 
 // stalled returns why an attempt ends that has heard nothing for too long. A group that
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,12 +162,12 @@
 		tried   []string
 		cut     error
 	}{
-		{"it may move", 1, 10, false, []string{"m.1"}, errSilent},
-		{"no attempt is left", 2, 10, false, []string{"m.1"}, nil},
-		{"no retry is left", 1, 0, false, []string{"m.1"}, nil},
-		{"no other group is left", 1, 10, false, []string{"m.2", "m.1"}, nil},
-		{"its group is dead", 1, 10, true, []string{"m.1"}, errWarned},
-		{"its group is dead, no retry is left", 1, 0, true, []string{"m.1"}, nil},
+		{"it may move", 0, 10, false, []string{"m.1"}, errSilent},
+		{"no attempt is left", 1, 10, false, []string{"m.1"}, nil},
+		{"no retry is left", 0, 0, false, []string{"m.1"}, nil},
+		{"no other group is left", 0, 10, false, []string{"m.2", "m.1"}, nil},
+		{"its group is dead", 0, 10, true, []string{"m.1"}, errWarned},
+		{"its group is dead, no retry is left", 0, 0, true, []string{"m.1"}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newStreamServer(t, aborting{})
@@ -203,3 +204,53 @@
 	must.EqOp(t, leastStart, alone)
 	must.EqOp(t, between, same)
 }
+
+// lateSecond is an upstream whose first request gets one event and nothing more, and whose
+// second one waits before it goes on.
+type lateSecond struct {
+	wait  time.Duration
+	calls atomic.Int32
+}
+
+func (u *lateSecond) Send(ctx context.Context, _ Attempt) (*Reply, error) {
+	if u.calls.Add(1) == 1 {
+		r, w := io.Pipe()
+		go func() {
+			io.WriteString(w, "id: 1\ndata: x\n\n")
+			<-ctx.Done()
+			w.CloseWithError(ctx.Err())
+		}()
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: r, Length: -1}, nil
+	}
+	select {
+	case <-time.After(u.wait):
+	case <-ctx.Done():
+		return nil, &LostError{Err: ctx.Err()}
+	}
+	body := io.NopCloser(strings.NewReader("id: 2\ndata: y\n\n"))
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: body, Length: -1}, nil
+}
+
+// A stream that has moved is cut in the middle of its answer, since the group that it moved to
+// takes long for its first event and no further attempt is allowed.
+func TestWatch_AStreamThatMovedWaitsForItsLastGroup(t *testing.T) {
+	upstream := &lateSecond{wait: sharedStart + 500*time.Millisecond}
+	s := newStreamServer(t, upstream)
+	w := <-ask(s)
+	must.EqOp(t, 2, upstream.calls.Load())
+	must.EqOp(t, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", w.Body.String())
+}
+
+// A group that others found dead gives up streams that can't go on elsewhere.
+func TestWarn_AStreamThatCantMoveIsNotCut(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		s := newStreamServer(t, aborting{})
+		ctx, cancel := context.WithCancelCause(t.Context())
+		e := &exchange{server: s, req: &Request{Model: "m"}, sent: 1, begun: begun, tried: []string{"m.2", "m.1"}, route: &catalog.Route{Resumable: true, Attempts: 2}}
+		e.service, _ = s.opts.Catalogs.Current().Catalog.Service("llm")
+		w := e.watch("m.1", cancel)
+		defer w.stop()
+		w.warn(time.Now())
+		must.EqOp(t, begun, ctx.Err() == nil, must.Sprint("a caller that has nothing yet may ask again elsewhere"))
+	}
+}
