--- a/deps/edgestatus.go
+++ b/deps/edgestatus.go
@@ -25,10 +25,21 @@
 	ClosedHalls []ClosedHall `json:"closed_halls"`
 	// HeldRequests are those that get to no worker, in order of their fingerprints.
 	HeldRequests []HeldRequest `json:"held_requests"`
+	// Store is what is known of the store's tables, in order of their names.
+	Store []TableStatus `json:"store"`
 	// AskingWorkers are those that ask for less than they would get, in order of their ids.
 	AskingWorkers []AskingWorker `json:"asking_workers"`
 }
 
+// TableStatus is where the store's history stood when a table was last heard of.
+type TableStatus struct {
+	Table   string `json:"table"`
+	Era     uint64 `json:"era"`
+	Version uint64 `json:"version"`
+	// AgeMs is how long ago the store was asked, -1 if it never answered.
+	AgeMs int64 `json:"age_ms"`
+}
+
 // AskingWorker is a worker that asked in its answers for less than it would get.
 type AskingWorker struct {
 	Worker  string `json:"worker"`
@@ -102,6 +113,7 @@
 		}
 		s.ClosedHalls = append(s.ClosedHalls, hall)
 	}
+	s.Store = e.following.status(now)
 	s.HeldRequests = heldRequests(e.Guard.Holds(), now)
 	s.AskingWorkers = askingWorkers(e.Throttle.Asking(now), now)
 	return s
--- a/deps/following.go
+++ b/deps/following.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -219,6 +220,20 @@
 	}
 }
 
+// status returns what is known of the store's tables.
+func (f *following) status(now time.Time) []TableStatus {
+	var tables []TableStatus
+	for _, table := range slices.Sorted(slices.Values(followedTables)) {
+		cache := f.caches[table]
+		t := TableStatus{Table: table, Era: cache.At().Era(), Version: cache.At().Version(), AgeMs: -1}
+		if at := cache.Evidence(); !at.IsZero() {
+			t.AgeMs = now.Sub(at).Milliseconds()
+		}
+		tables = append(tables, t)
+	}
+	return tables
+}
+
 // logRestored tells that a table was read anew after the store came back from an older copy.
 func (f *following) logRestored(table string, before store.Position, u store.Update) {
 	f.edge.Log.Warn().Str("event", "table_restored").Str("table", table).Uint64("era", u.At.Era()).Uint64("version", u.At.Version()).
