deps: Pass on the newest configuration that was in force, not a restored older one

A daemon that starts between a restore of the store and the operator's next write would take keys that were withdrawn: those whom it reads the table from passed on the copy's configuration, though they go by a newer one. Found by looking for the cause's class; not seen.

Change: a daemon keeps the newer configuration in what it passes on, at the position of the copy's row, so that whatever the operator writes next replaces it. Red without: TestRestore_AnOlderConfigurationIsNotPassedOn.

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -1,6 +1,7 @@
 package deps
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pointpass/pointpass/common/clock"
@@ -9,6 +10,31 @@
 	"github.com/pointpass/pointpass/workers"
 )
 
+// keepConfig returns the rows of a restored store with the configuration that is known here in
+// place of an older one. Daemons that start and read them here know of withdrawn keys then,
+// before the operator has written again.
+func keepConfig(known []store.Row, u store.Update) []store.Row {
+	i := slices.IndexFunc(known, platform.IsConfig)
+	if i < 0 {
+		return u.Rows
+	}
+	j := slices.IndexFunc(u.Rows, platform.IsConfig)
+	if j < 0 {
+		return append(slices.Clone(u.Rows), store.Row{Key: known[i].Key, Value: known[i].Value, At: u.At})
+	}
+	newest, err := platform.Catalog(known[i : i+1])
+	if err != nil {
+		return u.Rows
+	}
+	copied, err := platform.Catalog(u.Rows[j : j+1])
+	if err == nil && copied.Version() >= newest.Version() {
+		return u.Rows
+	}
+	rows := slices.Clone(u.Rows)
+	rows[j].Value = known[i].Value
+	return rows
+}
+
 // applyConfig takes in the operator's rows: data halls that are closed, and then the
 // configuration. A daemon is ready once it has one, and must know of closed halls by then.
 func (e *Edge) applyConfig(u store.Update) {
--- a/deps/following.go
+++ b/deps/following.go
@@ -212,6 +212,10 @@
 			if u.Restored {
 				f.logRestored(table, cache.At(), u)
 			}
+			if u.Restored && table == platform.ConfigTable {
+				known, _ := cache.Rows()
+				u.Rows = keepConfig(known.Rows, u)
+			}
 			cache.Apply(u)
 			apply(u)
 		},
--- a/deps/restore_test.go
+++ b/deps/restore_test.go
@@ -1,6 +1,7 @@
 package deps
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,3 +56,25 @@
 	must.True(t, known)
 	must.EqOp(t, k, kept, must.Sprint("another key would make other fingerprints"))
 }
+
+// A daemon that starts after a restore takes a key that was withdrawn, since those whom it
+// reads the table from pass on the older configuration.
+func TestRestore_AnOlderConfigurationIsNotPassedOn(t *testing.T) {
+	config := func(version, at uint64) store.Row {
+		return store.Row{Key: "config", Value: fmt.Appendf(nil, `{"version":%d}`, version), At: store.At(at/100, at)}
+	}
+	other := store.Row{Key: "evacuate/h1", Value: []byte("{}"), At: store.At(2, 240)}
+	for _, c := range []struct {
+		name                string
+		known, read, wanted []store.Row
+	}{
+		{"an older one", []store.Row{config(9, 150)}, []store.Row{config(7, 230), other}, []store.Row{{Key: "config", Value: config(9, 0).Value, At: store.At(2, 230)}, other}},
+		{"the same", []store.Row{config(9, 150)}, []store.Row{config(9, 230), other}, []store.Row{config(9, 230), other}},
+		{"one that was written again", []store.Row{config(9, 150)}, []store.Row{config(10, 230)}, []store.Row{config(10, 230)}},
+		{"none", []store.Row{config(9, 150)}, []store.Row{other}, []store.Row{other, {Key: "config", Value: config(9, 0).Value, At: store.At(2, 250)}}},
+		{"one that can't be read", []store.Row{config(9, 150)}, []store.Row{{Key: "config", Value: []byte("{"), At: store.At(2, 230)}}, []store.Row{{Key: "config", Value: config(9, 0).Value, At: store.At(2, 230)}}},
+		{"nothing known", nil, []store.Row{config(7, 230)}, []store.Row{config(7, 230)}},
+	} {
+		must.Eq(t, c.wanted, keepConfig(c.known, store.Update{Rows: c.read, At: store.At(2, 250)}), must.Sprint(c.name))
+	}
+}
