--- a/replica/leasestate.go
+++ b/replica/leasestate.go
@@ -18,7 +18,9 @@
 	at      store.Position // of the row
 	until   time.Time      // when this node stops holding the lease
 	nodes   []Node         // those that announced themselves, in order of their names
-	// table is as of when the table is known, and firstEra the era of its first read.
+	// read tells that the table was read, table is as of when it is known, and firstEra the
+	// era of its first read.
+	read     bool
 	table    store.Position
 	firstEra uint64
 	// lags tells that the store is in a later era than the row, which this node has not read.
@@ -53,7 +55,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n, found := Control{Nodes: s.nodes}.Node(self.Name)
-	return found && n == self, s.table.Known()
+	return found && n == self, s.read
 }
 
 func (s *leaseState) row() (leaseRow, store.Position) {
@@ -73,7 +75,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before = s.table
-	if !before.Known() {
+	if !s.read {
+		s.read = true
 		s.firstEra = known.At.Era()
 	}
 	s.nodes = known.Nodes
--- a/testbed/standin/restore_series_test.go
+++ b/testbed/standin/restore_series_test.go
@@ -207,10 +207,10 @@
 	last := fmt.Sprint("b", p.workers)
 	for _, d := range s.daemons {
 		s.eventuallyWithin(2*patience, "a daemon has the last route, worker and leave", func() bool {
-			return s.status(d, route(p.routes)+"x") == http.StatusOK && s.serves(d, last) && !s.serves(d, p.leaving[len(p.leaving)-1])
+			return s.status(d, route(p.routes)+"x") == http.StatusOK && s.serves(d, last)
 		})
 		for _, id := range p.leaving {
-			must.False(s.t, s.serves(d, id), must.Sprint(id, " had said that it leaves"))
+			s.eventuallyWithin(2*patience, id+" had said that it leaves", func() bool { return !s.serves(d, id) })
 		}
 	}
 	s.eventuallyWithin(2*patience, "one daemon holds the lease, and groups are open", func() bool {
--- a/testbed/standin/restore_test.go
+++ b/testbed/standin/restore_test.go
@@ -45,7 +45,7 @@
 
 // serves tells whether a worker runs requests that are sent to a daemon.
 func (s *stage) serves(d *Daemon, worker string) bool {
-	const enough = 12
+	const enough = 40 // one of four workers is missed by chance once in 100,000 times
 	for range enough {
 		a := s.ask(http.MethodGet, "/get/x")
 		d.Send(s.t.Context(), a)
