relay: Leave it to those that relay to read tables after a restore

At 984 daemons, simulated, 35 of them read all rows from the store once it came back older after 2.5 s, 1 MB each at 3,000 workers: whoever looked for the store itself in its absence and found it back read all there.

Change: a daemon that relays for nobody asks relays for up to 0.7 s, in which they ask the store again, before it reads all rows there.

--- a/placement/histories_test.go
+++ b/placement/histories_test.go
@@ -90,6 +90,7 @@
 		Direct:    w,
 		Peers:     peers{w},
 		Upstreams: func() []relay.Member { return w.addrs[:min(i, 2)] },
+		Relays:    func() bool { return false },
 		MostAge:   func(string) time.Duration { return mostAge },
 		InTouch:   func() time.Duration { return 4 * time.Second },
 		Now:       w.clock,
--- a/relay/histories_test.go
+++ b/relay/histories_test.go
@@ -59,6 +59,7 @@
 			Direct:    w,
 			Peers:     peersOf{w},
 			Upstreams: func() []Member { return names[:min(i, 2)] },
+			Relays:    func() bool { return i < 2 },
 			MostAge:   testAges,
 			InTouch:   func() time.Duration { return testInTouch },
 			Now:       func() time.Time { return w.now },
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -26,6 +26,9 @@
 	// 8 s, counted on one day of trouble.
 	firstAway  = 2100 * time.Millisecond
 	directCall = 700 * time.Millisecond
+	// relayCatchUp is for how long a daemon that learned of a restore leaves it to those that
+	// relay to read the table anew. They ask the store again within 0.7 s of its return.
+	relayCatchUp = 700 * time.Millisecond
 	// firstHold is how long a daemon that relays may hold a question for all rows
 	// until it knows them: after a loss of power all start at once.
 	firstHold = 400 * time.Millisecond
@@ -48,6 +51,8 @@
 	avoided map[string]avoidance
 	// newest is the newest position read, by table.
 	newest map[string]store.Position
+	// restored is when a new era of a table was heard of.
+	restored map[string]time.Time
 	// stale are the tables that daemons pass on too late.
 	stale map[relayed]bool
 	// away is for how long the store is left alone while relays have not heard from it
@@ -63,6 +68,8 @@
 	Peers  Peers
 	// Upstreams returns the daemons to ask before the store, best first.
 	Upstreams func() []Member
+	// Relays tells whether other daemons ask this one. It may change at any time.
+	Relays func() bool
 	// MostAge returns how old the evidence of another daemon for a table may be.
 	MostAge func(table string) time.Duration
 	// InTouch is within which time a daemon that the store serves again has to know
@@ -83,7 +90,7 @@
 
 // NewReader returns a reader.
 func NewReader(opts ReaderOptions) *Reader {
-	return &Reader{opts: opts, avoided: map[string]avoidance{}, newest: map[string]store.Position{}, stale: map[relayed]bool{}}
+	return &Reader{opts: opts, avoided: map[string]avoidance{}, newest: map[string]store.Position{}, restored: map[string]time.Time{}, stale: map[relayed]bool{}}
 }
 
 // Direct tells whether the store itself is asked at present.
@@ -122,6 +129,7 @@
 	var stale *StaleError
 	var empty *EmptyError
 	hold := wait
+	behind := false // somebody answers that has not read the table anew after a restore
 	for _, m := range r.opts.Upstreams() {
 		if r.avoids(m.Addr) {
 			continue
@@ -146,14 +154,20 @@
 		case since.Known() && s.At.Era() == since.Era() || !since.Known() && !s.At.Before(r.newestOf(table)):
 			r.noteServed(false)
 			return s, nil
+		default:
+			behind = true
 		}
 	}
+	behind = behind || stale != nil
 	if stale != nil && !r.isServed() {
 		if !r.claimProbe() {
 			return store.Snapshot{}, stale
 		}
 		wait = 0 // the other tables wait for this answer
 	}
+	if behind && !since.Known() && !r.opts.Relays() && r.leavesToRelays(table) {
+		return store.Snapshot{}, &EmptyError{Table: table}
+	}
 	return r.askStore(ctx, table, since, wait)
 }
 
@@ -301,7 +315,18 @@
 func (r *Reader) noteEra(table string, era uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.newest[table] = store.Later(r.newest[table], store.At(era, 0))
+	if r.newest[table].Era() < era {
+		r.newest[table] = store.At(era, 0)
+		r.restored[table] = r.opts.Now()
+	}
+}
+
+// leavesToRelays tells whether those that relay still have time to read a table anew, so that
+// the store isn't asked for all rows by all who happen to ask it first.
+func (r *Reader) leavesToRelays(table string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.newest[table].Known() && r.opts.Now().Sub(r.restored[table]) < relayCatchUp
 }
 
 // note remembers the newest position, so that no older rows are taken in later.
--- a/relay/reader_test.go
+++ b/relay/reader_test.go
@@ -14,6 +14,7 @@
 
 // asked is a store and other daemons that answer by script.
 type asked struct {
+	relays  bool
 	holds   []time.Duration // of the questions to daemons
 	now     time.Time
 	answers map[string]func() (store.Snapshot, error)
@@ -45,6 +46,7 @@
 		Direct:    a,
 		Peers:     askedPeers{a},
 		Upstreams: upstreams,
+		Relays:    func() bool { return a.relays },
 		MostAge:   testAges,
 		InTouch:   func() time.Duration { return testInTouch },
 		Now:       func() time.Time { return a.now },
--- a/relay/restore_test.go
+++ b/relay/restore_test.go
@@ -64,17 +64,26 @@
 	}
 }
 
-// A daemon that learned of a restore reads all rows at others that haven't.
+// A daemon that learned of a restore reads all rows at others that haven't, or has the store
+// read by all.
 func TestReader_ReadsNoRowsOfAnEarlierEra(t *testing.T) {
-	r, _ := newTestReader(map[string]func() (store.Snapshot, error){
-		"first":  answerAt(store.At(1, 90)),
-		"second": answerAt(store.At(0, 90)),
-		"store":  answerAt(store.At(2, 40)),
-	})
-	r.noteEra("t", 2)
-	s, err := r.Rows(t.Context(), "t")
-	must.NoError(t, err)
-	must.EqOp(t, store.At(2, 40), s.At)
+	for _, relays := range []bool{true, false} {
+		r, a := newTestReader(map[string]func() (store.Snapshot, error){
+			"first":  answerAt(store.At(1, 90)),
+			"second": answerAt(store.At(0, 90)),
+			"store":  answerAt(store.At(2, 40)),
+		})
+		a.relays = relays
+		r.noteEra("t", 2)
+		var empty *EmptyError
+		if _, err := r.Rows(t.Context(), "t"); !relays {
+			must.True(t, errors.As(err, &empty), must.Sprint("those that relay read it first"))
+			a.now = a.now.Add(relayCatchUp)
+		}
+		s, err := r.Rows(t.Context(), "t")
+		must.NoError(t, err)
+		must.EqOp(t, store.At(2, 40), s.At)
+	}
 }
 
 // The store answers from a version that it has given out again, or has taken back.
