relay, workers: What a restore needs and no more

A version that goes back within an era is a read that comes late, not a restore, and is left as it was before.

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -78,12 +78,12 @@
 
 // restoreWorkers takes in the entries of an older copy of the store.
 func (e *Edge) restoreWorkers(all []workers.Worker) {
-	withheld := e.Workers.Restore(all)
+	withheld, trust := e.Workers.Restore(all)
 	if withheld == 0 {
 		return
 	}
 	e.Log.Warn().Str("event", "workers_withheld").Int("workers", withheld).Dur("for", lapseTime).Msg("their entries had gone before the store came back from an older copy")
-	time.AfterFunc(lapseTime, e.Workers.TrustRestored)
+	time.AfterFunc(lapseTime, trust)
 }
 
 func (e *Edge) workersChanged(view *workers.View) {
--- a/relay/reader.go
+++ b/relay/reader.go
@@ -209,8 +209,8 @@
 	} else {
 		s, err = r.opts.Direct.Rows(ctx, table)
 	}
-	if err == nil && since.Known() && (s.At.Era() != since.Era() || s.At.Before(since)) {
-		// The store doesn't go on from there, even where it has given the version out again.
+	if err == nil && since.Known() && s.At.Era() != since.Era() {
+		// The store doesn't go on from there, though it has given the version out again.
 		s, err = store.Snapshot{}, &store.HistoryLostError{Table: table, Era: s.At.Era()}
 	}
 	var lost *store.HistoryLostError
--- a/workers/leaving.go
+++ b/workers/leaving.go
@@ -21,6 +21,8 @@
 	order []string
 	// withheld are entries of such a copy that are taken to leave until they prove alive.
 	withheld map[string]Worker
+	// restores counts such copies.
+	restores int
 }
 
 func newLeavers() *leavers {
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -63,22 +63,28 @@
 
 // Restore takes in all workers as a store tells them that came back from an older copy. Those
 // that were about to leave, or had left, get nothing new; it returns how many whose entry
-// only went are among them. TrustRestored ends that for these.
-func (r *Registry) Restore(all []Worker) (withheld int) {
+// only went are among them, and trust, which ends that for these unless the store was
+// restored once more.
+func (r *Registry) Restore(all []Worker) (withheld int, trust func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.leavers.restores++
+	restore := r.leavers.restores
 	r.removeAll()
 	for _, w := range all {
 		r.put(r.leavers.restored(w))
 	}
 	r.changed(r.makeView())
-	return len(r.leavers.withheld)
+	return len(r.leavers.withheld), func() { r.trustRestored(restore) }
 }
 
-// TrustRestored has the entries count that Restore withheld and that are still as they were.
-func (r *Registry) TrustRestored() {
+// trustRestored has the entries count that were withheld and that are still as they were.
+func (r *Registry) trustRestored(restore int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if restore != r.leavers.restores {
+		return
+	}
 	for id, w := range r.leavers.takeWithheld() {
 		if known, listed := r.builder.worker(id); listed && known.At == w.At {
 			r.noteReady(w)
