serving: Go on elsewhere where a stream is turned away midway

Cause: a refusal counted as one of the route's two attempts, though that worker ran nothing. Before an answer has begun that costs its caller a new try; in the middle of one, the answer.

Change: up to two workers that turn a request away after its answer has begun don't count. Each such send takes a retry of the budget, as before, and goes to a group that it was not sent to. At most as many workers as the route's attempts run it.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -39,6 +39,9 @@
 	// sent is how many workers got the request, tried the targets it was sent to.
 	sent  int
 	tried []string
+	// turnedAway is how many workers that ran nothing turned the request away after its answer
+	// had begun. They don't count in sent.
+	turnedAway int
 	// mayHaveRun tells that a worker may have run the request, now or later.
 	mayHaveRun bool
 	// noRoom is why the request was refused for want of room, nil if it wasn't.
@@ -66,6 +69,9 @@
 	body  []byte
 }
 
+// mostTurnedAway bounds how many workers may turn a request away in the middle of its answer.
+const mostTurnedAway = 2
+
 // maxAnswer bounds an answer that isn't a stream, in bytes.
 const maxAnswer = 16 << 20
 
@@ -174,6 +180,10 @@
 	if !reply.Mistaken {
 		s.opts.Asks.Heard(throttle.Answer{Worker: target.Worker, Ask: reply.Ask, Sent: sent, At: s.opts.Now()})
 	}
+	if reply.NotRun && e.begun && e.turnedAway < mostTurnedAway {
+		e.turnedAway++ // its answer would be cut, while nobody has run more of it than allowed
+		return e.rejected(target, reply)
+	}
 	e.sent++
 	if reply.NotRun {
 		return e.rejected(target, reply)
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -254,3 +256,51 @@
 		must.EqOp(t, begun, ctx.Err() == nil, must.Sprint("a caller that has nothing yet may ask again elsewhere"))
 	}
 }
+
+// sheds is an upstream whose first request breaks off after one event, whose next ones are turned
+// away, and whose last one goes on.
+type sheds struct {
+	refusals int
+	calls    []string
+}
+
+func (u *sheds) Send(_ context.Context, a Attempt) (*Reply, error) {
+	u.calls = append(u.calls, a.Worker.ID)
+	switch n := len(u.calls); {
+	case n == 1:
+		body := io.MultiReader(strings.NewReader("id: 1\ndata: x\n\n"), iotest.ErrReader(io.ErrUnexpectedEOF))
+		return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body), Length: -1}, nil
+	case n <= 1+u.refusals:
+		return &Reply{Status: http.StatusServiceUnavailable, NotRun: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("id: 2\ndata: y\n\n")), Length: -1}, nil
+}
+
+// A stream that moved is cut in the middle of its answer, since the group that it moved to
+// turned it away, which ran nothing, and no further attempt is allowed.
+func TestServe_AStreamThatIsTurnedAwayMidwayGoesOn(t *testing.T) {
+	for refusals, whole := range []bool{true, true, true, false} {
+		upstream := &sheds{refusals: refusals}
+		s := newStreamServer(t, upstream)
+		registry := workers.NewRegistry(func(*workers.View) {})
+		var all []workers.Worker
+		for epoch := range uint64(6) {
+			all = append(all, group("m", epoch+1, workers.Open, 2)...)
+		}
+		registry.Apply(all, nil, true)
+		s.opts.Workers = registry.View
+		body := func() (text string) {
+			w := httptest.NewRecorder()
+			defer func() {
+				if recover() != nil {
+					text = w.Body.String()
+				}
+			}()
+			s.Serve(w, httptest.NewRequest(http.MethodPost, "http://a.example/x", nil), &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Model: "m"})
+			return w.Body.String()
+		}()
+		must.EqOp(t, whole, strings.Contains(body, "id: 2"), must.Sprint(refusals, " refusals"))
+		must.LessEq(t, 2+mostTurnedAway, len(upstream.calls))
+		must.EqOp(t, len(upstream.calls), len(slices.Compact(slices.Sorted(slices.Values(upstream.calls)))), must.Sprint("each goes to another group"))
+	}
+}
