--- a/deps/edge.go
+++ b/deps/edge.go
@@ -21,7 +21,6 @@
 	"github.com/pointpass/pointpass/quota"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
-	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/serving"
 	"github.com/pointpass/pointpass/throttle"
 	"github.com/pointpass/pointpass/workers"
@@ -35,8 +34,6 @@
 	// a second before the store reports it.
 	revokeMargin = 1200 * time.Millisecond
 	maxRequests  = 2000
-	// retryBudgetFraction is the fraction of the allowed retries that daemons use.
-	retryBudgetFraction = 0.7
 	// defaultBodyLimit limits request bodies before a configuration is loaded, in bytes.
 	defaultBodyLimit = 4 << 20
 )
@@ -150,7 +147,7 @@
 		Crashes:          e.quarantine.crashReporter,
 		AnswerObserver:   e.Throttle,
 		Evidence:         func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
-		Allowance:        e.allowance,
+		Allowance:        newRetryShare(e).allowance,
 		Suspect:          e.reporter.report,
 		RecordDemand:     e.loads.record,
 		DemandShare:      e.loads.Part,
@@ -214,16 +211,6 @@
 	return replica.LoadCeiling{Window: bounds.LoadWindow, Overrun: bounds.LoadOverrun}
 }
 
-// allowance returns this daemon's part of the retries for a service.
-func (e *Edge) allowance() retry.Allowance {
-	bounds := e.settings.Bounds()
-	return retry.Allowance{
-		Ratio:  retryBudgetFraction * bounds.RetryRatio,
-		Extra:  retryBudgetFraction * bounds.RetryExtra / float64(e.Lease.Nodes()),
-		Window: bounds.RetryWindow,
-	}
-}
-
 func (e *Edge) bodyLimit() int64 {
 	if c := e.Catalogs.Current().Catalog; c != nil && c.Limits().BodyBytes > 0 {
 		return int64(c.Limits().BodyBytes)
--- a/retry/window.go
+++ b/retry/window.go
@@ -54,6 +54,21 @@
 	return true
 }
 
+// Usage is what a budget decision was based on: the requests and retries within the window, and
+// how many retries are allowed for them.
+type Usage struct {
+	Requests, Retries int
+	Limit             float64
+}
+
+// Usage returns the current usage.
+func (w *Window) Usage(now time.Time, a Allowance) Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.resize(now, a.Window)
+	return w.usage(now, a)
+}
+
 // Room reports whether the allowance has room for a retry.
 func (w *Window) Room(now time.Time, a Allowance) bool {
 	w.mu.Lock()
@@ -77,8 +92,14 @@
 
 // room implements Room. The caller holds the lock.
 func (w *Window) room(now time.Time, a Allowance) bool {
+	u := w.usage(now, a)
+	return float64(u.Retries+1) <= u.Limit
+}
+
+// usage implements Usage. The caller holds the lock.
+func (w *Window) usage(now time.Time, a Allowance) Usage {
 	requests, retries := w.totals(now)
-	return float64(retries+1) <= a.Ratio*float64(requests)+a.Extra
+	return Usage{Requests: requests, Retries: retries, Limit: a.Ratio*float64(requests) + a.Extra}
 }
 
 // totals returns the numbers of requests and retries within the window. The caller holds the
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/quarantine"
+	"github.com/pointpass/pointpass/retry"
 	"github.com/pointpass/pointpass/throttle"
 )
 
@@ -52,8 +53,9 @@
 	barred placement.Verdict
 	// barredRegions are the allowed regions at the time the request was barred.
 	barredRegions placement.Request
-	// overBudget is set if the request wasn't retried because the retry budget was used up.
-	overBudget bool
+	// overBudget is the state of the retry budget if the request wasn't retried because it was
+	// used up, otherwise nil.
+	overBudget *retry.Usage
 	// answerStarted is set once the head of an answer was written to the caller.
 	answerStarted bool
 	status        int
@@ -122,14 +124,26 @@
 		if e.sent >= e.route.Attempts {
 			return e.giveUp(f)
 		}
-		if e.sent > 0 && !e.server.spendRetry(e.service.Name, e.server.opts.Now()) {
-			e.server.opts.Counters.overBudget.Inc()
-			e.overBudget = true
+		if e.sent > 0 && !e.spendRetry() {
 			return e.giveUp(f)
 		}
 	}
 }
 
+// spendRetry counts a retry against the budget of the service, and reports whether the budget had
+// room for it.
+func (e *exchange) spendRetry() bool {
+	s, now := e.server, e.server.opts.Now()
+	if s.spendRetry(e.service.Name, now) {
+		s.opts.Counters.retried(e.service.Name)
+		return true
+	}
+	usage := s.budget(e.service.Name).Usage(now, s.opts.Allowance())
+	e.overBudget = &usage
+	s.opts.Counters.overBudget.Inc()
+	return false
+}
+
 // giveUp returns the final response to a request, or nil if it wrote a worker's error answer.
 // It reports the request as refused only if it certainly never ran.
 func (e *exchange) giveUp(f *fault) *fault {
--- a/serving/record.go
+++ b/serving/record.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// retried counts a retry of a request to a service.
+func (c *Counters) retried(service string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`pointpass_retries_total{service=%q}`, service)).Inc()
+}
+
 // barred counts a request that was refused because placement allowed no target.
 func (c *Counters) barred(reason placement.Reason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`pointpass_refused_placement_total{reason=%q}`, string(reason))).Inc()
@@ -127,8 +132,11 @@
 			Bool("share_binds", r.state.Binds).Float64("share_part", r.state.Part).Float64("queue_s", r.state.Queue).
 			Float64("share", r.entry.Rate).Float64("asked", r.entry.Load).Dur("work", r.entry.Work).Float64("rank", r.entry.Rank)
 	}
+	if u := e.overBudget; u != nil {
+		entry = entry.Int("budget_requests", u.Requests).Int("budget_retries", u.Retries).Float64("budget_limit", u.Limit)
+	}
 	if f != nil {
-		entry = entry.Str("reason", reason).Bool("aborted", f.aborted).Bool("caller_gone", ctx.Err() != nil).Bool("over_budget", e.overBudget).Dur("retry_after", f.retryAfter)
+		entry = entry.Str("reason", reason).Bool("aborted", f.aborted).Bool("caller_gone", ctx.Err() != nil).Bool("over_budget", e.overBudget != nil).Dur("retry_after", f.retryAfter)
 	}
 	entry.Msg("")
 }
