retry, testbed/standin: Add failing tests of retries over the allowance

What callers see: nothing; workers get more retries within 10 s than allowed, and are loaded with them while they fail.

The checker of the stand-ins now holds the rule in each test. The callers of a test no longer use an id twice, which would count as retries.

--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -30,6 +30,7 @@
 		return
 	}
 	w.store.checker.checkArrival(w.id, w.hall)
+	w.store.checker.checkRetry(w.service, id)
 	w.store.checker.checkLimitedArrival(w.id)
 	if cold {
 		w.store.checker.checkColdArrival(w.id, w.service)
--- a/testbed/standin/asks_test.go
+++ b/testbed/standin/asks_test.go
@@ -65,16 +65,16 @@
 func (s *testCluster) startCallers(path string, callers int) (stop func()) {
 	done := make(chan struct{})
 	var running sync.WaitGroup
-	for i, d := range s.daemons {
-		for j := range callers {
+	for _, d := range s.daemons {
+		for range callers {
 			running.Go(func() {
-				for n := 0; ; n++ {
+				for {
 					select {
 					case <-done:
 						return
 					case <-time.After(10 * time.Millisecond):
 					}
-					a := Request{ID: fmt.Sprintf("%02x%02x%012x", i, j, n), Method: http.MethodPost, Host: host, Path: path, Key: key, Body: "question", Timeout: 5 * time.Second, Header: streamHeader()}
+					a := Request{ID: fmt.Sprintf("c%015x", s.callerIDs.Add(1)), Method: http.MethodPost, Host: host, Path: path, Key: key, Body: "question", Timeout: 5 * time.Second, Header: streamHeader()}
 					d.Send(s.t.Context(), a)
 				}
 			})
--- a/testbed/standin/checker.go
+++ b/testbed/standin/checker.go
@@ -30,6 +30,8 @@
 	// response that they leave.
 	pauses  map[string][]*pause
 	leaving map[string]time.Time
+	// retries holds the arrivals of requests and retries by service.
+	retries map[string]*retryArrivals
 }
 
 func newChecker() *Checker {
@@ -43,6 +45,7 @@
 		limits:       map[string]*limit{},
 		pauses:       map[string][]*pause{},
 		leaving:      map[string]time.Time{},
+		retries:      map[string]*retryArrivals{},
 	}
 }
 
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -149,7 +149,7 @@
   "name": %q, "hall": "z1", "first_start": %t,
   "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
   "hall_regions": {"z1": "r1", "z2": "r1", "z3": "r2", "z4": "r2"},
-  "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_extra": 30, "retry_window_s": 10, "revoke_strict": %t, "fenced": %t, "cold_overrun": 1.5, "cold_slack": 5},
+  "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": %v, "retry_extra": %v, "retry_window_s": %v, "revoke_strict": %t, "fenced": %t, "cold_overrun": 1.5, "cold_slack": 5},
 }`
 
 // Setup holds the options of a daemon's start.
@@ -183,7 +183,8 @@
 		*addr = free
 	}
 	d.file = filepath.Join(dir, name+".jsonc")
-	text := fmt.Sprintf(settingsTemplate, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store), !setup.LooseRevoke, setup.Fenced)
+	text := fmt.Sprintf(settingsTemplate, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store),
+		retryRatio, retryExtra, retryWindow.Seconds(), !setup.LooseRevoke, setup.Fenced)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
 	}
--- a/testbed/standin/harness_test.go
+++ b/testbed/standin/harness_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,8 @@
 	workers map[string]*Worker
 	daemons []*Daemon
 	ids     int
+	// callerIDs counts the requests of startCallers.
+	callerIDs atomic.Int64
 }
 
 const (
