retry: Keep the retries of earlier runs within the allowance

Cause: the window of retries lives in the process. A daemon that is killed or stopped and starts again had its whole part of the extra at once, while what its previous run spent still counts.

Change: for one window after a start that isn't the first of all, a daemon uses 0.3 of the ratio for its own requests and no extra. Why it holds: within a window at most one run of a daemon has been up for a whole window. That one keeps to 0.7 of its part; what all later ones use is the 0.3 that is left.

The tests failed before: 12 retries too many after one restart in the simulation, 120 for 66 allowed at stand-in workers.

--- a/deps/retries.go
+++ b/deps/retries.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/retry"
 )
 
@@ -10,11 +11,17 @@
 type retryShare struct {
 	edge  *Edge
 	share *retry.Share
-	last  atomic.Pointer[retry.Allowance]
+	last  atomic.Pointer[retryShareState]
+}
+
+// retryShareState is a share and the number of daemons it was computed for.
+type retryShareState struct {
+	allowance retry.Allowance
+	daemons   int
 }
 
 func newRetryShare(e *Edge) *retryShare {
-	r := &retryShare{edge: e, share: retry.NewShare()}
+	r := &retryShare{edge: e, share: retry.NewShare(clock.Now(), e.settings.Current().FirstStart())}
 	e.Metrics.NewGauge("pointpass_retry_ratio", func() float64 { return r.allowance().Ratio })
 	e.Metrics.NewGauge("pointpass_retry_extra", func() float64 { return r.allowance().Extra })
 	return r
@@ -24,10 +31,15 @@
 func (r *retryShare) allowance() retry.Allowance {
 	bounds := r.edge.settings.Bounds()
 	total := retry.Allowance{Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow}
-	daemons := r.edge.Lease.Nodes()
-	a := r.share.Of(total, daemons)
-	if last := r.last.Swap(&a); last == nil || *last != a {
-		r.edge.Log.Info().Str("event", "retry_share").Float64("ratio", a.Ratio).Float64("extra", a.Extra).Dur("window", a.Window).Int("daemons", daemons).Msg("")
+	s := retryShareState{daemons: r.edge.Lease.Nodes()}
+	s.allowance = r.share.Of(total, s.daemons, clock.Now())
+	if last := r.last.Swap(&s); last == nil || *last != s {
+		r.log(s)
 	}
-	return a
+	return s.allowance
+}
+
+func (r *retryShare) log(s retryShareState) {
+	r.edge.Log.Info().Str("event", "retry_share").Float64("ratio", s.allowance.Ratio).Float64("extra", s.allowance.Extra).
+		Dur("window", s.allowance.Window).Int("daemons", s.daemons).Msg("")
 }
--- a/retry/share_test.go
+++ b/retry/share_test.go
@@ -37,7 +37,7 @@
 func newDeployment(daemons int) *deployment {
 	d := &deployment{now: noon, failing: true}
 	for range daemons {
-		d.daemons = append(d.daemons, &simDaemon{window: NewWindow(total.Window), share: NewShare(), listed: true})
+		d.daemons = append(d.daemons, &simDaemon{window: NewWindow(total.Window), share: NewShare(noon, true), listed: true})
 	}
 	return d
 }
@@ -45,7 +45,7 @@
 // start starts a daemon, which has run before.
 func (d *deployment) start(s *simDaemon) {
 	s.window = NewWindow(total.Window)
-	s.share = NewShare()
+	s.share = NewShare(d.now, false)
 	s.listed = true
 }
 
@@ -84,7 +84,7 @@
 // serve handles a request at a daemon, and retries it if requests fail.
 func (d *deployment) serve(s *simDaemon) {
 	s.window.Request(d.now)
-	if d.failing && s.window.Spend(d.now, s.share.Of(total, d.listed())) {
+	if d.failing && s.window.Spend(d.now, s.share.Of(total, d.listed(), d.now)) {
 		d.retries = append(d.retries, d.now)
 	}
 }
