retry: Count each retry for the whole window

Callers saw nothing; a service could get up to twice the retries that are allowed within one window, half a second's worth of them at each of its ends.

Cause: retries were counted in 20 slots of half a second, the current one among them, so that one at the end of a slot left the window after 9.5 s. Change: the times of the retries are kept, which the allowance keeps few, and each counts for exactly the window. Requests stay in slots: these hold up to half a second too few, which allows less, not more.

--- a/retry/window.go
+++ b/retry/window.go
@@ -1,11 +1,12 @@
 package retry
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// windowSlots is the number of slots in a window.
+// windowSlots is the number of slots in which the requests of a window are counted.
 const windowSlots = 20
 
 // Allowance limits the retries within a sliding window to a ratio of the requests in it plus a
@@ -22,13 +23,15 @@
 type Window struct {
 	mu     sync.Mutex
 	length time.Duration
-	slots  [windowSlots]windowSlot
+	// slots count the requests, up to one slot less than those of the window.
+	slots [windowSlots]windowSlot
+	// retries are the times of the retries, which the allowance keeps few.
+	retries []time.Time
 }
 
 type windowSlot struct {
 	number   int64
 	requests int
-	retries  int
 }
 
 // NewWindow returns an empty window of the given length.
@@ -50,7 +53,7 @@
 	if !w.room(now, a) {
 		return false
 	}
-	w.slot(now).retries++
+	w.retries = append(w.retries, now)
 	return true
 }
 
@@ -84,10 +87,12 @@
 	if length == w.length {
 		return
 	}
-	_, retries := w.totals(now)
+	w.dropOldRetries(now)
 	w.length = length
 	w.slots = [windowSlots]windowSlot{}
-	w.slot(now).retries = retries
+	for i := range w.retries {
+		w.retries[i] = now
+	}
 }
 
 // room implements Room. The caller holds the lock.
@@ -98,21 +103,30 @@
 
 // usage implements Usage. The caller holds the lock.
 func (w *Window) usage(now time.Time, a Allowance) Usage {
-	requests, retries := w.totals(now)
-	return Usage{Requests: requests, Retries: retries, Limit: a.Ratio*float64(requests) + a.Extra}
+	w.dropOldRetries(now)
+	requests := w.requests(now)
+	return Usage{Requests: requests, Retries: len(w.retries), Limit: a.Ratio*float64(requests) + a.Extra}
+}
+
+// dropOldRetries drops the retries that have left the window. The caller holds the lock.
+func (w *Window) dropOldRetries(now time.Time) {
+	old := 0
+	for old < len(w.retries) && now.Sub(w.retries[old]) >= w.length {
+		old++
+	}
+	w.retries = slices.Delete(w.retries, 0, old)
 }
 
-// totals returns the numbers of requests and retries within the window. The caller holds the
-// lock.
-func (w *Window) totals(now time.Time) (requests, retries int) {
+// requests returns the number of requests within the window. The caller holds the lock.
+func (w *Window) requests(now time.Time) int {
 	current := w.slot(now)
+	n := 0
 	for _, s := range w.slots {
 		if current.number-s.number < windowSlots {
-			requests += s.requests
-			retries += s.retries
+			n += s.requests
 		}
 	}
-	return requests, retries
+	return n
 }
 
 // slot returns the current slot, cleared if its counts are older than the window.
