retry, deps: Keep the parts of daemons that stop

Callers saw nothing; a service could get more retries than allowed while daemons stop one after the other, as in a rolling restart.

Cause: the extra retries are divided by the daemons that are listed. One that stops deletes its row at once and serves on for its grace period; the others then divide by one less, though its retries count for a window more.

Change: retry.Members keeps the highest number of daemons of the last window and grace period. Why it holds: parts are never larger than the part of each daemon whose retries may still count. A daemon that joins makes the parts smaller at once, and uses no extra for a window itself.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -68,6 +68,7 @@
 	followers   *tableFollowers
 	reporter    *reporter
 	loads       *loadReporter
+	retries     *retryShare
 	cold        *coldStart
 	quarantine  *crashQuarantine
 	workersRead atomic.Bool
@@ -115,6 +116,7 @@
 	e.Warnings = health.NewPublisher(e.followers.caches[health.Table], clock.Now)
 	e.reporter = newReporter(e, peers)
 	e.loads = newLoadReporter(e, peers)
+	e.retries = newRetryShare(e)
 	e.quarantine = newCrashQuarantine(e, peers, upstream)
 	e.wireServing(upstream)
 	e.wireControl(orders)
@@ -147,7 +149,7 @@
 		Crashes:          e.quarantine.crashReporter,
 		AnswerObserver:   e.Throttle,
 		Evidence:         func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
-		Allowance:        newRetryShare(e).allowance,
+		Allowance:        e.retries.allowance,
 		Suspect:          e.reporter.report,
 		RecordDemand:     e.loads.record,
 		DemandShare:      e.loads.Part,
--- a/deps/followers.go
+++ b/deps/followers.go
@@ -304,6 +304,7 @@
 	changed := f.directory.Apply(u)
 	latest, _ := f.directory.Snapshot()
 	f.edge.cold.learnDaemons(latest.NodeVersions, u)
+	f.edge.retries.observeDaemons(len(latest.NodeVersions))
 	view := *f.control.Load()
 	changed = changed || view.Holder != latest.Holder
 	view.Control = latest.Control
--- a/deps/retries.go
+++ b/deps/retries.go
@@ -9,9 +9,10 @@
 
 // retryShare computes this daemon's share of the retries for a service, and logs its changes.
 type retryShare struct {
-	edge  *Edge
-	share *retry.Share
-	last  atomic.Pointer[retryShareState]
+	edge    *Edge
+	share   *retry.Share
+	members retry.Members
+	last    atomic.Pointer[retryShareState]
 }
 
 // retryShareState is a share and the number of daemons it was computed for.
@@ -31,14 +32,20 @@
 func (r *retryShare) allowance() retry.Allowance {
 	bounds := r.edge.settings.Bounds()
 	total := retry.Allowance{Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow}
-	s := retryShareState{daemons: r.edge.Lease.Nodes()}
-	s.allowance = r.share.Of(total, s.daemons, clock.Now())
+	now := clock.Now()
+	// A stopping daemon deletes its row first and serves callers until its grace period ends.
+	retention := bounds.RetryWindow + bounds.GracePeriod
+	s := retryShareState{daemons: max(r.edge.Lease.Nodes(), r.members.Count(now, retention))}
+	s.allowance = r.share.Of(total, s.daemons, now)
 	if last := r.last.Swap(&s); last == nil || *last != s {
 		r.log(s)
 	}
 	return s.allowance
 }
 
+// observeDaemons records how many daemons have announced themselves.
+func (r *retryShare) observeDaemons(n int) { r.members.Observe(n, clock.Now()) }
+
 func (r *retryShare) log(s retryShareState) {
 	r.edge.Log.Info().Str("event", "retry_share").Float64("ratio", s.allowance.Ratio).Float64("extra", s.allowance.Extra).
 		Dur("window", s.allowance.Window).Int("daemons", s.daemons).Msg("")
--- a/retry/share_test.go
+++ b/retry/share_test.go
@@ -21,6 +21,7 @@
 type deployment struct {
 	now     time.Time
 	daemons []*simDaemon
+	members Members
 	failing bool
 	// requests and retries are the times of all of them, over all daemons.
 	requests, retries []time.Time
@@ -36,6 +37,7 @@
 
 func newDeployment(daemons int) *deployment {
 	d := &deployment{now: noon, failing: true}
+	d.members.Observe(daemons, d.now)
 	for range daemons {
 		d.daemons = append(d.daemons, &simDaemon{window: NewWindow(total.Window), share: NewShare(noon, true), listed: true})
 	}
@@ -47,6 +49,7 @@
 	s.window = NewWindow(total.Window)
 	s.share = NewShare(d.now, false)
 	s.listed = true
+	d.members.Observe(d.listed(), d.now)
 }
 
 // kill ends a daemon, whose row stays.
@@ -56,6 +59,7 @@
 func (d *deployment) stop(s *simDaemon) {
 	s.window = nil
 	s.listed = false
+	d.members.Observe(d.listed(), d.now)
 }
 
 func (d *deployment) listed() int {
@@ -84,7 +88,7 @@
 // serve handles a request at a daemon, and retries it if requests fail.
 func (d *deployment) serve(s *simDaemon) {
 	s.window.Request(d.now)
-	if d.failing && s.window.Spend(d.now, s.share.Of(total, d.listed(), d.now)) {
+	if d.failing && s.window.Spend(d.now, s.share.Of(total, d.members.Count(d.now, total.Window), d.now)) {
 		d.retries = append(d.retries, d.now)
 	}
 }
