reach, deps, serving: Log when connections to all workers fail

A daemon whose links to all workers are gone answered that nothing serves the request, as it does when all workers are gone, and no line told the two apart. Nothing else depends on it yet.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -69,6 +69,7 @@
 	reporter    *reporter
 	loads       *loadReporter
 	retries     *retryShare
+	reach       *workerReach
 	cold        *coldStart
 	quarantine  *crashQuarantine
 	workersRead atomic.Bool
@@ -100,7 +101,9 @@
 	e.stall = placement.NewStallDetector(clock.Now, e.logStall)
 	client, closeStore := platform.NewStore(settings.Current().StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), clock.Now)
-	upstream, closeUpstream := platform.NewUpstream()
+	e.reach = newWorkerReach(e)
+	upstream, closeUpstream := platform.NewUpstream(e.reach.Connected)
+	e.reach.upstream = upstream
 	orders, closeOrders := platform.NewOrders()
 	e.followers = newTableFollowers(e, client, peers)
 	e.Workers = workers.NewRegistry(e.workersChanged)
@@ -150,6 +153,7 @@
 		AnswerObserver:   e.Throttle,
 		Evidence:         func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
 		Allowance:        e.retries.allowance,
+		Reach:            e.reach,
 		Suspect:          e.reporter.report,
 		RecordDemand:     e.loads.record,
 		DemandShare:      e.loads.Part,
@@ -263,7 +267,7 @@
 // Run follows the store and forms groups until ctx ends.
 func (e *Edge) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.followers.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run, e.quarantine.Run, e.watchStalls} {
+	for _, run := range []func(context.Context){e.followers.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run, e.quarantine.Run, e.reach.Run, e.watchStalls} {
 		running.Go(func() { run(ctx) })
 	}
 	running.Wait()
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pointpass/pointpass/admission"
@@ -192,6 +193,7 @@
 		return e.handleSendError(ctx, target, err)
 	}
 	defer reply.Body.Close()
+	s.opts.Reach.Answered()
 	if !reply.WrongWorker {
 		s.opts.AnswerObserver.Observe(throttle.Answer{Worker: target.Worker, Backpressure: reply.Backpressure, Sent: sent, At: s.opts.Now()})
 	}
@@ -249,6 +251,9 @@
 		e.recordFailure(target, failure)
 	}
 	e.logFailedAttempt(target, err)
+	if notSent != nil || timedOut(err) {
+		e.server.opts.Reach.Failed(target.Worker)
+	}
 	if notSent == nil {
 		e.reportLost(ctx, target)
 	}
@@ -258,6 +263,9 @@
 	return e.route.IsRepeatable(), &fault{status: http.StatusBadGateway, reason: "the answer of the worker is lost", aborted: e.answerStarted}
 }
 
+// timedOut reports whether a connection failed since sent data remained unacknowledged.
+func timedOut(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
+
 // Failure is the way in which a target failed a request.
 type Failure int
 
--- a/serving/overload_test.go
+++ b/serving/overload_test.go
@@ -37,6 +37,7 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(group("m", 1, workers.Open, 2), nil, true)
 	s := NewServer(Options{
+		Reach:     anyReach{},
 		Guard:     quarantine.NewGuard(time.Now),
 		Placement: placement.NewDecider(nil, placement.NoRamp{}, placement.NoThrottle{}, time.Now), WaitFresh: func(context.Context) {},
 		Catalogs: &catalogs, Workers: registry.View, Upstream: abortingUpstream{}, Balancer: NewBalancer("z1"),
@@ -73,6 +74,7 @@
 	balancer := NewBalancer("h1")
 	known := true
 	s := NewServer(Options{
+		Reach:    anyReach{},
 		Guard:    quarantine.NewGuard(time.Now),
 		Catalogs: &catalog.Holder{}, Placement: decider, Workers: registry.View, Balancer: balancer,
 		DemandShare: func(load.Model) (float64, float64, bool) { return 0.1, 6, known },
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -108,6 +108,7 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(list, nil, true)
 	f.server = NewServer(Options{
+		Reach:          anyReach{},
 		Guard:          quarantine.NewGuard(time.Now),
 		AnswerObserver: throttle.New("x", throttle.NewTracker(metrics.NewSet(), &log.Logger{Level: log.PanicLevel})),
 		Placement:      placement.NewDecider(fleetHalls, placement.NoRamp{}, placement.NoThrottle{}, time.Now), WaitFresh: func(context.Context) {},
--- a/serving/server.go
+++ b/serving/server.go
@@ -43,6 +43,8 @@
 	Evidence func() catalog.EvidencePolicy
 	// Allowance returns this process's share of the retries for a service.
 	Allowance func() retry.Allowance
+	// Reach tracks whether workers can be reached.
+	Reach Reach
 	// Suspect is called with each group that fails a request.
 	Suspect func(group string, failure Failure)
 	// RecordDemand is called with the work that each request demands of a model, also if the
@@ -82,6 +84,15 @@
 	Observe(a throttle.Answer)
 }
 
+// Reach tracks whether workers can be reached.
+type Reach interface {
+	// Answered records that a worker sent something.
+	Answered()
+	// Failed records that a connection to a worker couldn't be opened, or was lost without a sign
+	// of life.
+	Failed(w workers.Worker)
+}
+
 // Server sends requests to workers and relays their answers.
 type Server struct {
 	opts         Options
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -294,3 +294,9 @@
 		})
 	}
 }
+
+// anyReach ignores whether workers can be reached.
+type anyReach struct{}
+
+func (anyReach) Answered()             {}
+func (anyReach) Failed(workers.Worker) {}
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -53,6 +53,7 @@
 	registry := workers.NewRegistry(func(*workers.View) {})
 	registry.Apply(append(group("m", 1, workers.Open, 2), group("m", 2, workers.Open, 2)...), nil, true)
 	return NewServer(Options{
+		Reach:          anyReach{},
 		Guard:          quarantine.NewGuard(time.Now),
 		AnswerObserver: throttle.New("x", throttle.NewTracker(metrics.NewSet(), &log.Logger{Level: log.PanicLevel})),
 		Placement:      placement.NewDecider(nil, placement.NoRamp{}, placement.NoThrottle{}, time.Now), WaitFresh: func(context.Context) {},
