--- a/deps/reach.go
+++ b/deps/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,21 +13,30 @@
 )
 
 const (
-	// reachCheckInterval is how often a daemon that is cut off tries to connect to some workers,
-	// and reachCheckWorkers to how many, one after the other in the order of their ids.
+	// reachCheckInterval is how often a daemon that is cut off from a service tries to connect to
+	// some of its workers, and reachCheckWorkers to how many, in turn.
 	reachCheckInterval = 250 * time.Millisecond
 	reachCheckWorkers  = 4
 )
 
-// workerReach tracks whether this daemon can connect to workers. While it is cut off, it tries to
-// connect to some of them all the time.
+// workerReach tracks for each service whether this daemon can connect to the workers. While it is
+// cut off from a service, it tries to connect to some of them all the time.
 type workerReach struct {
-	*reach.Detector
 	edge     *Edge
 	upstream *platform.Upstream
 
+	mu       sync.Mutex
+	services map[string]*serviceReach
+}
+
+// serviceReach tracks whether the workers of a service can be reached.
+type serviceReach struct {
+	*reach.Detector
+	name string
+	edge *Edge
+
 	mu sync.Mutex
-	// list holds the workers of the view that it was made from.
+	// list holds the workers of view.
 	view *workers.View
 	list []workers.Worker
 	// halls is the number of data halls of list, next the index of the next worker to try.
@@ -34,79 +44,113 @@
 }
 
 func newWorkerReach(e *Edge) *workerReach {
-	r := &workerReach{edge: e}
-	r.Detector = reach.NewDetector(r.inventory, clock.Now, r.logChange)
-	e.Metrics.NewGauge("pointpass_workers_unreachable", func() float64 { return boolGauge(r.Cut()) })
+	r := &workerReach{edge: e, services: map[string]*serviceReach{}}
+	e.Metrics.NewGauge("pointpass_services_unreachable", func() float64 { return float64(len(r.cut())) })
 	return r
 }
 
+// service returns the state of a service. Services come from the configuration, so that their
+// number is bounded.
+func (r *workerReach) service(name string) *serviceReach {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.services[name]
+	if !ok {
+		s = &serviceReach{name: name, edge: r.edge}
+		s.Detector = reach.NewDetector(s.inventory, clock.Now, s.logChange)
+		r.services[name] = s
+	}
+	return s
+}
+
+// Connected records that a connection to a worker was opened.
+func (r *workerReach) Connected(w workers.Worker) { r.service(w.Service).Connected() }
+
+// Answered records that a worker sent something.
+func (r *workerReach) Answered(w workers.Worker) { r.service(w.Service).Answered() }
+
 // Failed records that a connection to a worker failed.
 func (r *workerReach) Failed(w workers.Worker) {
-	r.Detector.Failed(reach.Worker{ID: w.ID, Hall: w.Hall})
+	r.service(w.Service).Failed(reach.Worker{ID: w.ID, Hall: w.Hall})
+}
+
+// Cut reports whether this daemon can open no connection to a service.
+func (r *workerReach) Cut(service string) bool { return r.service(service).Cut() }
+
+// Silenced reports whether it also hears nothing on older connections.
+func (r *workerReach) Silenced(service string) bool { return r.service(service).Silenced() }
+
+// cut returns the services that this daemon is cut off from.
+func (r *workerReach) cut() []*serviceReach {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*serviceReach
+	for _, s := range r.services {
+		if s.Cut() {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Run tries to connect to workers that this daemon is cut off from, until ctx ends.
+func (r *workerReach) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, reachCheckInterval)
+		var checks sync.WaitGroup
+		for _, s := range r.cut() {
+			for _, w := range s.nextWorkers() {
+				checks.Go(func() {
+					if r.upstream.Connect(ctx, w) == nil {
+						s.Connected()
+					}
+				})
+			}
+		}
+		checks.Wait()
+	}
 }
 
-func (r *workerReach) logChange(c reach.Change) {
+func (s *serviceReach) logChange(c reach.Change) {
 	if c.Cut {
-		r.edge.Log.Warn().Str("event", "workers_unreachable").Int("workers", c.Workers).Int("halls", c.Halls).Dur("last_answer", c.Answered).
-			Msg("connections to all workers fail")
+		s.edge.Log.Warn().Str("event", "workers_unreachable").Str("service", s.name).Int("workers", c.Workers).Int("halls", c.Halls).
+			Dur("last_answer", c.Answered).Msg("connections to the workers of a service fail")
 		return
 	}
-	r.edge.Log.Info().Str("event", "workers_reachable").Dur("after", c.Lasted).Int("failed_workers", c.Workers).Msg("")
+	s.edge.Log.Info().Str("event", "workers_reachable").Str("service", s.name).Dur("after", c.Lasted).Int("failed_workers", c.Workers).Msg("")
 }
 
 // inventory returns how many workers are known, and in how many data halls.
-func (r *workerReach) inventory() (count, halls int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.refresh()
-	return len(r.list), r.halls
+func (s *serviceReach) inventory() (count, halls int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh()
+	return len(s.list), s.halls
 }
 
 // refresh lists the workers again if they have changed. The caller holds the lock.
-func (r *workerReach) refresh() {
-	view, current := r.edge.Workers.View(), r.edge.Catalogs.Current().Catalog
-	if view == r.view || current == nil {
+func (s *serviceReach) refresh() {
+	view := s.edge.Workers.View()
+	if view == s.view {
 		return
 	}
-	r.view, r.list = view, nil
+	s.view, s.list = view, slices.Clone(view.ByService(s.name))
 	halls := map[string]bool{}
-	for _, s := range current.Services() {
-		for _, w := range view.ByService(s.Name) {
-			r.list = append(r.list, w)
-			halls[w.Hall] = true
-		}
+	for _, w := range s.list {
+		halls[w.Hall] = true
 	}
-	r.halls = len(halls)
+	s.halls = len(halls)
 }
 
 // nextWorkers returns the workers to try next.
-func (r *workerReach) nextWorkers() []workers.Worker {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.refresh()
+func (s *serviceReach) nextWorkers() []workers.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh()
 	var next []workers.Worker
-	for range min(reachCheckWorkers, len(r.list)) {
-		next = append(next, r.list[r.next%len(r.list)])
-		r.next++
+	for range min(reachCheckWorkers, len(s.list)) {
+		next = append(next, s.list[s.next%len(s.list)])
+		s.next++
 	}
 	return next
 }
-
-// Run tries to connect to workers while the daemon is cut off, until ctx ends.
-func (r *workerReach) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, reachCheckInterval)
-		if !r.Cut() {
-			continue
-		}
-		var checks sync.WaitGroup
-		for _, w := range r.nextWorkers() {
-			checks.Go(func() {
-				if r.upstream.Connect(ctx, w) == nil {
-					r.Connected()
-				}
-			})
-		}
-		checks.Wait()
-	}
-}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -193,7 +193,7 @@
 		return e.handleSendError(ctx, target, err)
 	}
 	defer reply.Body.Close()
-	s.opts.Reach.Answered()
+	s.opts.Reach.Answered(target.Worker)
 	if !reply.WrongWorker {
 		s.opts.AnswerObserver.Observe(throttle.Answer{Worker: target.Worker, Backpressure: reply.Backpressure, Sent: sent, At: s.opts.Now()})
 	}
--- a/serving/server.go
+++ b/serving/server.go
@@ -87,7 +87,7 @@
 // Reach tracks whether workers can be reached.
 type Reach interface {
 	// Answered records that a worker sent something.
-	Answered()
+	Answered(w workers.Worker)
 	// Failed records that a connection to a worker couldn't be opened, or was lost without a sign
 	// of life.
 	Failed(w workers.Worker)
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -298,5 +298,5 @@
 // anyReach ignores whether workers can be reached.
 type anyReach struct{}
 
-func (anyReach) Answered()             {}
-func (anyReach) Failed(workers.Worker) {}
+func (anyReach) Answered(workers.Worker) {}
+func (anyReach) Failed(workers.Worker)   {}
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -32,6 +32,7 @@
 	scanner.Buffer(make([]byte, 0, initialBufferBytes), maxEventBytes)
 	scanner.Split(splitEvent)
 	for scanner.Scan() {
+		e.server.opts.Reach.Answered(target.Worker)
 		watch.recordEvent()
 		e.stage = quarantine.Producing
 		if err := e.relayEvent(scanner.Bytes(), reply, control); err != nil {
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -87,7 +87,6 @@
 // recordEvent records that the target sent an event.
 func (w *watch) recordEvent() {
 	now := w.exchange.server.opts.Now()
-	w.exchange.server.opts.Reach.Answered()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	first := w.last.IsZero()
