testbed/standin: Add a failing test of daemons cut off from all workers

What callers see: a daemon whose links to all workers are gone refuses them, though the daemons beside it serve theirs.

--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -146,7 +147,7 @@
 }
 
 const settingsTemplate = `{
-  "name": %q, "hall": "z1", "first_start": %t,
+  "name": %q, "hall": %q, "first_start": %t,
   "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
   "hall_regions": {"z1": "r1", "z2": "r1", "z3": "r2", "z4": "r2"},
   "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": %v, "retry_extra": %v, "retry_window_s": %v, "revoke_strict": %t, "fenced": %t, "cold_overrun": 1.5, "cold_slack": 5},
@@ -160,10 +161,15 @@
 	LooseRevoke bool
 	// Fenced is the daemon's setting that workers reject orders with an outdated fencing token.
 	Fenced bool
+	// Hall is the daemon's data hall, that of workers created by NewWorker if empty.
+	Hall string
 	// Frontend is the store address that the daemon uses, the primary one if nil.
 	Frontend *Frontend
 }
 
+// hall returns the daemon's data hall.
+func (s Setup) hall() string { return cmp.Or(s.Hall, firstHall) }
+
 // storeAddr returns the address at which the daemon reaches the store.
 func (s Setup) storeAddr(store *Store) string {
 	if s.Frontend != nil {
@@ -183,7 +189,7 @@
 		*addr = free
 	}
 	d.file = filepath.Join(dir, name+".jsonc")
-	text := fmt.Sprintf(settingsTemplate, name, setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store),
+	text := fmt.Sprintf(settingsTemplate, name, setup.hall(), setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store),
 		retryRatio, retryExtra, retryWindow.Seconds(), !setup.LooseRevoke, setup.Fenced)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
--- a/testbed/standin/frontend.go
+++ b/testbed/standin/frontend.go
@@ -56,10 +56,18 @@
 
 // NewFrontend opens a further address of the store. It closes with the store.
 func (s *Store) NewFrontend() *Frontend {
+	return s.newFrontend(func(next http.HandlerFunc) http.HandlerFunc { return next })
+}
+
+// NewLinkedFrontend is like NewFrontend for daemons that reach workers by links of their own.
+func (s *Store) NewLinkedFrontend(l *Links) *Frontend { return s.newFrontend(l.wrap) }
+
+// newFrontend opens a frontend with a wrapper around reads.
+func (s *Store) newFrontend(wrap func(http.HandlerFunc) http.HandlerFunc) *Frontend {
 	f := &Frontend{store: s}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /rows-get", f.withFault("rows-get", s.serveRows))
-	mux.HandleFunc("GET /rows-feed", f.withFault("rows-feed", func(w http.ResponseWriter, r *http.Request) { s.serveFeed(f, w, r) }))
+	mux.HandleFunc("GET /rows-get", f.withFault("rows-get", wrap(s.serveRows)))
+	mux.HandleFunc("GET /rows-feed", f.withFault("rows-feed", wrap(func(w http.ResponseWriter, r *http.Request) { s.serveFeed(f, w, r) })))
 	mux.HandleFunc("POST /rows-tx", f.withFault("rows-tx", s.serveTransaction))
 	f.server = httptest.NewServer(mux)
 	s.mu.Lock()
--- /dev/null
+++ b/testbed/standin/links_test.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// contactTime is the time after which callers of daemons that are cut off from all workers
+	// have to be served as those of others.
+	contactTime = 3 * time.Second
+	// minServedFraction is the fraction of them that has to be served at the first attempt, if
+	// the other daemons serve all.
+	minServedFraction = 2.0 / 3
+)
+
+// cutDaemons starts three daemons, each in a data hall of its own, some of which have links.
+func (s *testCluster) cutDaemons(cut int) *Links {
+	links, closeLinks := NewLinks()
+	s.t.Cleanup(closeLinks)
+	for i, hall := range []string{"z1", "z2", "z3"} {
+		setup := Setup{FirstStart: i == 0, Hall: hall}
+		if i < cut {
+			setup.Frontend = s.store.NewLinkedFrontend(links)
+		}
+		s.startAs(setup)
+	}
+	return links
+}
+
+// TestLinks_CutDaemonsServeTheirCallers guards against daemons that refuse their callers while
+// they are cut off from all workers and other daemons aren't.
+func TestLinks_CutDaemonsServeTheirCallers(t *testing.T) {
+	for _, cut := range []int{1, 2} {
+		t.Run(fmt.Sprint(cut, " of 3"), func(t *testing.T) {
+			t.Parallel()
+			s := newTestCluster(t, 4)
+			s.addWorkerIn("a2", "app", "", secondHall)
+			links := s.cutDaemons(cut)
+			s.awaitGroups(2)
+			must.EqOp(t, 1, s.servedFraction(s.daemons[0]))
+			links.Cut()
+			for began := time.Now(); time.Since(began) < contactTime; {
+				s.servedFraction(s.daemons[0])
+			}
+			for _, d := range s.daemons {
+				must.GreaterEq(t, minServedFraction, s.servedFraction(d))
+			}
+			must.NoError(t, links.Restore())
+			eventually(t, "the daemon connects to workers again", func() bool { return s.servedFraction(s.daemons[0]) == 1 })
+		})
+	}
+}
+
+// servedFraction sends a daemon requests of each kind, and returns the fraction that got a whole
+// answer. A request that may not be repeated must not run twice.
+func (s *testCluster) servedFraction(d *Daemon) float64 {
+	s.t.Helper()
+	sent, served := 0, 0
+	for range 5 {
+		for _, path := range []string{"/get/x", "/post/x", "/ask/q"} {
+			a := s.newRequest(http.MethodPost, path)
+			a.Header = streamHeader()
+			r := d.Send(s.t.Context(), a)
+			sent++
+			if r.Err == nil && r.Status == http.StatusOK && (path != "/ask/q" || completeStream(a.ID, r)) {
+				served++
+			}
+			if path == "/post/x" {
+				must.LessEq(s.t, 1, len(s.runs(a.ID)))
+			}
+		}
+	}
+	return float64(served) / float64(sent)
+}
