serving, platform, deps: Forward requests while no worker can be reached

Cause: a daemon knew no way to a worker but its own connections.

Why it holds: the other daemons are reached by other links; one that can't reach the workers either says so at once; what may have run is forwarded only if it may be repeated; the peer keeps to the attempts and the time that are left, and never forwards again.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -215,6 +215,16 @@
 	leaseReleaseTimeout = time.Second
 )
 
+// inFlightPoll is the interval between checks for requests in flight.
+const inFlightPoll = 20 * time.Millisecond
+
+// awaitForwarded waits until the requests that other daemons forwarded are finished, or ctx ends.
+func (p *edgeProcess) awaitForwarded(ctx context.Context) {
+	for p.edge.Server.InFlight() > 0 && ctx.Err() == nil {
+		time.Sleep(inFlightPoll)
+	}
+}
+
 // drain releases the lease, leaves the balancer time to send callers elsewhere and
 // finishes the requests in flight. It uses the grace time in force when it starts.
 func (p *edgeProcess) drain() {
@@ -231,6 +241,7 @@
 	ctx, cancel = context.WithDeadline(context.Background(), end)
 	defer cancel()
 	p.callersServer.Shutdown(ctx)
+	p.awaitForwarded(ctx)
 	for _, server := range p.auxServers {
 		server.Close()
 	}
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -104,6 +104,7 @@
 	e.reach = newWorkerReach(e)
 	upstream, closeUpstream := platform.NewUpstream(e.reach.Connected)
 	e.reach.upstream = upstream
+	forwards, closeForwards := platform.NewForwardClient()
 	orders, closeOrders := platform.NewOrders()
 	e.followers = newTableFollowers(e, client, peers)
 	e.Workers = workers.NewRegistry(e.workersChanged)
@@ -121,12 +122,12 @@
 	e.loads = newLoadReporter(e, peers)
 	e.retries = newRetryShare(e)
 	e.quarantine = newCrashQuarantine(e, peers, upstream)
-	e.wireServing(upstream)
+	e.wireServing(upstream, forwards)
 	e.wireControl(orders)
-	e.Peers = e.followers.handler(reportHandler{e})
 	e.registerGauges()
 	return e, func() {
 		closeOrders()
+		closeForwards()
 		closeUpstream()
 		closePeers()
 		closeStore()
@@ -139,7 +140,7 @@
 	return replica.Node{Name: s.Name(), Addr: s.PeersAddr(), Hall: s.Hall(), Cores: s.Cores()}
 }
 
-func (e *Edge) wireServing(upstream serving.Upstream) {
+func (e *Edge) wireServing(upstream serving.Upstream, forwards *platform.ForwardClient) {
 	e.Server = serving.NewServer(serving.Options{
 		Catalogs:         e.Catalogs,
 		Workers:          e.Workers.View,
@@ -154,6 +155,7 @@
 		Evidence:         func() catalog.EvidencePolicy { return evidencePolicy(e.settings.Bounds()) },
 		Allowance:        e.retries.allowance,
 		Reach:            e.reach,
+		Forwarder:        newForwarder(e, forwards),
 		Suspect:          e.reporter.report,
 		RecordDemand:     e.loads.record,
 		DemandShare:      e.loads.Part,
@@ -165,7 +167,9 @@
 		Now:              clock.Now,
 		Log:              e.Log,
 	})
-	e.Ingress = platform.NewIngress(e.Server, e.bodyLimit)
+	ingress := platform.NewIngress(e.Server, e.bodyLimit)
+	e.Ingress = ingress
+	e.Peers = platform.NewForwardHandler(ingress, e.followers.handler(reportHandler{e}))
 }
 
 func (e *Edge) wireControl(orders *platform.Orders) {
--- /dev/null
+++ b/deps/forward.go
@@ -0,0 +1,89 @@
+package deps
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pointpass/pointpass/common/clock"
+	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/serving"
+)
+
+const (
+	// maxForwardPeers limits how many peers are tried for a request. Most of them may be cut off
+	// too, and each answers at once if it is.
+	maxForwardPeers = 6
+	// avoidPeerTime is how long a peer isn't tried that can't be reached or can't reach the
+	// workers of a service.
+	avoidPeerTime = time.Second
+	// maxAvoided bounds how many peers are remembered.
+	maxAvoided = 4096
+)
+
+// forwarder sends requests to other daemons while this one is cut off from the workers. It
+// implements serving.Forwarder.
+type forwarder struct {
+	edge   *Edge
+	client *platform.ForwardClient
+
+	mu sync.Mutex
+	// avoided maps peers to until when they aren't tried.
+	avoided map[avoidedPeer]time.Time
+}
+
+// avoidedPeer is a peer and the service whose workers it can't reach.
+type avoidedPeer struct{ peer, service string }
+
+func newForwarder(e *Edge, client *platform.ForwardClient) *forwarder {
+	return &forwarder{edge: e, client: client, avoided: map[avoidedPeer]time.Time{}}
+}
+
+// Peers returns daemons in random order, which spreads the requests, those of this region first.
+func (f *forwarder) Peers(service string) []serving.Peer {
+	self := f.edge.settings.Current().Name()
+	now := clock.Now()
+	var near, far []serving.Peer
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.edge.followers.control.Load().Nodes {
+		switch {
+		case n.Name == self || n.Addr == "" || now.Before(f.avoided[avoidedPeer{n.Name, service}]):
+		case f.edge.sameRegion(n.Hall):
+			near = append(near, serving.Peer{Name: n.Name, Addr: n.Addr})
+		default:
+			far = append(far, serving.Peer{Name: n.Name, Addr: n.Addr})
+		}
+	}
+	for _, peers := range [][]serving.Peer{near, far} {
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	}
+	peers := slices.Concat(near, far)
+	return peers[:min(maxForwardPeers, len(peers))]
+}
+
+// Forward sends a request to a peer.
+func (f *forwarder) Forward(ctx context.Context, p serving.Peer, service string, r serving.Forward) (*serving.Reply, error) {
+	r.From = f.edge.settings.Current().Name()
+	reply, err := f.client.Forward(ctx, p.Addr, r)
+	var notSent *serving.NotSentError
+	if errors.As(err, &notSent) && ctx.Err() == nil || err == nil && reply.Unreachable {
+		f.avoid(avoidedPeer{p.Name, service}, err)
+	}
+	return reply, err
+}
+
+// avoid makes a peer not be tried for a while.
+func (f *forwarder) avoid(p avoidedPeer, err error) {
+	now := clock.Now()
+	f.mu.Lock()
+	if len(f.avoided) >= maxAvoided {
+		clear(f.avoided)
+	}
+	f.avoided[p] = now.Add(avoidPeerTime)
+	f.mu.Unlock()
+	f.edge.Log.Info().Str("event", "peer_avoided").Str("peer", p.peer).Str("service", p.service).Err(err).Msg("it can't be reached or can't reach the workers")
+}
--- a/deps/reach.go
+++ b/deps/reach.go
@@ -36,7 +36,7 @@
 	edge *Edge
 
 	mu sync.Mutex
-	// list holds the workers of view.
+	// list holds the workers of view that get requests.
 	view *workers.View
 	list []workers.Worker
 	// halls is the number of data halls of list, next the index of the next worker to try.
@@ -134,7 +134,7 @@
 	if view == s.view {
 		return
 	}
-	s.view, s.list = view, slices.Clone(view.ByService(s.name))
+	s.view, s.list = view, targets(view, s.name)
 	halls := map[string]bool{}
 	for _, w := range s.list {
 		halls[w.Hall] = true
@@ -154,3 +154,18 @@
 	}
 	return next
 }
+
+// targets returns the workers of a service that get requests: the heads of its groups, if there
+// are any.
+func targets(view *workers.View, service string) []workers.Worker {
+	var heads []workers.Worker
+	for _, g := range view.Groups() {
+		if head, found := g.Head(); found && g.Service == service && head.Membership.State == workers.Open {
+			heads = append(heads, head)
+		}
+	}
+	if len(heads) > 0 {
+		return heads
+	}
+	return slices.Clone(view.ByService(service))
+}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -60,9 +60,14 @@
 	// answerStarted is set once the head of an answer was written to the caller.
 	answerStarted bool
 	status        int
-	firstEvent    time.Time
-	lastEvent     string
-	resumed       int
+	// forwardedTo is the peer that the request was forwarded to, and forwardedBy the one that
+	// forwarded it here, "" if none did.
+	forwardedTo, forwardedBy string
+	// attempts limits the workers that a forwarded request may be sent to, 0 if it isn't one.
+	attempts   int
+	firstEvent time.Time
+	lastEvent  string
+	resumed    int
 	// failure is a worker's error answer, kept for the case that no other worker can be tried.
 	failure *bufferedAnswer
 }
@@ -111,8 +116,16 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline.Add(-deadlineMargin), context.DeadlineExceeded)
 	defer cancel()
 	for {
+		if e.mayForward() && e.server.opts.Reach.Silenced(e.service.Name) {
+			if done, f := e.forward(ctx); done {
+				return f
+			}
+		}
 		target, f := e.choose(ctx)
 		if f != nil {
+			if done, forwarded := e.forwardRefused(ctx); done {
+				return forwarded
+			}
 			return e.giveUp(f)
 		}
 		retryable, f := e.attempt(ctx, target)
@@ -122,7 +135,7 @@
 		if ctx.Err() != nil {
 			return e.expired(ctx)
 		}
-		if e.sent >= e.route.Attempts {
+		if e.sent >= e.maxAttempts() {
 			return e.giveUp(f)
 		}
 		if e.sent > 0 && !e.spendRetry() {
@@ -131,6 +144,14 @@
 	}
 }
 
+// maxAttempts returns how many workers the request may be sent to.
+func (e *exchange) maxAttempts() int {
+	if e.attempts > 0 {
+		return min(e.attempts, e.route.Attempts)
+	}
+	return e.route.Attempts
+}
+
 // spendRetry counts a retry against the budget of the service, and reports whether the budget had
 // room for it.
 func (e *exchange) spendRetry() bool {
@@ -312,7 +333,7 @@
 	answer := &bufferedAnswer{reply: reply, body: body}
 	failed := reply.Status >= http.StatusInternalServerError
 	e.recordAnswer(target, failed)
-	if failed && e.route.IsRepeatable() && e.sent < e.route.Attempts {
+	if failed && e.route.IsRepeatable() && e.sent < e.maxAttempts() {
 		e.logFailedAttempt(target, &failedError{status: reply.Status})
 		if relayableStatus(reply.Status) {
 			e.failure = answer
--- /dev/null
+++ b/serving/forward.go
@@ -0,0 +1,197 @@
+package serving
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/pointpass/pointpass/catalog"
+)
+
+// Peer is another daemon.
+type Peer struct{ Name, Addr string }
+
+// Forward is a request that a daemon asks a peer to run, since it can't reach the workers itself.
+type Forward struct {
+	Attempt
+	// Attempts is how many workers the peer may send the request to.
+	Attempts int
+	// From is the name of the daemon that forwards the request.
+	From string
+}
+
+// Forwarder sends requests to peers.
+type Forwarder interface {
+	// Peers returns the peers to try for a service, best first.
+	Peers(service string) []Peer
+	// Forward returns a peer's answer, or an error as of Upstream.Send. It remembers for a while
+	// which peers can't be reached or can't reach the workers.
+	Forward(ctx context.Context, p Peer, service string, f Forward) (*Reply, error)
+}
+
+// UnreachableHeader is set on the answer of a peer that didn't run a request, as it can't reach the
+// workers either.
+const UnreachableHeader = "Pointpass-Unreachable"
+
+// unreachableFault is the response to a request whose workers no daemon reaches.
+func unreachableFault() *fault {
+	return &fault{status: http.StatusServiceUnavailable, reason: "no worker can be reached", retryAfter: unavailableRetryDelay}
+}
+
+// mayForward reports whether the request may run at a peer: this daemon is cut off from the
+// workers, and the request can't have run unless it may be repeated. A forwarded request isn't
+// forwarded again.
+func (e *exchange) mayForward() bool {
+	if e.forwardedBy != "" || !e.server.opts.Reach.Cut(e.service.Name) {
+		return false
+	}
+	if e.answerStarted && e.route.Kind != catalog.Stream {
+		return false
+	}
+	return !e.mayHaveRun || e.route.IsRepeatable()
+}
+
+// forwardRefused forwards a request for which this daemon has no target left.
+func (e *exchange) forwardRefused(ctx context.Context) (done bool, f *fault) {
+	if len(e.tried) == 0 || !e.mayForward() {
+		return false, nil
+	}
+	return e.forward(ctx)
+}
+
+// forward has peers run the request. It returns false if none could, unless it is known that none
+// can.
+func (e *exchange) forward(ctx context.Context) (done bool, f *fault) {
+	s := e.server
+	service := e.service.Name
+	unreachable := false
+	for _, p := range s.opts.Forwarder.Peers(service) {
+		left := e.deadline.Sub(s.opts.Now())
+		if left < minAttemptTime {
+			return true, e.expired(ctx)
+		}
+		a := e.newAttempt(Target{}, left)
+		reply, err := s.opts.Forwarder.Forward(ctx, p, service, Forward{Attempt: a, Attempts: e.maxAttempts() - e.sent})
+		var notSent *NotSentError
+		switch {
+		case errors.As(err, &notSent):
+			if ctx.Err() != nil {
+				return true, e.expired(ctx)
+			}
+		case err != nil:
+			return true, e.forwardLost(ctx, p, err)
+		case reply.Unreachable:
+			reply.Body.Close()
+			unreachable = true
+		default:
+			s.opts.Counters.forwarded.Inc()
+			e.forwardedTo = p.Name
+			return true, e.relayForwarded(ctx, p, reply)
+		}
+	}
+	s.opts.Counters.notForwarded.Inc()
+	if unreachable && s.opts.Reach.Silenced(service) {
+		return true, e.giveUp(unreachableFault())
+	}
+	return false, nil
+}
+
+// forwardLost handles a request that was sent to a peer whose answer is lost. The peer may have used
+// all attempts.
+func (e *exchange) forwardLost(ctx context.Context, p Peer, err error) *fault {
+	e.forwardedTo = p.Name
+	e.mayHaveRun = true
+	e.sent = e.maxAttempts()
+	e.server.opts.Log.Warn().Str("event", "forward_failed").Str("id", e.req.ID).Str("to", p.Name).Err(err).Msg("")
+	if ctx.Err() != nil {
+		return e.expired(ctx)
+	}
+	return e.giveUp(&fault{status: http.StatusBadGateway, reason: "the answer of another daemon is lost", aborted: e.answerStarted})
+}
+
+// relayForwarded relays the answer of a peer, which is final.
+func (e *exchange) relayForwarded(ctx context.Context, p Peer, reply *Reply) *fault {
+	defer reply.Body.Close()
+	if e.route.Kind == catalog.Stream && reply.Status == http.StatusOK {
+		return e.relayForwardedStream(ctx, p, reply)
+	}
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = io.ErrShortBuffer
+	}
+	if err != nil {
+		return e.forwardLost(ctx, p, err)
+	}
+	if e.answerStarted {
+		return &fault{status: http.StatusBadGateway, reason: "the stream can't be resumed", aborted: true}
+	}
+	e.writeBuffered(&bufferedAnswer{reply: reply, body: body})
+	return nil
+}
+
+// relayForwardedStream relays the events of a stream from a peer.
+func (e *exchange) relayForwardedStream(ctx context.Context, p Peer, reply *Reply) *fault {
+	control := http.NewResponseController(e.w)
+	scanner := newEventScanner(reply.Body)
+	for scanner.Scan() {
+		err := e.relayEvent(scanner.Bytes(), reply, control)
+		var gone *callerError
+		if errors.As(err, &gone) {
+			return &fault{status: http.StatusBadGateway, reason: gone.Error(), aborted: true}
+		}
+		if err != nil {
+			return e.forwardLost(ctx, p, err)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return e.forwardLost(ctx, p, err)
+	}
+	if !e.answerStarted { // the answer has no events
+		e.startAnswer(reply)
+		e.w.WriteHeader(reply.Status)
+	}
+	return nil
+}
+
+// newEventScanner returns a scanner of the events of a stream.
+func newEventScanner(r io.Reader) *bufio.Scanner {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, initialBufferBytes), maxEventBytes)
+	scanner.Split(splitEvent)
+	return scanner
+}
+
+// ServeForwarded answers a request that a peer forwards. The peer has admitted it: it counts there
+// as demand and as a request of the retry budget, and waits there for its place in the window.
+func (s *Server) ServeForwarded(w http.ResponseWriter, r *http.Request, f Forward) {
+	count := s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	e := &exchange{server: s, w: w, req: f.Request, arrived: s.opts.Now(), lastEvent: f.Request.LastEvent, forwardedBy: f.From, attempts: f.Attempts}
+	e.finish(r.Context(), e.serveForwarded(r.Context(), count))
+}
+
+func (e *exchange) serveForwarded(ctx context.Context, inFlight int64) *fault {
+	s := e.server
+	f := e.admit(inFlight)
+	if f != nil && f.status != http.StatusServiceUnavailable {
+		// Its configuration may differ from that of the peer, whose decision counts.
+		return &fault{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: configRetryDelay}
+	}
+	if f != nil {
+		return f
+	}
+	if s.stopping.Load() || s.opts.Reach.Silenced(e.service.Name) {
+		e.w.Header().Set(UnreachableHeader, "1")
+		return unreachableFault()
+	}
+	if f := e.run(ctx); f != nil {
+		if !e.mayHaveRun && s.opts.Reach.Cut(e.service.Name) {
+			e.w.Header().Set(UnreachableHeader, "1")
+		}
+		return f
+	}
+	e.recordFinished()
+	return nil
+}
--- a/serving/record.go
+++ b/serving/record.go
@@ -28,6 +28,9 @@
 	overload *metrics.Counter
 	// unknownRegion counts the targets left out because their hall's region is unknown.
 	unknownRegion *metrics.Counter
+	// forwarded counts the requests that peers ran, notForwarded those that no peer could run.
+	forwarded    *metrics.Counter
+	notForwarded *metrics.Counter
 	// warned counts the warnings about groups from other daemons.
 	warned *metrics.Counter
 	// oldEvidence counts the verdicts that rested on old evidence.
@@ -51,6 +54,8 @@
 		held:          set.NewCounter("pointpass_held_back_total"),
 		overload:      set.NewCounter("pointpass_refused_overload_total"),
 		unknownRegion: set.NewCounter("pointpass_targets_unknown_region_total"),
+		forwarded:     set.NewCounter(`pointpass_forwarded_total{outcome="answered"}`),
+		notForwarded:  set.NewCounter(`pointpass_forwarded_total{outcome="no peer"}`),
 		warned:        set.NewCounter("pointpass_group_warnings_total"),
 		firstEvent:    set.NewHistogram("pointpass_first_event_seconds"),
 		duration:      set.NewHistogram("pointpass_request_seconds"),
@@ -132,6 +137,9 @@
 			Bool("share_binds", r.state.Binds).Float64("share_part", r.state.Part).Float64("queue_s", r.state.Queue).
 			Float64("share", r.entry.Rate).Float64("asked", r.entry.Load).Dur("work", r.entry.Work).Float64("rank", r.entry.Rank)
 	}
+	if e.forwardedTo != "" || e.forwardedBy != "" {
+		entry = entry.Str("forwarded_to", e.forwardedTo).Str("forwarded_by", e.forwardedBy)
+	}
 	if u := e.overBudget; u != nil {
 		entry = entry.Int("budget_requests", u.Requests).Int("budget_retries", u.Retries).Float64("budget_limit", u.Limit)
 	}
--- a/serving/request.go
+++ b/serving/request.go
@@ -64,6 +64,8 @@
 	Body   io.ReadCloser
 	// NotRun is set if the worker didn't run the request and won't.
 	NotRun bool
+	// Unreachable is set if a peer didn't run the request, as it can't reach the workers.
+	Unreachable bool
 	// WrongWorker is set if a worker other than the intended one answered.
 	WrongWorker bool
 	// Backpressure is what the worker asks for in the head of its answer.
--- a/serving/server.go
+++ b/serving/server.go
@@ -45,6 +45,8 @@
 	Allowance func() retry.Allowance
 	// Reach tracks whether workers can be reached.
 	Reach Reach
+	// Forwarder sends requests to peers while workers can't be reached.
+	Forwarder Forwarder
 	// Suspect is called with each group that fails a request.
 	Suspect func(group string, failure Failure)
 	// RecordDemand is called with the work that each request demands of a model, also if the
@@ -91,6 +93,10 @@
 	// Failed records that a connection to a worker couldn't be opened, or was lost without a sign
 	// of life.
 	Failed(w workers.Worker)
+	// Cut reports whether no connection to a service's workers can be opened, and Silenced whether
+	// these also send nothing on older ones.
+	Cut(service string) bool
+	Silenced(service string) bool
 }
 
 // Server sends requests to workers and relays their answers.
@@ -225,7 +231,9 @@
 	}
 	e.service = service
 	e.deadline = e.arrived.Add(requestTimeout(e.req.Timeout, route.Timeout))
-	s.budget(service.Name).Request(e.arrived)
+	if e.forwardedBy == "" {
+		s.budget(service.Name).Request(e.arrived)
+	}
 	return nil
 }
 
--- a/serving/serving_test.go
+++ b/serving/serving_test.go
@@ -299,4 +299,6 @@
 type anyReach struct{}
 
 func (anyReach) Answered(workers.Worker) {}
+func (anyReach) Cut(string) bool         { return false }
+func (anyReach) Silenced(string) bool    { return false }
 func (anyReach) Failed(workers.Worker)   {}
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -1,7 +1,6 @@
 package serving
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -28,9 +27,7 @@
 // another target may resume it.
 func (e *exchange) relayStream(ctx context.Context, target Target, reply *Reply, watch *watch) (retryable bool, f *fault) {
 	control := http.NewResponseController(e.w)
-	scanner := bufio.NewScanner(reply.Body)
-	scanner.Buffer(make([]byte, 0, initialBufferBytes), maxEventBytes)
-	scanner.Split(splitEvent)
+	scanner := newEventScanner(reply.Body)
 	for scanner.Scan() {
 		e.server.opts.Reach.Answered(target.Worker)
 		watch.recordEvent()
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -160,7 +160,7 @@
 // canMove reports whether the stream may be resumed at another target.
 func (w *watch) canMove(now time.Time) bool {
 	e := w.exchange
-	if w.attempts >= e.route.Attempts || !e.server.hasRetry(e.service.Name, now) {
+	if w.attempts >= e.maxAttempts() || !e.server.hasRetry(e.service.Name, now) {
 		return false
 	}
 	targets, _ := e.allowedTargets()
