serving: Give a forwarded request back once the peer is silenced too

Now it answers that it reaches none as soon as it knows, and the request goes to the next peer. The new case of TestServeForwarded was red before (4 workers tried, 1 asked for).

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -116,8 +116,8 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline.Add(-deadlineMargin), context.DeadlineExceeded)
 	defer cancel()
 	for {
-		if e.mayForward() && e.server.opts.Reach.Silenced(e.service.Name) {
-			if done, f := e.forward(ctx); done {
+		if e.server.opts.Reach.Silenced(e.service.Name) {
+			if done, f := e.forwardSilenced(ctx); done {
 				return f
 			}
 		}
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -53,6 +53,18 @@
 	return !e.mayHaveRun || e.route.IsRepeatable()
 }
 
+// forwardSilenced forwards a request whose workers send nothing, without trying them. A request that
+// another daemon forwarded goes back at once, so that it can be forwarded elsewhere.
+func (e *exchange) forwardSilenced(ctx context.Context) (done bool, f *fault) {
+	if e.forwardedBy != "" && !e.mayHaveRun {
+		return true, unreachableFault()
+	}
+	if !e.mayForward() {
+		return false, nil
+	}
+	return e.forward(ctx)
+}
+
 // forwardRefused forwards a request for which this daemon has no target left.
 func (e *exchange) forwardRefused(ctx context.Context) (done bool, f *fault) {
 	if len(e.tried) == 0 || !e.mayForward() {
@@ -182,7 +194,7 @@
 	if f != nil {
 		return f
 	}
-	if s.stopping.Load() || s.opts.Reach.Silenced(e.service.Name) {
+	if s.stopping.Load() {
 		e.w.Header().Set(UnreachableHeader, "1")
 		return unreachableFault()
 	}
--- a/serving/forward_test.go
+++ b/serving/forward_test.go
@@ -23,6 +23,16 @@
 func (r fixedReach) Cut(string) bool       { return r.cut }
 func (r fixedReach) Silenced(string) bool  { return r.silenced }
 
+// laterSilenced is silenced once a connection has failed.
+type laterSilenced struct {
+	fixedReach
+	failed bool
+}
+
+func (r *laterSilenced) Failed(workers.Worker) { r.failed = true }
+func (r *laterSilenced) Cut(string) bool       { return r.failed }
+func (r *laterSilenced) Silenced(string) bool  { return r.failed }
+
 // peers is a Forwarder with one handler per peer.
 type peers struct {
 	handlers []handler
@@ -140,7 +150,7 @@
 func TestServeForwarded(t *testing.T) {
 	for _, c := range []struct {
 		name        string
-		reach       fixedReach
+		reach       Reach
 		stopping    bool
 		workers     []handler
 		status      int
@@ -152,6 +162,7 @@
 		{"silenced", silenced, false, []handler{never(t)}, 503, 0, true},
 		{"cut off", cut, false, []handler{unreachable}, 503, 4, true},
 		{"cut off later", cut, false, []handler{loseAnswer, unreachable}, 503, 4, false},
+		{"silenced meanwhile", &laterSilenced{}, false, []handler{unreachable}, 503, 1, true},
 		{"stopping", fixedReach{}, true, []handler{never(t)}, 503, 0, true},
 	} {
 		f := newFleet(catalog.Repeatable, allHalls[:4], c.workers...)
