replica: Add a failing test of a member that is silent for a second

What callers see: a group less until it is formed again, though its member goes on after a second. Two probes of 0.3 s that time out count as a death.

--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -141,6 +142,61 @@
 	}
 }
 
+// pausingProber is a Prober that some workers answer only after a pause since it was made.
+type pausingProber struct {
+	start  time.Time
+	pauses map[string]time.Duration
+}
+
+func (p pausingProber) Answers(ctx context.Context, w workers.Worker) bool {
+	left := p.pauses[w.ID] - time.Since(p.start)
+	if left <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(left):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// TestProbe_SilentSecondIsNotDead guards against groups that are dissolved since a sound member was
+// silent for a second, and against requests that wait for it meanwhile.
+func TestProbe_SilentSecondIsNotDead(t *testing.T) {
+	const pause, dead = 1200 * time.Millisecond, time.Hour
+	for _, c := range []struct {
+		pauses []time.Duration
+		want   []string
+	}{
+		{[]time.Duration{0, pause, 0, 0}, nil},
+		{[]time.Duration{0, dead, 0, 0}, []string{"i1"}},
+		{[]time.Duration{pause, dead, 0, 0}, []string{"i1"}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			prober := pausingProber{start: time.Now(), pauses: map[string]time.Duration{}}
+			var members []workers.Worker
+			for i, d := range c.pauses {
+				id := fmt.Sprint("i", i)
+				members = append(members, workers.Worker{ID: id})
+				prober.pauses[id] = d
+			}
+			var warned time.Duration
+			controller := NewController(Options{
+				Prober: prober, OnMemberDead: func(string) { warned = time.Since(prober.start) },
+				Metrics: metrics.NewSet(), Now: time.Now, Log: &log.Logger{Level: log.PanicLevel},
+			})
+			controller.probe(t.Context(), 1, &workers.Group{ID: workers.GroupID{Name: "m.1"}, Members: members})
+			must.Between(t, time.Millisecond, warned, time.Second)
+			var reported []string
+			for range len(controller.probeResults) {
+				reported = append(reported, (<-controller.probeResults).worker.ID)
+			}
+			must.Eq(t, c.want, reported)
+		})
+	}
+}
+
 func TestOutranked_IgnoresJoinsAndUnfencedOrders(t *testing.T) {
 	for _, c := range []struct {
 		op      Op
