--- a/common/tcp/tcp.go
+++ b/common/tcp/tcp.go
@@ -10,7 +10,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// Keep-alive settings of idle connections.
+// Keep-alive settings of idle connections. With TCP_USER_TIMEOUT set, Linux ignores the number of
+// probes: a connection fails at the first check, an interval after a probe, at which nothing has
+// come for the user timeout.
 const (
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
