serving: Run no forwarded request by an older configuration

A daemon that has a new configuration and is cut off could have a request run by a peer that doesn't have it yet: its callers would see it go back to the older one (CONFIG allows 250 ms). The forwarded request carries the version that admitted it, and a peer with an older one turns it away, so that it goes to the next. Case "an older configuration" of TestServeForwarded.

--- a/serving/forward.go
+++ b/serving/forward.go
@@ -20,6 +20,9 @@
 	Attempts int
 	// From is the name of the daemon that forwards the request.
 	From string
+	// ConfigVersion is the version of the configuration by which that daemon admitted it. A peer
+	// with an older one must not run the request, as the daemon would then seem to go back.
+	ConfigVersion uint64
 }
 
 // Forwarder sends requests to peers.
@@ -31,8 +34,8 @@
 	Forward(ctx context.Context, p Peer, service string, f Forward) (*Reply, error)
 }
 
-// UnreachableHeader is set on the answer of a peer that didn't run a request, as it can't reach the
-// workers either.
+// UnreachableHeader is set on the answer of a peer that didn't run a request and mustn't be asked
+// again soon: it can't reach the workers either, is stopping, or has an older configuration.
 const UnreachableHeader = "Pointpass-Unreachable"
 
 // unreachableFault is the response to a request whose workers no daemon reaches.
@@ -85,7 +88,7 @@
 			return true, e.expired(ctx)
 		}
 		a := e.newAttempt(Target{}, left)
-		reply, err := s.opts.Forwarder.Forward(ctx, p, service, Forward{Attempt: a, Attempts: e.maxAttempts() - e.sent})
+		reply, err := s.opts.Forwarder.Forward(ctx, p, service, Forward{Attempt: a, Attempts: e.maxAttempts() - e.sent, ConfigVersion: e.inForce.Catalog.Version()})
 		var notSent *NotSentError
 		switch {
 		case errors.As(err, &notSent):
@@ -181,12 +184,16 @@
 	count := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	e := &exchange{server: s, w: w, req: f.Request, arrived: s.opts.Now(), lastEvent: f.Request.LastEvent, forwardedBy: f.From, attempts: f.Attempts}
-	e.finish(r.Context(), e.serveForwarded(r.Context(), count))
+	e.finish(r.Context(), e.serveForwarded(r.Context(), count, f.ConfigVersion))
 }
 
-func (e *exchange) serveForwarded(ctx context.Context, inFlight int64) *fault {
+func (e *exchange) serveForwarded(ctx context.Context, inFlight int64, minVersion uint64) *fault {
 	s := e.server
 	f := e.admit(inFlight)
+	if c := e.inForce.Catalog; s.stopping.Load() || c == nil || c.Version() < minVersion {
+		e.w.Header().Set(UnreachableHeader, "1")
+		return unreachableFault()
+	}
 	if f != nil && f.status != http.StatusServiceUnavailable {
 		// Its configuration may differ from that of the peer, whose decision counts.
 		return &fault{status: http.StatusServiceUnavailable, reason: f.reason, retryAfter: configRetryDelay}
@@ -194,10 +201,6 @@
 	if f != nil {
 		return f
 	}
-	if s.stopping.Load() {
-		e.w.Header().Set(UnreachableHeader, "1")
-		return unreachableFault()
-	}
 	if f := e.run(ctx); f != nil {
 		if !e.mayHaveRun && s.opts.Reach.Cut(e.service.Name) {
 			e.w.Header().Set(UnreachableHeader, "1")
--- a/serving/forward_test.go
+++ b/serving/forward_test.go
@@ -152,18 +152,20 @@
 		name        string
 		reach       Reach
 		stopping    bool
+		version     uint64
 		workers     []handler
 		status      int
 		sent        int
 		unreachable bool
 	}{
-		{"served", fixedReach{}, false, []handler{signed}, 200, 1, false},
-		{"attempts", fixedReach{}, false, []handler{loseAnswer}, 502, 2, false},
-		{"silenced", silenced, false, []handler{never(t)}, 503, 0, true},
-		{"cut off", cut, false, []handler{unreachable}, 503, 4, true},
-		{"cut off later", cut, false, []handler{loseAnswer, unreachable}, 503, 4, false},
-		{"silenced meanwhile", &laterSilenced{}, false, []handler{unreachable}, 503, 1, true},
-		{"stopping", fixedReach{}, true, []handler{never(t)}, 503, 0, true},
+		{"served", fixedReach{}, false, 1, []handler{signed}, 200, 1, false},
+		{"attempts", fixedReach{}, false, 1, []handler{loseAnswer}, 502, 2, false},
+		{"silenced", silenced, false, 1, []handler{never(t)}, 503, 0, true},
+		{"cut off", cut, false, 1, []handler{unreachable}, 503, 4, true},
+		{"cut off later", cut, false, 1, []handler{loseAnswer, unreachable}, 503, 4, false},
+		{"silenced meanwhile", &laterSilenced{}, false, 1, []handler{unreachable}, 503, 1, true},
+		{"an older configuration", fixedReach{}, false, 2, []handler{never(t)}, 503, 0, true},
+		{"stopping", fixedReach{}, true, 1, []handler{never(t)}, 503, 0, true},
 	} {
 		f := newFleet(catalog.Repeatable, allHalls[:4], c.workers...)
 		f.configure(nil, nil)
@@ -173,7 +175,7 @@
 		}
 		w := httptest.NewRecorder()
 		req := &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Credential: "key", Timeout: time.Minute}
-		f.server.ServeForwarded(w, httptest.NewRequest(http.MethodPost, "http://a.example/x", nil), Forward{Attempt: Attempt{Request: req}, Attempts: 2, From: "other"})
+		f.server.ServeForwarded(w, httptest.NewRequest(http.MethodPost, "http://a.example/x", nil), Forward{Attempt: Attempt{Request: req}, Attempts: 2, From: "other", ConfigVersion: c.version})
 		must.EqOp(t, c.status, w.Code, must.Sprint(c.name))
 		must.Len(t, c.sent, f.regions, must.Sprint(c.name))
 		must.EqOp(t, c.unreachable, w.Header().Get(UnreachableHeader) != "", must.Sprint(c.name))
