serving, deps: Refuse at once while all peers are known to be cut off too

While all daemons are cut off and each was asked within the last second, a request found no peer and was tried here, half a second a worker until its deadline, though it was known that nobody reaches one. It is refused at once now; case "all peers were asked before" of TestForward_AtMostOnceAndWithinAttempts. Found by reading.

A line for each peer that is avoided came once a second and peer, at 300 daemons some hundred lines a second; one each 30 s now.

--- a/deps/forward.go
+++ b/deps/forward.go
@@ -20,6 +20,8 @@
 	// avoidPeerTime is how long a peer isn't tried that can't be reached or can't reach the
 	// workers of a service.
 	avoidPeerTime = time.Second
+	// avoidLogInterval is the minimum time between two log lines about the same peer and service.
+	avoidLogInterval = 30 * time.Second
 	// maxAvoided bounds how many peers are remembered.
 	maxAvoided = 4096
 )
@@ -30,20 +32,22 @@
 	edge   *Edge
 	client *platform.ForwardClient
 
-	mu sync.Mutex
-	// avoided maps peers to until when they aren't tried.
-	avoided map[avoidedPeer]time.Time
+	mu      sync.Mutex
+	avoided map[avoidedPeer]avoidance
 }
 
 // avoidedPeer is a peer and the service whose workers it can't reach.
 type avoidedPeer struct{ peer, service string }
 
+// avoidance is until when a peer isn't tried, and when that was last logged.
+type avoidance struct{ until, logged time.Time }
+
 func newForwarder(e *Edge, client *platform.ForwardClient) *forwarder {
-	return &forwarder{edge: e, client: client, avoided: map[avoidedPeer]time.Time{}}
+	return &forwarder{edge: e, client: client, avoided: map[avoidedPeer]avoidance{}}
 }
 
 // Peers returns daemons in random order, which spreads the requests, those of this region first.
-func (f *forwarder) Peers(service string) []serving.Peer {
+func (f *forwarder) Peers(service string) (list []serving.Peer, exhausted bool) {
 	self := f.edge.settings.Current().Name()
 	now := clock.Now()
 	var near, far []serving.Peer
@@ -51,7 +55,9 @@
 	defer f.mu.Unlock()
 	for _, n := range f.edge.followers.control.Load().Nodes {
 		switch {
-		case n.Name == self || n.Addr == "" || now.Before(f.avoided[avoidedPeer{n.Name, service}]):
+		case n.Name == self || n.Addr == "":
+		case now.Before(f.avoided[avoidedPeer{n.Name, service}].until):
+			exhausted = true
 		case f.edge.sameRegion(n.Hall):
 			near = append(near, serving.Peer{Name: n.Name, Addr: n.Addr})
 		default:
@@ -61,8 +67,8 @@
 	for _, peers := range [][]serving.Peer{near, far} {
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	}
-	peers := slices.Concat(near, far)
-	return peers[:min(maxForwardPeers, len(peers))]
+	list = slices.Concat(near, far)
+	return list[:min(maxForwardPeers, len(list))], exhausted && len(list) == 0
 }
 
 // Forward sends a request to a peer.
@@ -78,12 +84,24 @@
 
 // avoid makes a peer not be tried for a while.
 func (f *forwarder) avoid(p avoidedPeer, err error) {
-	now := clock.Now()
+	if f.markAvoided(p, clock.Now()) {
+		f.edge.Log.Info().Str("event", "peer_avoided").Str("peer", p.peer).Str("service", p.service).Err(err).Msg("it can't be reached or can't reach the workers")
+	}
+}
+
+// markAvoided records that a peer is avoided, and reports whether to log it.
+func (f *forwarder) markAvoided(p avoidedPeer, now time.Time) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if len(f.avoided) >= maxAvoided {
 		clear(f.avoided)
 	}
-	f.avoided[p] = now.Add(avoidPeerTime)
-	f.mu.Unlock()
-	f.edge.Log.Info().Str("event", "peer_avoided").Str("peer", p.peer).Str("service", p.service).Err(err).Msg("it can't be reached or can't reach the workers")
+	a := f.avoided[p]
+	a.until = now.Add(avoidPeerTime)
+	due := now.Sub(a.logged) >= avoidLogInterval
+	if due {
+		a.logged = now
+	}
+	f.avoided[p] = a
+	return due
 }
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -27,8 +27,9 @@
 
 // Forwarder sends requests to peers.
 type Forwarder interface {
-	// Peers returns the peers to try for a service, best first.
-	Peers(service string) []Peer
+	// Peers returns the peers to try for a service, best first. If there are none, exhausted reports
+	// whether all of them were found not to reach the workers a short time ago.
+	Peers(service string) (list []Peer, exhausted bool)
 	// Forward returns a peer's answer, or an error as of Upstream.Send. It remembers for a while
 	// which peers can't be reached or can't reach the workers.
 	Forward(ctx context.Context, p Peer, service string, f Forward) (*Reply, error)
@@ -81,8 +82,8 @@
 func (e *exchange) forward(ctx context.Context) (done bool, f *fault) {
 	s := e.server
 	service := e.service.Name
-	unreachable := false
-	for _, p := range s.opts.Forwarder.Peers(service) {
+	peers, unreachable := s.opts.Forwarder.Peers(service)
+	for _, p := range peers {
 		left := e.deadline.Sub(s.opts.Now())
 		if left < minAttemptTime {
 			return true, e.expired(ctx)
--- a/serving/forward_test.go
+++ b/serving/forward_test.go
@@ -35,16 +35,16 @@
 
 // peers is a Forwarder with one handler per peer.
 type peers struct {
-	handlers []handler
-	forwards []Forward
+	handlers  []handler
+	exhausted bool
+	forwards  []Forward
 }
 
-func (p *peers) Peers(string) []Peer {
-	var list []Peer
+func (p *peers) Peers(string) (list []Peer, exhausted bool) {
 	for i := range p.handlers {
 		list = append(list, Peer{Name: string(rune('p' + i))})
 	}
-	return list
+	return list, p.exhausted
 }
 
 func (p *peers) Forward(_ context.Context, to Peer, _ string, f Forward) (*Reply, error) {
@@ -101,11 +101,12 @@
 		{"a peer's refusal", catalog.Once, silenced, []handler{never(t)}, []handler{refused, never(t)}, 503, "no room", []int{9}},
 		{"no peer reaches a worker", catalog.Once, silenced, []handler{never(t)}, []handler{alsoCut, alsoCut}, 503, "", []int{9, 9}},
 		{"no peer can be reached", catalog.Once, silenced, []handler{signed}, []handler{unreachable}, 200, "whole", []int{9}},
+		{"all peers were asked before", catalog.Once, silenced, []handler{never(t)}, nil, 503, "", nil},
 		{"not cut off", catalog.Once, fixedReach{}, []handler{unreachable}, []handler{never(t)}, 503, "", nil},
 	} {
 		f := newFleet(c.kind, allHalls[:4], c.workers...)
 		f.configure(nil, nil)
-		p := &peers{handlers: c.peers}
+		p := &peers{handlers: c.peers, exhausted: c.peers == nil}
 		f.server.opts.Reach, f.server.opts.Forwarder = c.reach, p
 		w, aborted := f.ask()
 		must.False(t, aborted, must.Sprint(c.name))
