testbed/standin: Add a failing test of a holder cut off from all workers

What callers see: a group that loses a member while the holder of the lease is cut off from all workers stays broken until the cut ends. Not formed again within 20 s.

--- a/testbed/standin/links_test.go
+++ b/testbed/standin/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,3 +78,45 @@
 	}
 	return float64(served) / float64(sent)
 }
+
+// TestLinks_CutHolderLetsOthersRepairGroups guards against groups that stay broken while the holder
+// of the lease is cut off from all workers: its orders reach nobody, and other daemons give none.
+func TestLinks_CutHolderLetsOthersRepairGroups(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, 4)
+	links := map[*Daemon]*Links{}
+	for i, hall := range []string{"z1", "z2", "z3"} {
+		l, closeLinks := NewLinks()
+		t.Cleanup(closeLinks)
+		links[s.startAs(Setup{FirstStart: i == 0, Hall: hall, Frontend: s.store.NewLinkedFrontend(l)})] = l
+	}
+	s.awaitGroups(2)
+	holder := s.holder()
+	must.EqOp(t, 1, s.servedFraction(holder))
+	links[holder].Cut()
+	eventually(t, "the holder's callers are served", func() bool { return s.servedFraction(holder) == 1 })
+	s.workers["m0"].Kill()
+	s.store.Put("servers", "m0", nil)
+	delete(s.workers, "m0")
+	s.addWorker("m9", "llm", "d0")
+	eventually(t, "the group is formed again", func() bool {
+		s.servedFraction(holder)
+		return len(s.openGroupHeads()) == 2
+	})
+	must.NotEq(t, holder, s.holder())
+}
+
+// holder returns the daemon that holds the lease.
+func (s *testCluster) holder() *Daemon {
+	s.t.Helper()
+	var holder *Daemon
+	eventually(s.t, "a daemon holds the lease", func() bool {
+		for _, d := range s.daemons {
+			if strings.Contains(d.Metrics(), "pointpass_lease_held 1") {
+				holder = d
+			}
+		}
+		return holder != nil
+	})
+	return holder
+}
