--- a/testbed/standin/links.go
+++ b/testbed/standin/links.go
@@ -44,10 +44,13 @@
 	}
 }
 
-// Restore ends a cut.
+// Restore ends a cut, if there is one.
 func (l *Links) Restore() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.cut {
+		return nil
+	}
 	l.cut = false
 	for _, p := range l.proxies {
 		if err := p.listen(); err != nil {
