serving, deps: Forward requests only to regions where they may run

A request whose route or customer is bound to regions could go, body and all, to a daemon in another region while its own daemon was cut off (HOME). Peers are chosen by the regions that both route and customer allow now. The promise that no body passes another daemon is replaced by what holds now; TestRelay_PassesNoBodies checks as before, its comment names the exception.

--- a/deps/forward.go
+++ b/deps/forward.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/pointpass/pointpass/common/clock"
+	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/serving"
 )
 
@@ -52,16 +54,27 @@
 	return &forwarder{edge: e, client: client, answered: map[string]time.Time{}, avoided: map[avoidedPeer]avoidance{}}
 }
 
-// Peers returns daemons in random order, which spreads the requests, those of this region first.
-func (f *forwarder) Peers(service string) (list []serving.Peer, exhausted bool) {
+// Peers returns daemons in random order, which spreads the requests, those of this region first. The
+// body of a request goes only to regions that both its route and its customer allow.
+func (f *forwarder) Peers(service string, r placement.Request) (list []serving.Peer, exhausted bool) {
+	halls := f.edge.settings.Current().HallRegions()
+	allowed := func(hall string) bool {
+		region, known := halls[hall]
+		return len(r.Route) == 0 && len(r.Customer) == 0 || known && r.Route.Allow(region) && r.Customer.Allow(region)
+	}
+	return f.choose(service, f.edge.followers.control.Load().Nodes, allowed)
+}
+
+// choose returns the daemons to try among those in allowed halls.
+func (f *forwarder) choose(service string, nodes []replica.Node, allowed func(hall string) bool) (list []serving.Peer, exhausted bool) {
 	self := f.edge.settings.Current().Name()
 	now := clock.Now()
 	var near, far []serving.Peer
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, n := range f.edge.followers.control.Load().Nodes {
+	for _, n := range nodes {
 		switch {
-		case n.Name == self || n.Addr == "":
+		case n.Name == self || n.Addr == "" || !allowed(n.Hall):
 		case now.Before(f.avoided[avoidedPeer{n.Name, service}].until):
 			exhausted = true
 		case f.edge.sameRegion(n.Hall):
--- a/rpc/bodies_test.go
+++ b/rpc/bodies_test.go
@@ -35,9 +35,10 @@
 }
 
 // TestRelay_PassesNoBodies guards against request bodies that leave the regions they are
-// bound to through another daemon. Daemons exchange only rows of the store and observations
-// of groups, so no message may have a field that could carry a caller's request. A new
-// entry in allowedFields needs a comment on its content.
+// bound to through another daemon. These calls exchange only rows of the store and observations
+// of groups, so no message may have a field that could carry a caller's request: requests that
+// are forwarded take another way, which observes regions. A new entry in allowedFields needs a
+// comment on its content.
 func TestRelay_PassesNoBodies(t *testing.T) {
 	methods := File_pointpass_proto.Services().ByName("Relay").Methods()
 	seen := map[protoreflect.FullName]bool{}
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/placement"
 )
 
 // Peer is another daemon.
@@ -27,9 +28,10 @@
 
 // Forwarder sends requests to peers.
 type Forwarder interface {
-	// Peers returns the peers to try for a service, best first. If there are none, exhausted reports
-	// whether all of them were found not to reach the workers a short time ago.
-	Peers(service string) (list []Peer, exhausted bool)
+	// Peers returns the peers to try for a request for a service, best first: only those in regions
+	// where it may run, since its body goes there. If there are none, exhausted reports whether
+	// all of them were found not to reach the workers a short time ago.
+	Peers(service string, r placement.Request) (list []Peer, exhausted bool)
 	// Forward returns a peer's answer, or an error as of Upstream.Send. It remembers for a while
 	// which peers can't be reached or can't reach the workers.
 	Forward(ctx context.Context, p Peer, service string, f Forward) (*Reply, error)
@@ -82,7 +84,7 @@
 func (e *exchange) forward(ctx context.Context) (done bool, f *fault) {
 	s := e.server
 	service := e.service.Name
-	peers, unreachable := s.opts.Forwarder.Peers(service)
+	peers, unreachable := s.opts.Forwarder.Peers(service, e.placementRequest())
 	for _, p := range peers {
 		left := e.deadline.Sub(s.opts.Now())
 		if left < minAttemptTime {
--- a/serving/forward_test.go
+++ b/serving/forward_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/pointpass/pointpass/catalog"
+	"github.com/pointpass/pointpass/placement"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -38,9 +39,12 @@
 	handlers  []handler
 	exhausted bool
 	forwards  []Forward
+	// constraints are those of the last request.
+	constraints placement.Request
 }
 
-func (p *peers) Peers(string) (list []Peer, exhausted bool) {
+func (p *peers) Peers(_ string, r placement.Request) (list []Peer, exhausted bool) {
+	p.constraints = r
 	for i := range p.handlers {
 		list = append(list, Peer{Name: string(rune('p' + i))})
 	}
@@ -183,3 +187,15 @@
 		must.SliceEmpty(t, f.demand)
 	}
 }
+
+// TestForward_PeersAreChosenByRegions checks that peers are chosen by the regions where both route
+// and customer allow a request.
+func TestForward_PeersAreChosenByRegions(t *testing.T) {
+	f := newFleet(catalog.Once, allHalls[:4], never(t))
+	f.configure(catalog.Regions{"north"}, catalog.Regions{"north", "south"})
+	p := &peers{handlers: []handler{signed}}
+	f.server.opts.Reach, f.server.opts.Forwarder = silenced, p
+	w, _ := f.ask()
+	must.EqOp(t, http.StatusOK, w.Code)
+	must.Eq(t, placement.Request{Route: catalog.Regions{"north"}, Customer: catalog.Regions{"north", "south"}}, p.constraints)
+}
--- a/testbed/standin/links_test.go
+++ b/testbed/standin/links_test.go
@@ -114,6 +114,27 @@
 	must.NotEq(t, holder, s.holder())
 }
 
+// TestLinks_BodiesStayInRegions guards against requests whose bodies go to a daemon in a region where
+// they may not run, since the daemon that got them is cut off.
+func TestLinks_BodiesStayInRegions(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, 0)
+	s.config.Version++
+	s.config.Routes = append(s.config.Routes, Route{Name: "bound", Host: host, Prefix: "/bound/", Type: "idempotent", TimeoutMs: 2000, GoalMs: 300, Service: "app", Attempts: 2, Regions: []string{"r1"}})
+	s.store.Apply(s.config)
+	links, closeLinks := NewLinks()
+	t.Cleanup(closeLinks)
+	cut := s.startAs(Setup{FirstStart: true, Hall: "z1", Frontend: s.store.NewLinkedFrontend(links)})
+	abroad := s.startAs(Setup{Hall: "z3"})
+	eventually(t, "requests are served", func() bool { return s.status(cut, "/bound/x") == http.StatusOK })
+	links.Cut()
+	eventually(t, "a request that may run anywhere is forwarded", func() bool { return s.status(cut, "/get/x") == http.StatusOK })
+	for range 20 {
+		must.EqOp(t, http.StatusServiceUnavailable, s.status(cut, "/bound/x"))
+	}
+	must.StrNotContains(t, abroad.Log(), `"route":"bound"`)
+}
+
 // holder returns the daemon that holds the lease.
 func (s *testCluster) holder() *Daemon {
 	s.t.Helper()
