--- a/testbed/standin/crash_test.go
+++ b/testbed/standin/crash_test.go
@@ -112,7 +112,7 @@
 func TestCrash_SuccessAtAnotherDaemonReleases(t *testing.T) {
 	s, c := newCrashCluster(t)
 	c.arm(false)
-	must.EqOp(t, http.StatusOK, c.send(0).Status)
+	eventually(t, "the first daemon has read of the groups and serves the request", func() bool { return c.send(0).Status == http.StatusOK })
 	c.arm(true)
 	eventually(t, "three workers have crashed", func() bool {
 		c.send(1)
