serving: Log the prompt parts of lost attempts

The logs of the incident name the whole request of each lost attempt. They can't tell many unrelated requests that crash workers from requests of which no two are alike and that share a part of their prompts.

Each line attempt_failed now names the fingerprints of the shared parts.

--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -23,6 +23,15 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// Strings returns fingerprints in hexadecimal.
+func Strings(list []Fingerprint) []string {
+	texts := make([]string, 0, len(list))
+	for _, f := range list {
+		texts = append(texts, f.String())
+	}
+	return texts
+}
+
 // ParseFingerprint parses a fingerprint in hexadecimal, and returns false if it is malformed.
 func ParseFingerprint(digits string) (f Fingerprint, ok bool) {
 	data, err := hex.DecodeString(digits)
@@ -74,6 +83,27 @@
 	return Fingerprint(h.Sum(nil)[:FingerprintBytes])
 }
 
+// Part identifies a part of a prompt that requests share. A part may crash the workers of one
+// model and be harmless at those of another.
+type Part struct {
+	Service, Model string
+	// ID is the caller's id of the part, the same in all requests that share it.
+	ID string
+}
+
+// partDomain keeps the fingerprints of parts apart from those of requests.
+const partDomain = "prompt part"
+
+// FingerprintPart returns the fingerprint of a part.
+func (k Key) FingerprintPart(p Part) Fingerprint {
+	h := hmac.New(sha256.New, k[:])
+	for _, field := range []string{partDomain, p.Service, p.Model, p.ID} {
+		writeField(h, []byte(field))
+	}
+	writeField(h, nil) // one field more than a request has
+	return Fingerprint(h.Sum(nil)[:FingerprintBytes])
+}
+
 // writeField hashes a field prefixed with its length, so that fields of different contents
 // can't be confused.
 func writeField(h hash.Hash, field []byte) {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -71,6 +71,19 @@
 	return k.Fingerprint(c), true
 }
 
+// FingerprintParts returns the fingerprints of parts of a prompt, none if the key isn't set yet.
+func (g *Guard) FingerprintParts(service, model string, ids []string) []Fingerprint {
+	k := g.key.Load()
+	if k == nil {
+		return nil
+	}
+	var parts []Fingerprint
+	for _, id := range ids {
+		parts = append(parts, k.FingerprintPart(Part{Service: service, Model: model, ID: id}))
+	}
+	return parts
+}
+
 // Active reports whether any request is held back, which makes computing fingerprints
 // necessary.
 func (g *Guard) Active() bool { return g.active.Load() }
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -30,6 +30,15 @@
 	return e.print, e.hasFingerprint
 }
 
+// partFingerprints returns the fingerprints of the parts of the prompt that the request shares
+// with others, none while the fingerprint key isn't available. They are computed at most once.
+func (e *exchange) partFingerprints() []quarantine.Fingerprint {
+	if e.partPrints == nil && len(e.req.SharedParts) > 0 {
+		e.partPrints = e.server.opts.Guard.FingerprintParts(e.service.Name, e.req.Model, e.req.SharedParts)
+	}
+	return e.partPrints
+}
+
 // initialStage returns the stage of a request that was just sent. Plain services don't report
 // when they start a request, so theirs count as started at once.
 func (e *exchange) initialStage() quarantine.Stage {
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -34,6 +34,8 @@
 	// print is the request's fingerprint, valid if hasFingerprint is set.
 	print          quarantine.Fingerprint
 	hasFingerprint bool
+	// partPrints are the fingerprints of the shared parts of the prompt, nil if not computed.
+	partPrints []quarantine.Fingerprint
 	// hold is the hold that the request is under, nil if there is none.
 	hold *quarantine.Hold
 	// stage is how far the worker got in the current attempt.
--- a/serving/record.go
+++ b/serving/record.go
@@ -14,6 +14,7 @@
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/load"
 	"github.com/pointpass/pointpass/placement"
+	"github.com/pointpass/pointpass/quarantine"
 )
 
 // Counters are the metrics of requests and their outcomes.
@@ -149,8 +150,8 @@
 	entry.Msg("")
 }
 
-// logFailedAttempt logs an attempt that failed. The fingerprint shows whether the same request
-// failed earlier, here or at another daemon.
+// logFailedAttempt logs an attempt that failed. The fingerprints show whether the same request,
+// or one that shares a part of its prompt, failed earlier, here or at another daemon.
 func (e *exchange) logFailedAttempt(target Target, err error) {
 	now := e.server.opts.Now()
 	entry := e.server.opts.Log.Warn().Str("event", "attempt_failed").Str("id", e.req.ID).Str("target", target.Key).
@@ -158,5 +159,8 @@
 	if f, known := e.fingerprint(); known {
 		entry = entry.Str("fingerprint", f.String())
 	}
+	if parts := e.partFingerprints(); len(parts) > 0 {
+		entry = entry.Strs("parts", quarantine.Strings(parts))
+	}
 	entry.Err(err).Msg("")
 }
--- a/serving/request.go
+++ b/serving/request.go
@@ -35,6 +35,9 @@
 	PromptTokens, MaxAnswerTokens int
 	// PromptParts identifies the parts of the prompt, "" if the caller doesn't send them.
 	PromptParts string
+	// SharedParts are the ids of the parts of the prompt that other requests may share, in
+	// order and without repeats.
+	SharedParts []string
 	// LastEvent is the id of the last event that the caller received of a stream that it
 	// resumes, "" if it resumes none.
 	LastEvent string
