testbed/standin: Add the failing test of a part that crashes workers

Three daemons, twelve workers that end when they begin a request whose prompt shares one part, callers beside whose prompts share all other parts. No two requests are alike.

The workers of the stand-in select the requests at which they crash by a function instead of a body; the older tests of crashes select by body as before.

--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -87,7 +87,7 @@
 func (w *Worker) shouldCrash(run *Run) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.crashBody != "" && w.crashBody == run.Body
+	return w.deadly != nil && w.deadly(*run)
 }
 
 // crash ends the worker shortly after the header of a response has been sent.
--- /dev/null
+++ b/testbed/standin/crash_parts_test.go
@@ -0,0 +1,82 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Parts of prompts. All requests share the first part and have one of the middle ones; the
+// deadly part is a further middle one.
+const (
+	firstPart   = "f1"
+	deadlyPart  = "dead"
+	middleParts = 4
+	// maxPartCrashes is how many workers may crash under a part before all daemons must hold
+	// back the requests with it, within holdPropagation.
+	maxPartCrashes = 5
+)
+
+// promptHeader returns the header of a request whose prompt has the given shared parts.
+func promptHeader(own string, shared ...string) http.Header {
+	h := streamHeader()
+	h.Set(headerParts, strings.Join(append(shared, own), ":20,")+":20")
+	return h
+}
+
+// hasDeadlyPart reports whether a run's prompt shares the deadly part.
+func hasDeadlyPart(r Run) bool {
+	parts := strings.Split(r.Header.Get(headerParts), ",")
+	for _, p := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(p, ":"); id == deadlyPart {
+			return true
+		}
+	}
+	return false
+}
+
+func middlePart(n int) string { return fmt.Sprint("b", n%middleParts) }
+
+// newDeadlyPartCluster is newCrashCluster for requests of which no two are alike and that share
+// the deadly part.
+func newDeadlyPartCluster(t *testing.T) (*testCluster, *crashingWorkers) {
+	s := newTestCluster(t, 0)
+	c := &crashingWorkers{s: s, deadly: hasDeadlyPart}
+	sent := 0
+	c.newDeadly = func() Request {
+		sent++
+		a := s.newStreamRequest()
+		a.Body = fmt.Sprint("question ", sent)
+		a.Header = promptHeader(fmt.Sprintf("%x", 0xc0000+sent), firstPart, middlePart(sent), deadlyPart)
+		return a
+	}
+	c.start()
+	return s, c
+}
+
+// startPartCallers starts callers whose prompts share all parts but the deadly one.
+func startPartCallers(s *testCluster) *backgroundCallers {
+	const callers = 3
+	return startCallersWith(s, callers, func(caller string, n int) http.Header {
+		return promptHeader(fmt.Sprintf("%s%x", caller, n), firstPart, middlePart(n))
+	})
+}
+
+// TestCrash_OnePartOfManyPromptsCrashesWorkers guards against requests of which no two are alike,
+// but that share a part of their prompts which crashes each worker that begins an answer on it.
+func TestCrash_OnePartOfManyPromptsCrashesWorkers(t *testing.T) {
+	s, c := newDeadlyPartCluster(t)
+	others := startPartCallers(s)
+	c.crashUntil(maxPartCrashes)
+	propagated := time.Now().Add(holdPropagation)
+	time.Sleep(time.Until(propagated))
+	c.sendRepeatedly()
+	others.stop()
+	must.LessEq(t, maxHeldArrivals, c.arrivalsSince(propagated), must.Sprint("the part reached more workers after it had crashed five"))
+	must.Positive(t, others.complete.Load())
+	must.EqOp(t, 0, others.failed.Load(), must.Sprint("requests without the part failed"))
+}
--- a/testbed/standin/crash_test.go
+++ b/testbed/standin/crash_test.go
@@ -131,17 +131,22 @@
 
 // newCrashCluster starts three daemons and workers that crash at one request.
 func newCrashCluster(t *testing.T) (*testCluster, *crashingWorkers) {
-	const workers = 12
 	s := newTestCluster(t, 0)
 	c := newCrashingWorkers(s, "it crashes workers")
+	c.start()
+	return s, c
+}
+
+// start starts twelve workers and three daemons, and waits until groups are open.
+func (c *crashingWorkers) start() {
+	const workers = 12
 	for range workers {
 		c.add()
 	}
 	for i := range 3 {
-		s.start(i == 0)
+		c.s.start(i == 0)
 	}
-	eventually(t, "groups open", func() bool { return c.openGroups() >= workers/2-1 })
-	return s, c
+	eventually(c.s.t, "groups open", func() bool { return c.openGroups() >= workers/2-1 })
 }
 
 // killHolder kills the first daemon that has logged that it took the lease.
--- a/testbed/standin/crashing_workers_test.go
+++ b/testbed/standin/crashing_workers_test.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// crashingWorkers is a set of workers that crash when they start to run one request. Each
+// crashingWorkers is a set of workers that crash when they start to run some requests. Each
 // crashed worker is replaced.
 type crashingWorkers struct {
-	s         *testCluster
-	crashBody string
+	s *testCluster
+	// deadly selects the requests that crash workers, and newDeadly returns the next one.
+	deadly    func(Run) bool
+	newDeadly func() Request
 
 	mu      sync.Mutex
 	workers []*Worker
@@ -23,8 +26,15 @@
 // restartDelay is the time from a worker's crash to the start of its replacement.
 const restartDelay = 500 * time.Millisecond
 
+// newCrashingWorkers returns workers that crash at one request, which has the given body.
 func newCrashingWorkers(s *testCluster, body string) *crashingWorkers {
-	return &crashingWorkers{s: s, crashBody: body}
+	c := &crashingWorkers{s: s, deadly: func(r Run) bool { return r.Body == body }}
+	c.newDeadly = func() Request {
+		a := s.newStreamRequest()
+		a.Body = body
+		return a
+	}
+	return c
 }
 
 func (c *crashingWorkers) add() {
@@ -43,13 +53,13 @@
 		if armed {
 			c.armWorker(w)
 		} else {
-			w.SetCrash("", nil)
+			w.SetCrash(nil, nil)
 		}
 	}
 }
 
 func (c *crashingWorkers) armWorker(w *Worker) {
-	w.SetCrash(c.crashBody, func() {
+	w.SetCrash(c.deadly, func() {
 		time.AfterFunc(restartDelay, func() {
 			c.s.store.Put("servers", w.ID(), nil)
 			c.add()
@@ -74,14 +84,12 @@
 	return n
 }
 
-// send sends the request once, to the daemons in turn.
+// send sends a request that crashes workers, to the daemons in turn.
 func (c *crashingWorkers) send(attempt int) Reply {
-	a := c.s.newStreamRequest()
-	a.Body = c.crashBody
-	return c.s.daemons[attempt%len(c.s.daemons)].Send(c.s.t.Context(), a)
+	return c.s.daemons[attempt%len(c.s.daemons)].Send(c.s.t.Context(), c.newDeadly())
 }
 
-// sendRepeatedly sends the request many more times, each time while a group is open.
+// sendRepeatedly sends such requests many more times, each time while a group is open.
 func (c *crashingWorkers) sendRepeatedly() {
 	for i := range 4 * maxHeldArrivals {
 		eventually(c.s.t, "a group is open", func() bool { return c.openGroups() > 0 })
@@ -90,21 +98,24 @@
 }
 
 // crashUntilLimit sends the request until it has crashed maxCrashes workers.
-func (c *crashingWorkers) crashUntilLimit() {
+func (c *crashingWorkers) crashUntilLimit() { c.crashUntil(maxCrashes) }
+
+// crashUntil sends requests until they have crashed n workers.
+func (c *crashingWorkers) crashUntil(n int) {
 	attempt := 0
-	eventually(c.s.t, "three workers have crashed", func() bool {
+	eventually(c.s.t, fmt.Sprint(n, " workers have crashed"), func() bool {
 		c.send(attempt)
 		attempt++
-		return len(c.arrivals()) >= maxCrashes
+		return len(c.arrivals()) >= n
 	})
 }
 
-// arrivals returns when the request reached workers.
+// arrivals returns when requests that crash workers reached them.
 func (c *crashingWorkers) arrivals() []time.Time {
 	var times []time.Time
 	for _, w := range c.all() {
 		for _, r := range w.Runs() {
-			if r.Body == c.crashBody {
+			if c.deadly(r) {
 				times = append(times, r.At)
 			}
 		}
@@ -128,6 +139,10 @@
 	cancel           context.CancelFunc
 	running          sync.WaitGroup
 	complete, failed atomic.Int64
+	// first counts the requests that were complete at the first attempt, of begun ones.
+	first, begun atomic.Int64
+	// header returns the header of a caller's next request.
+	header func(caller string, n int) http.Header
 }
 
 // maxBackgroundAttempts is how often a caller sends a request before it counts as failed.
@@ -136,8 +151,13 @@
 // startBackgroundCallers starts a number of callers at each daemon. Each repeats its request
 // until the stream is complete.
 func startBackgroundCallers(s *testCluster, callers int) *backgroundCallers {
+	return startCallersWith(s, callers, func(string, int) http.Header { return streamHeader() })
+}
+
+// startCallersWith is startBackgroundCallers for requests with headers of their own.
+func startCallersWith(s *testCluster, callers int, header func(caller string, n int) http.Header) *backgroundCallers {
 	ctx, cancel := context.WithCancel(s.t.Context())
-	b := &backgroundCallers{cancel: cancel}
+	b := &backgroundCallers{cancel: cancel, header: header}
 	s.t.Cleanup(b.stop)
 	for i, d := range s.daemons {
 		for j := range callers {
@@ -149,7 +169,7 @@
 
 func (b *backgroundCallers) call(ctx context.Context, s *testCluster, d *Daemon, caller string) {
 	for n := 0; ctx.Err() == nil; n++ {
-		a := Request{Method: "POST", Host: host, Path: "/ask/q", Key: key, Body: fmt.Sprint("question ", caller, n), Timeout: 5 * time.Second, Header: streamHeader()}
+		a := Request{Method: "POST", Host: host, Path: "/ask/q", Key: key, Body: fmt.Sprint("question ", caller, n), Timeout: 5 * time.Second, Header: b.header(caller, n)}
 		if b.sendUntilComplete(ctx, d, a, fmt.Sprintf("b%s%08x", caller, n)) {
 			b.complete.Add(1)
 		} else if ctx.Err() == nil {
@@ -162,7 +182,14 @@
 	for attempt := range maxBackgroundAttempts {
 		a.ID = fmt.Sprintf("%s%03x", id, attempt)
 		r := d.Send(ctx, a)
-		if completeStream(a.ID, r) {
+		complete := completeStream(a.ID, r)
+		if attempt == 0 && ctx.Err() == nil {
+			b.begun.Add(1)
+		}
+		if complete {
+			if attempt == 0 {
+				b.first.Add(1)
+			}
 			return true
 		}
 		if ctx.Err() != nil || strings.Contains(r.Body, "held back") {
--- a/testbed/standin/harness_test.go
+++ b/testbed/standin/harness_test.go
@@ -159,7 +159,7 @@
 }
 
 func streamHeader() http.Header {
-	return http.Header{"X-Pointpass-Model": {"m1"}, "X-Pointpass-Token-Usage": {"100,40"}, "X-Pointpass-Prefix-Hash": {"5c1e:100"}}
+	return http.Header{"X-Pointpass-Model": {"m1"}, "X-Pointpass-Token-Usage": {"100,40"}, headerParts: {"5c1e:100"}}
 }
 
 // runs returns all runs of a request.
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -14,6 +14,7 @@
 // Names of headers that workers read and write.
 const (
 	headerAttemptID      = "X-Pointpass-Attempt-Id"
+	headerParts          = "X-Pointpass-Prefix-Hash"
 	headerExpectInstance = "X-Pointpass-Expect-Instance"
 	headerDeadline       = "X-Pointpass-Deadline-Ms"
 	headerNotExecuted    = "X-Pointpass-Not-Executed"
@@ -121,10 +122,10 @@
 	pause time.Duration
 	// leaving is set if the worker announces in its responses that it leaves.
 	leaving bool
-	// crashBody is the body of the request at which the worker crashes. onCrash is called then.
-	crashBody string
-	onCrash   func()
-	crashed   bool
+	// deadly selects the requests at which the worker crashes, nil for none. onCrash is called then.
+	deadly  func(Run) bool
+	onCrash func()
+	crashed bool
 }
 
 // NewWorker starts a worker with an entry in the store, and returns it with a function that
@@ -174,12 +175,12 @@
 	w.fault = f
 }
 
-// SetCrash makes the worker crash when it starts to run a request with a given body, and sets
-// what is called then.
-func (w *Worker) SetCrash(body string, onCrash func()) {
+// SetCrash makes the worker crash when it starts to run a request that deadly selects, and sets
+// what is called then. Nil selects none.
+func (w *Worker) SetCrash(deadly func(Run) bool, onCrash func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.crashBody = body
+	w.deadly = deadly
 	w.onCrash = onCrash
 }
 
