quarantine: Hold back parts of prompts that crash workers

Cause: crashes are counted by whole requests (customer, host, target, body). Each new request starts at a charge of zero. Evidence: the deciders' verdicts name different suspects at a steady pace of crashes, each reported by up to nine daemons within 0.29 s, so no report was lost or late.

The board now counts crashes by part as well, of the requests that the worker had begun, and a set of parts is held back at all daemons. What takes a charge back is output on the part after the crash, never output before it. Daemons report the last output they have seen along with a crash, and answer a question of the holder before a hold.

The report of crashes got two fields and lost runs one; daemons of other builds skip them.

--- a/deps/crashreporter.go
+++ b/deps/crashreporter.go
@@ -58,8 +58,8 @@
 	term uint64
 }
 
-// observation is an event that this daemon observed: a crash, or a request that is held back but
-// finished normally here.
+// observation is an event that this daemon observed: a crash, a request that is held back but
+// finished normally here, or output on suspected parts of prompts.
 type observation struct {
 	// at is when it happened, added when it was confirmed.
 	at, added time.Time
@@ -67,6 +67,7 @@
 	due      time.Time
 	crash    *quarantine.Crash
 	finished *quarantine.Fingerprint
+	outputs  []quarantine.Output
 	// reportedIn maps each daemon that got the observation to the term of the lease then.
 	reportedIn map[string]uint64
 }
@@ -121,7 +122,8 @@
 	runs := c.lost[w.ID]
 	delete(c.lost, w.ID)
 	if ended {
-		c.add(observation{at: at, crash: &quarantine.Crash{Worker: w.ID, Reporter: c.opts.Self(), At: at, LostRequests: runs}})
+		crash := &quarantine.Crash{Worker: w.ID, Reporter: c.opts.Self(), At: at, LostRequests: runs}
+		c.add(observation{at: at, crash: crash, outputs: c.opts.Guard.Outputs(crash.Parts())})
 	}
 	c.mu.Unlock()
 	if !ended {
@@ -140,6 +142,17 @@
 	c.kick()
 }
 
+// Produced reports output on parts of prompts.
+func (c *crashReporter) Produced(outputs []quarantine.Output) {
+	if len(outputs) == 0 {
+		return
+	}
+	c.mu.Lock()
+	c.add(observation{at: clock.Now(), outputs: outputs})
+	c.mu.Unlock()
+	c.kick()
+}
+
 // add stores an observation. The caller holds the lock.
 func (c *crashReporter) add(o observation) {
 	o.added = clock.Now()
@@ -179,7 +192,7 @@
 	var failed atomic.Bool
 	for _, n := range control.ReportTargets() {
 		report := c.unreported(n.Name, control.Term, clock.Now())
-		if len(report.Crashes)+len(report.Finished) == 0 {
+		if report.Empty() {
 			continue
 		}
 		sending.Go(func() {
@@ -244,6 +257,7 @@
 		if o.finished != nil {
 			report.Finished = append(report.Finished, *o.finished)
 		}
+		report.Outputs = append(report.Outputs, o.outputs...)
 	}
 	return report
 }
--- a/deps/edgestatus.go
+++ b/deps/edgestatus.go
@@ -68,6 +68,9 @@
 	// workers that crashed while running it.
 	Charge  float64  `json:"charge"`
 	Workers []string `json:"workers"`
+	// Parts are the fingerprints of the parts of prompts that are held back together, none if
+	// the hold is of a single request.
+	Parts []string `json:"parts"`
 }
 
 // ClosedHall is a hall that the operator closed.
@@ -145,7 +148,7 @@
 	for _, h := range holds {
 		list = append(list, HeldRequest{
 			Fingerprint: h.Fingerprint.String(), StoreVersion: h.Version,
-			Learned: h.ReceivedAt, LearnedMs: now.Sub(h.ReceivedAt).Milliseconds(), Charge: h.Charge, Workers: h.Workers,
+			Learned: h.ReceivedAt, LearnedMs: now.Sub(h.ReceivedAt).Milliseconds(), Charge: h.Charge, Workers: h.Workers, Parts: quarantine.Strings(h.Parts),
 		})
 	}
 	slices.SortFunc(list, func(a, b HeldRequest) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -78,6 +78,7 @@
 		Metrics: e.Metrics,
 		Log:     e.Log,
 	})
+	e.Metrics.NewGauge("pointpass_parts_held_back", func() float64 { return float64(e.Guard.PartHolds()) })
 	e.Metrics.NewGauge("pointpass_requests_held_back", func() float64 { return float64(len(e.Guard.Holds())) })
 	return q
 }
@@ -165,11 +166,17 @@
 			q.board.Release(h.Fingerprint)
 		}
 	}
+	now := clock.Now()
 	present := map[quarantine.Fingerprint]bool{}
 	for _, h := range holds {
 		present[h.Fingerprint] = true
 		delete(q.pendingStores, h.Fingerprint)
-		if _, cleared := q.pendingRemovals[h.Fingerprint]; !cleared {
+		_, cleared := q.pendingRemovals[h.Fingerprint]
+		switch {
+		case cleared:
+		case len(h.Parts) > 0:
+			q.board.HoldParts(h.Parts, now)
+		default:
 			q.board.Hold(h.Fingerprint)
 		}
 	}
@@ -189,25 +196,35 @@
 // at this daemon, it reports that, which clears the request.
 func (q *crashQuarantine) logHold(h quarantine.Hold, by string) {
 	finishedHere := q.edge.Guard.Finished(h.Fingerprint)
-	q.edge.Log.Warn().Str("event", "request_held").Str("fingerprint", h.Fingerprint.String()).Str("by", by).
-		Uint64("store_version", h.Version).Bool("finished_here", finishedHere).Msg("the request is no longer sent to workers")
+	entry := q.edge.Log.Warn().Str("event", "request_held").Str("fingerprint", h.Fingerprint.String()).Str("by", by).
+		Uint64("store_version", h.Version).Bool("finished_here", finishedHere)
+	if len(h.Parts) > 0 {
+		entry = entry.Strs("parts", quarantine.Strings(h.Parts))
+	}
+	entry.Msg("the request is no longer sent to workers")
 	if finishedHere {
 		q.crashReporter.clear(h.Fingerprint)
 	}
 }
 
 // applyAnnouncement applies a hold that another daemon announced.
-func (q *crashQuarantine) applyAnnouncement(text string) {
+func (q *crashQuarantine) applyAnnouncement(text string, parts []string) {
 	f, ok := quarantine.ParseFingerprint(text)
 	if !ok {
 		return
 	}
-	h := quarantine.Hold{Fingerprint: f}
+	h := quarantine.Hold{Fingerprint: f, Parts: quarantine.NewPartSet(quarantine.Parse(parts)...)}
 	if q.edge.Guard.Announce(h) {
 		q.logHold(h, "announcement")
 	}
 }
 
+// answer reports to the deciders when this daemon last saw output on suspected parts, and from now
+// on when it sees more.
+func (q *crashQuarantine) answer(parts []string) {
+	q.crashReporter.Produced(q.edge.Guard.Watch(quarantine.Parse(parts)))
+}
+
 // applyReport applies a crash report of a daemon.
 func (q *crashQuarantine) applyReport(r relay.CrashReport) {
 	now := clock.Now()
@@ -216,15 +233,27 @@
 	for _, c := range r.Crashes {
 		q.board.Report(c, now)
 	}
+	for _, o := range r.Outputs {
+		for _, parts := range q.board.Output(o) {
+			f := parts.Fingerprint()
+			q.scheduleRemoval(f, now)
+			q.edge.Log.Warn().Str("event", "parts_cleared").Str("fingerprint", f.String()).Str("reporter", r.Reporter).Msg("a worker produced output on the parts at the reporter")
+		}
+	}
 	for _, f := range r.Finished {
 		q.board.Clear(f)
-		delete(q.pendingStores, f)
-		q.pendingRemovals[f] = now
+		q.scheduleRemoval(f, now)
 		q.edge.Log.Warn().Str("event", "request_cleared").Str("fingerprint", f.String()).Str("reporter", r.Reporter).Msg("the request finished normally at the reporter")
 	}
 	q.wakeUp()
 }
 
+// scheduleRemoval schedules the removal of a hold's row. The caller holds the lock.
+func (q *crashQuarantine) scheduleRemoval(f quarantine.Fingerprint, now time.Time) {
+	delete(q.pendingStores, f)
+	q.pendingRemovals[f] = now
+}
+
 // Run decides and stores holds until ctx ends.
 func (q *crashQuarantine) Run(ctx context.Context) {
 	var running sync.WaitGroup
@@ -250,11 +279,13 @@
 	now := clock.Now()
 	q.mu.Lock()
 	verdicts := q.board.Evaluate(now)
+	parts := q.board.EvaluateParts(now)
 	keyMissing := q.keyMissing
 	q.mu.Unlock()
 	for _, v := range verdicts {
 		q.applyVerdict(v, now)
 	}
+	q.applyPartVerdict(parts, now)
 	q.storeHolds(ctx, now)
 	q.removeCleared(ctx, now)
 	if q.edge.followers.isHolder() {
@@ -281,17 +312,38 @@
 	}
 	entry.Msg("")
 	for _, s := range v.Hold {
-		h := quarantine.Hold{Fingerprint: s.Fingerprint, Charge: s.Charge, Workers: s.Workers, SinceMs: q.storeClock().Milliseconds()}
-		due := now
-		if !q.edge.followers.isHolder() {
-			due = now.Add(holderHeadStart)
-		}
-		q.mu.Lock()
-		q.pendingStores[h.Fingerprint] = pendingHold{hold: h, due: due}
-		q.mu.Unlock()
+		q.scheduleHold(quarantine.Hold{Fingerprint: s.Fingerprint, Charge: s.Charge, Workers: s.Workers}, now)
 	}
 }
 
+// applyPartVerdict logs a verdict about parts of prompts, asks the daemons for output on the
+// suspected ones, and schedules holds.
+func (q *crashQuarantine) applyPartVerdict(v quarantine.PartVerdict, now time.Time) {
+	if len(v.Ask) > 0 {
+		asked := quarantine.Strings(v.Ask)
+		q.edge.Log.Info().Str("event", "parts_suspected").Strs("parts", asked).Msg("asking for output on them")
+		q.edge.Warnings.AskOutputs(asked)
+		q.answer(asked) // the decider doesn't read its own question
+	}
+	for _, s := range v.Hold {
+		q.edge.Log.Warn().Str("event", "parts_to_hold").Strs("parts", quarantine.Strings(s.Parts)).Float64("charge", s.Charge).Strs("workers", s.Workers).Msg("")
+		q.scheduleHold(quarantine.Hold{Fingerprint: s.Parts.Fingerprint(), Parts: s.Parts, Charge: s.Charge, Workers: s.Workers}, now)
+	}
+}
+
+// scheduleHold schedules a hold to be announced and stored.
+func (q *crashQuarantine) scheduleHold(h quarantine.Hold, now time.Time) {
+	h.SinceMs = q.storeClock().Milliseconds()
+	due := now
+	if !q.edge.followers.isHolder() {
+		due = now.Add(holderHeadStart)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.pendingRemovals, h.Fingerprint) // it was cleared before the latest crashes
+	q.pendingStores[h.Fingerprint] = pendingHold{hold: h, due: due}
+}
+
 // storeClock returns the earliest time that the store's clock can show now.
 func (q *crashQuarantine) storeClock() time.Duration {
 	latest, _ := q.edge.followers.directory.Snapshot()
@@ -317,7 +369,7 @@
 // storeHolds announces decisions and stores their rows.
 func (q *crashQuarantine) storeHolds(ctx context.Context, now time.Time) {
 	for _, h := range q.dueHolds(now) {
-		q.edge.Warnings.AnnounceHold(h.Fingerprint.String())
+		q.edge.Warnings.AnnounceHold(h.Fingerprint.String(), quarantine.Strings(h.Parts))
 		if q.edge.Guard.Announce(h) {
 			q.logHold(h, "decision")
 		}
--- a/deps/warnings.go
+++ b/deps/warnings.go
@@ -61,10 +61,13 @@
 	f.lastWarningsRead.Store(&now)
 	f.caches[health.Table].Apply(u)
 	for _, r := range u.Rows {
-		fingerprint, isHold := health.ParseHold(r)
+		fingerprint, held, isHold := health.ParseHold(r)
+		asked, isAsk := health.ParseAsk(r)
 		switch {
 		case isHold:
-			f.edge.quarantine.applyAnnouncement(fingerprint)
+			f.edge.quarantine.applyAnnouncement(fingerprint, held)
+		case isAsk:
+			f.edge.quarantine.answer(asked)
 		case u.Full: // older warnings, which were applied already or are over
 		case r.Deleted:
 			f.edge.Server.WithdrawWarning(r.Key)
--- a/health/publisher.go
+++ b/health/publisher.go
@@ -117,9 +117,21 @@
 // holdPrefix starts the keys of rows that announce held requests.
 const holdPrefix = "hold/"
 
-// AnnounceHold announces to all daemons that a request is held back, before its row in the
-// store reaches them.
-func (p *Publisher) AnnounceHold(fingerprint string) {
+// partsKey is the key of the row that asks for output on suspected parts of prompts. The next
+// question replaces it.
+const partsKey = "parts"
+
+// AnnounceHold announces to all daemons that a request, or requests whose prompts have all of
+// some parts, are held back, before the row in the store reaches them.
+func (p *Publisher) AnnounceHold(fingerprint string, parts []string) {
+	p.publish(holdPrefix+fingerprint, strings.Join(parts, " "))
+}
+
+// AskOutputs asks all daemons when they last saw output on parts of prompts.
+func (p *Publisher) AskOutputs(parts []string) { p.publish(partsKey, strings.Join(parts, " ")) }
+
+// publish writes a row that isn't a warning.
+func (p *Publisher) publish(key, value string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.term == 0 {
@@ -127,14 +139,20 @@
 	}
 	p.writes++
 	at := p.position()
-	row := store.Row{Key: holdPrefix + fingerprint, Value: []byte("held"), At: at}
+	row := store.Row{Key: key, Value: []byte(value), At: at}
 	p.cache.Apply(store.Update{Rows: []store.Row{row}, At: at, Evidence: p.now()})
 }
 
-// ParseHold returns the fingerprint of the held request that a row of Table announces, false if
-// the row is of another kind.
-func ParseHold(r store.Row) (fingerprint string, isHold bool) {
-	return strings.CutPrefix(r.Key, holdPrefix)
+// ParseHold returns the fingerprint and the parts of the hold that a row of Table announces, false
+// if the row is of another kind.
+func ParseHold(r store.Row) (fingerprint string, parts []string, isHold bool) {
+	fingerprint, isHold = strings.CutPrefix(r.Key, holdPrefix)
+	return fingerprint, strings.Fields(string(r.Value)), isHold
+}
+
+// ParseAsk returns the parts that a row of Table asks about, false if the row is of another kind.
+func ParseAsk(r store.Row) (parts []string, isAsk bool) {
+	return strings.Fields(string(r.Value)), r.Key == partsKey
 }
 
 // ParseWarning returns the warning in a row of Table.
--- a/health/publisher_test.go
+++ b/health/publisher_test.go
@@ -52,19 +52,20 @@
 // end of a warning must not remove a hold.
 func TestPublisher_AnnouncesHoldsBesideWarnings(t *testing.T) {
 	p, cache := newPublisher()
-	p.AnnounceHold("before")
+	p.AnnounceHold("before", nil)
 	p.StartTerm(7)
 	start, _ := cache.Rows()
-	p.AnnounceHold("0a1b")
+	p.AnnounceHold("0a1b", []string{"1c", "2d"})
 	p.ReportDead("g", "e2")
 	p.ReportAlive("g")
 	s := changes(t, cache, start.At)
 	must.Len(t, 3, s.Rows, must.Sprint("announcements before the term are dropped"))
-	fingerprint, isHold := ParseHold(s.Rows[0])
+	fingerprint, parts, isHold := ParseHold(s.Rows[0])
+	must.Eq(t, []string{"1c", "2d"}, parts)
 	must.True(t, isHold)
 	must.EqOp(t, "0a1b", fingerprint)
 	for _, r := range s.Rows[1:] {
-		_, isHold := ParseHold(r)
+		_, _, isHold := ParseHold(r)
 		must.False(t, isHold)
 	}
 	remaining, _ := cache.Rows()
--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -53,11 +53,12 @@
 	crashes  []*crash
 	held     map[Fingerprint]bool
 	innocent map[Fingerprint]bool
+	parts    partBoard
 }
 
 // NewBoard returns a board without reports.
 func NewBoard() *Board {
-	return &Board{held: map[Fingerprint]bool{}, innocent: map[Fingerprint]bool{}}
+	return &Board{held: map[Fingerprint]bool{}, innocent: map[Fingerprint]bool{}, parts: newPartBoard()}
 }
 
 // Report adds a daemon's report, which may repeat an earlier one. New facts in it are judged
@@ -78,6 +79,7 @@
 		}
 	}
 	b.attribute(c)
+	b.attributeToParts(c)
 }
 
 // find returns the crash that a report describes, nil if this is the first report of it.
@@ -101,9 +103,12 @@
 	}
 }
 
-// Release records that a request is no longer held back. The crashes attributed to it stay
-// attributed and count against no other request.
-func (b *Board) Release(f Fingerprint) { delete(b.held, f) }
+// Release records that a request or a set of parts is no longer held back. The crashes
+// attributed to it stay attributed and count against no other.
+func (b *Board) Release(f Fingerprint) {
+	delete(b.held, f)
+	delete(b.parts.held, f)
+}
 
 // Clear records that a request has completed somewhere, so it crashes no workers. The crashes
 // attributed to it count against other requests again.
@@ -196,9 +201,10 @@
 	return ready
 }
 
-// Unjudged reports whether crashes are waiting to be judged.
+// Unjudged reports whether crashes are waiting to be judged, or answers about suspected parts are
+// awaited.
 func (b *Board) Unjudged() bool {
-	return slices.ContainsFunc(b.crashes, func(c *crash) bool { return !c.judged })
+	return b.parts.pending || slices.ContainsFunc(b.crashes, func(c *crash) bool { return !c.judged })
 }
 
 // charges returns the charge of each request, from the crashes that aren't attributed to a held
@@ -207,7 +213,7 @@
 	tallies := map[Fingerprint]*tally{}
 	recentCrashes := 0
 	for _, c := range b.crashes {
-		if c.attributed {
+		if c.attributed || c.attributedParts != nil {
 			continue
 		}
 		recent := now.Sub(c.at) < stormWindow
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -17,6 +17,34 @@
 	// attributed reports whether a held request, attributedTo, was among the lost requests.
 	attributed   bool
 	attributedTo Fingerprint
+	// attributedParts is the held set of parts that the crash is attributed to, nil if none.
+	attributedParts PartSet
+}
+
+// begunWith reports whether the worker had begun a request whose prompt has all parts of a set.
+func (c *crash) begunWith(s PartSet) bool {
+	for _, r := range c.requests {
+		if r.Stage == Begun && s.In(r.Parts) {
+			return true
+		}
+	}
+	return false
+}
+
+// suspectedRuns returns the lost requests whose parts the crash counts against: those that had
+// begun, or the held request or those with the held parts that the crash is attributed to.
+func (c *crash) suspectedRuns() []LostRequest {
+	var runs []LostRequest
+	for _, r := range c.requests {
+		switch {
+		case r.Stage != Begun || len(r.Parts) == 0:
+		case c.attributedParts != nil && !c.attributedParts.In(r.Parts):
+		case c.attributedParts == nil && c.attributed && r.Fingerprint != c.attributedTo:
+		default:
+			runs = append(runs, r)
+		}
+	}
+	return runs
 }
 
 // add records a lost request and reports whether that changes anything. Of two records of one
@@ -34,7 +62,7 @@
 // verdict returns the result of judging the crash, given the charges of all requests.
 func (c *crash) verdict(charges map[Fingerprint]Suspect) Verdict {
 	v := Verdict{Worker: c.worker, At: c.at, Reporters: c.reporters, LostRequests: len(c.requests)}
-	if c.attributed {
+	if c.attributed || c.attributedParts != nil {
 		return v
 	}
 	suspects := c.suspects(charges)
--- a/quarantine/errors.go
+++ b/quarantine/errors.go
@@ -2,11 +2,13 @@
 
 import "errors"
 
-// errKeyLength reports a stored key of the wrong length, and errName a row name that contains
-// no fingerprint.
+// errKeyLength reports a stored key of the wrong length, errName a row name that contains no
+// fingerprint, and errDigits a text that isn't one.
 var (
 	errKeyLength = errors.New("stored key is not 32 bytes long")
 	errName      = errors.New("row name does not end with a fingerprint")
+	errDigits    = errors.New("not the hexadecimal digits of a fingerprint")
+	errParts     = errors.New("the parts are not those that the name stands for")
 )
 
 // RowError reports that a row of this package can't be decoded.
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -32,6 +32,17 @@
 	return texts
 }
 
+// Parse parses fingerprints in hexadecimal and leaves out malformed ones.
+func Parse(texts []string) []Fingerprint {
+	var list []Fingerprint
+	for _, text := range texts {
+		if f, ok := ParseFingerprint(text); ok {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
 // ParseFingerprint parses a fingerprint in hexadecimal, and returns false if it is malformed.
 func ParseFingerprint(digits string) (f Fingerprint, ok bool) {
 	data, err := hex.DecodeString(digits)
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -16,9 +16,11 @@
 // minute; 4,096 take 0.2 MB.
 const maxFinished = 4096
 
-// Hold is a request that is held back.
+// Hold is a request that is held back, or a set of parts: all requests with them are.
 type Hold struct {
 	Fingerprint Fingerprint `json:"-"`
+	// Parts are the parts that are held back together, none for a single request.
+	Parts PartSet `json:"parts,omitempty"`
 	// Charge is the request's charge at the decision, and Workers are some of the workers that
 	// it crashed.
 	Charge  float64  `json:"charge"`
@@ -43,11 +45,18 @@
 	// finished are requests that completed lately, finishedBefore those of the previous
 	// generation.
 	finished, finishedBefore map[Fingerprint]struct{}
+	// sets are the holds of two parts or more.
+	sets []Hold
+	// outputs is when this daemon last saw output on parts, outputsBefore that of the previous
+	// generation.
+	outputs, outputsBefore map[Fingerprint]time.Time
+	// watched are the parts whose output is reported, and until when.
+	watched map[Fingerprint]time.Time
 }
 
 // NewGuard returns a guard without a key and without holds.
 func NewGuard(now func() time.Time) *Guard {
-	return &Guard{now: now, held: map[Fingerprint]Hold{}, finished: map[Fingerprint]struct{}{}}
+	return &Guard{now: now, held: map[Fingerprint]Hold{}, finished: map[Fingerprint]struct{}{}, outputs: map[Fingerprint]time.Time{}, watched: map[Fingerprint]time.Time{}}
 }
 
 // SetKey sets the key that all daemons share.
@@ -93,10 +102,16 @@
 func (g *Guard) Held(f Fingerprint) (Hold, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h, held := g.held[f]
+	h, held := g.heldLocked(f)
 	if held && g.finishedLocked(f) {
 		return Hold{}, false
 	}
+	return h, held
+}
+
+// heldLocked returns a hold that counts. The caller holds the lock.
+func (g *Guard) heldLocked(f Fingerprint) (Hold, bool) {
+	h, held := g.held[f]
 	if held && h.Version == 0 && g.now().Sub(h.ReceivedAt) > unconfirmedTimeout {
 		delete(g.held, f)
 		return Hold{}, false
@@ -115,7 +130,7 @@
 	}
 	h.ReceivedAt = g.now()
 	g.held[h.Fingerprint] = h
-	g.active.Store(true)
+	g.updateLocked()
 	return !found
 }
 
@@ -148,7 +163,7 @@
 		}
 	}
 	g.held = next
-	g.active.Store(len(next) > 0)
+	g.updateLocked()
 	return added, ended
 }
 
--- /dev/null
+++ b/quarantine/parts_test.go
@@ -0,0 +1,217 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/store"
+)
+
+// lostWith returns a lost request that had begun, with the given parts.
+func lostWith(n int, parts ...int) LostRequest {
+	r := begun(n)
+	for _, p := range parts {
+		r.Parts = append(r.Parts, print(p))
+	}
+	return r
+}
+
+func partSet(parts ...int) PartSet {
+	var s []Fingerprint
+	for _, p := range parts {
+		s = append(s, print(p))
+	}
+	return NewPartSet(s...)
+}
+
+// crashWith ends the next worker while it has the given requests, and returns which sets of parts
+// are then held back. Daemons that are asked have seen no output.
+func (s *testBoard) crashWith(runs ...LostRequest) []PartSet {
+	s.crash(runs...)
+	var held []PartSet
+	for range 2 {
+		for _, h := range s.board.EvaluateParts(s.now).Hold {
+			held = append(held, h.Parts)
+		}
+		s.now = s.now.Add(askDelay)
+	}
+	return held
+}
+
+// output records output on a part and lets a moment pass.
+func (s *testBoard) output(part int) []PartSet {
+	cleared := s.board.Output(Output{Part: print(part), At: s.now})
+	s.now = s.now.Add(time.Millisecond)
+	return cleared
+}
+
+// Numbers of parts and requests in these tests.
+const (
+	deadly, shared, other = 500, 501, 502
+)
+
+func TestParts_HeldAfterCrashesOfDifferentRequests(t *testing.T) {
+	s := newTestBoard()
+	must.SliceEmpty(t, s.crashWith(lostWith(1, deadly, 11), producing(9)))
+	must.SliceEmpty(t, s.crashWith(lostWith(2, deadly, 12), lostWith(8, 13)))
+	must.Eq(t, []PartSet{partSet(deadly)}, s.crashWith(lostWith(3, deadly, 14), queued(9)))
+}
+
+// TestParts_DaemonsAreAskedBeforeAHold guards against holding back a part of sound requests that
+// other daemons see output on.
+func TestParts_DaemonsAreAskedBeforeAHold(t *testing.T) {
+	s := newTestBoard()
+	for n := range 3 {
+		s.crash(lostWith(n, deadly, shared))
+	}
+	v := s.board.EvaluateParts(s.now)
+	must.Eq(t, partSet(deadly, shared), v.Ask)
+	must.SliceEmpty(t, v.Hold)
+	must.True(t, s.board.Unjudged())
+	s.output(shared)
+	v = s.board.EvaluateParts(s.now.Add(askDelay))
+	must.SliceEmpty(t, v.Ask)
+	must.SliceLen(t, 1, v.Hold)
+	must.Eq(t, partSet(deadly), v.Hold[0].Parts)
+	must.False(t, s.board.Unjudged())
+}
+
+// TestParts_OutputTakesBackOnlyEarlierCrashes guards against taking a part for harmless because of
+// output from before it began to crash workers.
+func TestParts_OutputTakesBackOnlyEarlierCrashes(t *testing.T) {
+	s := newTestBoard()
+	s.output(deadly)
+	must.SliceEmpty(t, s.crashWith(lostWith(1, deadly)))
+	must.SliceEmpty(t, s.crashWith(lostWith(2, deadly)))
+	s.output(deadly)
+	must.SliceEmpty(t, s.crashWith(lostWith(3, deadly)))
+	must.SliceEmpty(t, s.crashWith(lostWith(4, deadly)))
+	must.Eq(t, []PartSet{partSet(deadly)}, s.crashWith(lostWith(5, deadly)))
+}
+
+// TestParts_TiedPartsAreHeldTogether guards against holding back a sound part that came with the
+// deadly one each time: only requests with both are held back until one crash tells them apart.
+func TestParts_TiedPartsAreHeldTogether(t *testing.T) {
+	s := newTestBoard()
+	s.crashWith(lostWith(1, deadly, shared))
+	s.crashWith(lostWith(2, deadly, shared))
+	must.Eq(t, []PartSet{partSet(deadly, shared)}, s.crashWith(lostWith(3, deadly, shared)))
+	must.SliceEmpty(t, s.output(shared), must.Sprint("output on one part doesn't clear both"))
+	must.Eq(t, []PartSet{partSet(deadly)}, s.crashWith(lostWith(4, deadly, other)))
+}
+
+// TestParts_OneDeadlyRequestHoldsNoPart: a request that crashes workers by itself shares parts with
+// sound requests, some of which run beside it.
+func TestParts_OneDeadlyRequestHoldsNoPart(t *testing.T) {
+	s := newTestBoard()
+	for range 2 {
+		must.SliceEmpty(t, s.crashWith(lostWith(1, shared, other), lostWith(2, shared)))
+	}
+	must.SliceEmpty(t, s.crashWith(lostWith(1, shared, other)))
+	must.True(t, s.board.held[print(1)])
+	must.SliceEmpty(t, s.crashWith(lostWith(1, shared, other), lostWith(3, shared)))
+}
+
+// TestParts_SimultaneousCrashesCountOnce: a rack fails with requests that share a part on three of
+// its workers.
+func TestParts_SimultaneousCrashesCountOnce(t *testing.T) {
+	s := newTestBoard()
+	for n, worker := range []string{"a", "b", "c"} {
+		s.board.Report(Crash{Worker: worker, Reporter: "e1", At: s.now, LostRequests: []LostRequest{lostWith(n, shared)}}, s.now)
+	}
+	must.SliceEmpty(t, s.crashWith(lostWith(9)))
+	must.SliceEmpty(t, s.crashWith(lostWith(4, shared)))
+}
+
+func TestParts_OutputAfterTheHoldClears(t *testing.T) {
+	s := newTestBoard()
+	for n := range 3 {
+		s.crashWith(lostWith(n, deadly))
+	}
+	s.now = s.now.Add(time.Millisecond)
+	must.Eq(t, []PartSet{partSet(deadly)}, s.output(deadly))
+	must.SliceEmpty(t, s.crashWith(lostWith(4, deadly)))
+}
+
+// TestParts_CrashesOfAHeldPartCountAgainstNobodyElse guards against blaming requests and parts that
+// ran beside a request with a held part.
+func TestParts_CrashesOfAHeldPartCountAgainstNobodyElse(t *testing.T) {
+	s := newTestBoard()
+	for n := range 3 {
+		s.crashWith(lostWith(n, deadly), lostWith(10+n, other))
+		s.output(other)
+	}
+	for n := range 3 {
+		must.SliceEmpty(t, s.crashWith(lostWith(20+n, deadly), lostWith(7, shared), lostWith(30+n, shared)))
+	}
+	must.False(t, s.board.held[print(7)])
+}
+
+func TestParts_BoardIsBounded(t *testing.T) {
+	s := newTestBoard()
+	for n := range 2 * maxOutputs {
+		s.board.Output(Output{Part: print(n), At: noon.Add(time.Duration(n) * time.Millisecond)})
+	}
+	must.LessEq(t, maxOutputs, len(s.board.parts.outputs))
+	for n := range 3 * maxAsked {
+		s.board.Report(Crash{Worker: "w", Reporter: "e1", At: s.now, LostRequests: []LostRequest{lostWith(n, n)}}, s.now)
+		s.board.Report(Crash{Worker: "x", Reporter: "e1", At: s.now.Add(time.Second), LostRequests: []LostRequest{lostWith(n, n)}}, s.now)
+	}
+	must.SliceLen(t, maxAsked, s.board.EvaluateParts(s.now).Ask)
+}
+
+func TestGuard_HoldsPromptsWithAllPartsOfASet(t *testing.T) {
+	g, now := newTestGuard()
+	one, both := partSet(1), partSet(2, 3)
+	g.ApplyRows([]Hold{{Fingerprint: one.Fingerprint(), Parts: one, Version: 4}, {Fingerprint: print(9), Version: 5}})
+	must.True(t, g.Announce(Hold{Fingerprint: both.Fingerprint(), Parts: both}))
+	for _, c := range []struct {
+		parts PartSet
+		held  bool
+	}{{nil, false}, {partSet(1, 5), true}, {partSet(2), false}, {partSet(3, 5), false}, {partSet(3, 2, 5), true}, {partSet(9), false}} {
+		_, held := g.HeldParts(c.parts)
+		must.EqOp(t, c.held, held, must.Sprint(c.parts))
+	}
+	must.EqOp(t, 2, g.PartHolds())
+	*now = now.Add(2 * unconfirmedTimeout)
+	_, held := g.HeldParts(both)
+	must.False(t, held, must.Sprint("the announcement has expired"))
+}
+
+func TestGuard_ReportsOutputOnWatchedAndHeldParts(t *testing.T) {
+	g, now := newTestGuard()
+	must.SliceEmpty(t, g.MarkOutput(partSet(1, 2)))
+	must.Eq(t, []Output{{Part: print(1), At: *now}}, g.Watch(partSet(1, 3)))
+	*now = now.Add(outputReportInterval)
+	must.Eq(t, []Output{{Part: print(1), At: *now}}, g.MarkOutput(partSet(1, 2)))
+	must.SliceEmpty(t, g.MarkOutput(partSet(1, 2)), must.Sprint("reported just before"))
+	*now = now.Add(WatchDuration)
+	must.SliceEmpty(t, g.MarkOutput(partSet(1, 2)))
+	both := partSet(2, 5)
+	g.ApplyRows([]Hold{{Fingerprint: both.Fingerprint(), Parts: both, Version: 4}})
+	*now = now.Add(outputReportInterval)
+	must.Eq(t, []Output{{Part: print(2), At: *now}}, g.MarkOutput(partSet(1, 2)))
+	for n := range 3 * maxFinished {
+		g.MarkOutput(partSet(n + 10))
+	}
+	must.LessEq(t, 2*maxFinished, len(g.outputs)+len(g.outputsBefore))
+}
+
+func TestRows_PartsRoundTrip(t *testing.T) {
+	s := partSet(1, 2)
+	h := Hold{Fingerprint: s.Fingerprint(), Parts: s, Charge: 3, SinceMs: 5}
+	row := rowOf(StoreHold("control", h).Writes[0], 7)
+	holds, err := ParseHolds([]store.Row{row})
+	must.NoError(t, err)
+	h.Version = 7
+	must.Eq(t, []Hold{h}, holds)
+	row.Key = heldPrefix + print(1).String()
+	holds, err = ParseHolds([]store.Row{row})
+	must.ErrorIs(t, err, errParts)
+	must.SliceEmpty(t, holds[0].Parts)
+	row.Value = []byte(`{"parts":["xyz"]}`)
+	_, err = ParseHolds([]store.Row{row})
+	must.ErrorContains(t, err, errDigits.Error())
+}
--- a/quarantine/rows.go
+++ b/quarantine/rows.go
@@ -75,6 +75,11 @@
 		h := Hold{}
 		if decodeErr := json.Unmarshal(r.Value, &h); decodeErr != nil {
 			err = &RowError{Row: r.Key, Err: decodeErr} // the row name alone holds the request back
+			h.Parts = nil
+		}
+		if len(h.Parts) > 0 && NewPartSet(h.Parts...).Fingerprint() != f {
+			err = &RowError{Row: r.Key, Err: errParts}
+			h.Parts = nil
 		}
 		h.Fingerprint = f
 		h.Version = r.At.Version()
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -30,6 +30,8 @@
 	// Resent reports whether the request had been sent to another worker before, in the same
 	// try.
 	Resent bool
+	// Parts are the parts of its prompt that it shares with other requests.
+	Parts []Fingerprint
 }
 
 // charge returns what the crash counts against the request.
@@ -49,3 +51,12 @@
 	// LostRequests are the daemon's requests that were lost with the worker.
 	LostRequests []LostRequest
 }
+
+// Parts returns the parts of the lost requests, each once.
+func (c *Crash) Parts() []Fingerprint {
+	var parts []Fingerprint
+	for _, r := range c.LostRequests {
+		parts = append(parts, r.Parts...)
+	}
+	return NewPartSet(parts...)
+}
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -14,8 +14,13 @@
 	Crashes  []quarantine.Crash
 	// Finished are held requests that have completed successfully at the daemon before.
 	Finished []quarantine.Fingerprint
+	// Outputs are when the daemon last saw output on suspected parts of prompts.
+	Outputs []quarantine.Output
 }
 
+// Empty reports whether the report holds nothing.
+func (r CrashReport) Empty() bool { return len(r.Crashes)+len(r.Finished)+len(r.Outputs) == 0 }
+
 // Crashes handles a report of worker crashes at another daemon.
 func (s *Server) Crashes(_ context.Context, m *rpc.CrashesRequest) (*rpc.CrashesReply, error) {
 	now := s.now()
@@ -24,20 +29,42 @@
 		crash := quarantine.Crash{Worker: c.Worker, Reporter: m.Reporter, At: now.Add(-time.Duration(c.AgeUs) * time.Microsecond)}
 		for _, run := range c.Runs {
 			if f, ok := quarantine.FromBytes(run.Fingerprint); ok {
-				crash.LostRequests = append(crash.LostRequests, quarantine.LostRequest{Fingerprint: f, Stage: stageFromProto(run.Stage), Resent: run.Again})
+				lost := quarantine.LostRequest{Fingerprint: f, Stage: stageFromProto(run.Stage), Resent: run.Again, Parts: fingerprints(run.Parts)}
+				crash.LostRequests = append(crash.LostRequests, lost)
 			}
 		}
 		report.Crashes = append(report.Crashes, crash)
 	}
-	for _, data := range m.Finished {
-		if f, ok := quarantine.FromBytes(data); ok {
-			report.Finished = append(report.Finished, f)
+	report.Finished = fingerprints(m.Finished)
+	for _, o := range m.Outputs {
+		if f, ok := quarantine.FromBytes(o.Part); ok {
+			report.Outputs = append(report.Outputs, quarantine.Output{Part: f, At: now.Add(-time.Duration(o.AgeUs) * time.Microsecond)})
 		}
 	}
 	s.handler.Crashes(report)
 	return &rpc.CrashesReply{}, nil
 }
 
+// fingerprints decodes fingerprints and leaves out malformed ones.
+func fingerprints(list [][]byte) []quarantine.Fingerprint {
+	var decoded []quarantine.Fingerprint
+	for _, data := range list {
+		if f, ok := quarantine.FromBytes(data); ok {
+			decoded = append(decoded, f)
+		}
+	}
+	return decoded
+}
+
+// encode encodes fingerprints.
+func encode(list []quarantine.Fingerprint) [][]byte {
+	var encoded [][]byte
+	for _, f := range list {
+		encoded = append(encoded, f[:])
+	}
+	return encoded
+}
+
 // Crashes reports worker crashes to another daemon.
 func (c *Client) Crashes(ctx context.Context, addr string, r CrashReport) error {
 	ctx, cancel := context.WithTimeout(ctx, c.reportTimeout)
@@ -47,12 +74,13 @@
 	for _, crash := range r.Crashes {
 		workerCrash := &rpc.WorkerCrash{Worker: crash.Worker, AgeUs: now.Sub(crash.At).Microseconds()}
 		for _, run := range crash.LostRequests {
-			workerCrash.Runs = append(workerCrash.Runs, &rpc.LostRun{Fingerprint: run.Fingerprint[:], Stage: stageToProto(run.Stage), Again: run.Resent})
+			workerCrash.Runs = append(workerCrash.Runs, &rpc.LostRun{Fingerprint: run.Fingerprint[:], Stage: stageToProto(run.Stage), Again: run.Resent, Parts: encode(run.Parts)})
 		}
 		m.Crashes = append(m.Crashes, workerCrash)
 	}
-	for _, f := range r.Finished {
-		m.Finished = append(m.Finished, f[:])
+	m.Finished = encode(r.Finished)
+	for _, o := range r.Outputs {
+		m.Outputs = append(m.Outputs, &rpc.PartOutput{Part: o.Part[:], AgeUs: now.Sub(o.At).Microseconds()})
 	}
 	if _, err := c.stub(addr).Crashes(ctx, m); err != nil {
 		return &CallError{Addr: addr, Err: err}
--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -33,18 +33,22 @@
 	seen := time.Now().Add(-3 * time.Second)
 	runs := []quarantine.LostRequest{
 		{Fingerprint: quarantine.Fingerprint{1}, Stage: quarantine.Queued},
-		{Fingerprint: quarantine.Fingerprint{2}, Stage: quarantine.Begun, Resent: true},
+		{Fingerprint: quarantine.Fingerprint{2}, Stage: quarantine.Begun, Resent: true, Parts: []quarantine.Fingerprint{{5}, {6}}},
 		{Fingerprint: quarantine.Fingerprint{3}, Stage: quarantine.Producing},
 	}
 	must.NoError(t, c.Crashes(t.Context(), strings.TrimPrefix(server.URL, "http://"), CrashReport{
 		Reporter: "e1",
 		Crashes:  []quarantine.Crash{{Worker: "w", Reporter: "e1", At: seen, LostRequests: runs}},
 		Finished: []quarantine.Fingerprint{{4}},
+		Outputs:  []quarantine.Output{{Part: quarantine.Fingerprint{7}, At: seen}},
 	}))
 	must.SliceLen(t, 1, k.reports)
 	got := k.reports[0]
 	must.EqOp(t, "e1", got.Reporter)
 	must.Eq(t, []quarantine.Fingerprint{{4}}, got.Finished)
+	must.SliceLen(t, 1, got.Outputs)
+	must.EqOp(t, quarantine.Fingerprint{7}, got.Outputs[0].Part)
+	must.Less(t, time.Second, got.Outputs[0].At.Sub(seen.Add(ahead)).Abs())
 	must.SliceLen(t, 1, got.Crashes)
 	must.Eq(t, runs, got.Crashes[0].LostRequests)
 	must.Less(t, time.Second, got.Crashes[0].At.Sub(seen.Add(ahead)).Abs())
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -14,6 +14,8 @@
 type CrashReporter interface {
 	// Lost records that a worker's answer to a request broke off.
 	Lost(w workers.Worker, r quarantine.LostRequest)
+	// Produced records output on parts of prompts that are held back.
+	Produced(outputs []quarantine.Output)
 }
 
 // fingerprint returns the request's fingerprint, which is the same at every daemon and time.
@@ -60,19 +62,27 @@
 	if !known {
 		return nil
 	}
+	reason := heldReason
 	h, held := guard.Held(f)
+	if !held {
+		reason = heldPartReason
+		h, held = guard.HeldParts(e.partFingerprints())
+	}
 	if !held {
 		return nil
 	}
 	e.hold = &h
 	e.server.opts.Counters.held.Inc()
 	if e.mayHaveRun {
-		return &fault{status: http.StatusBadGateway, reason: heldReason, aborted: e.answerStarted}
+		return &fault{status: http.StatusBadGateway, reason: reason, aborted: e.answerStarted}
 	}
-	return &fault{status: http.StatusServiceUnavailable, reason: heldReason, retryAfter: e.holdRemaining(h)}
+	return &fault{status: http.StatusServiceUnavailable, reason: reason, retryAfter: e.holdRemaining(h)}
 }
 
-const heldReason = "the request has crashed workers and is held back"
+const (
+	heldReason     = "the request has crashed workers and is held back"
+	heldPartReason = "a part of the prompt has crashed workers and is held back"
+)
 
 // holdRemaining returns how much longer the request is held. It counts from when this daemon
 // received the hold, not by the store's clock. The hold is older than that, so the retry delay
@@ -87,8 +97,26 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if f, known := e.fingerprint(); known {
-		e.server.opts.Crashes.Lost(target.Worker, quarantine.LostRequest{Fingerprint: f, Stage: e.stage, Resent: len(e.tried) > 1})
+	f, known := e.fingerprint()
+	if !known {
+		return
+	}
+	lost := quarantine.LostRequest{Fingerprint: f, Stage: e.stage, Resent: len(e.tried) > 1}
+	if lost.Stage == quarantine.Begun {
+		lost.Parts = e.partFingerprints()
+	}
+	e.server.opts.Crashes.Lost(target.Worker, lost)
+}
+
+// recordOutput records that a worker produced output on the parts of the prompt, so that these
+// aren't suspected of the crashes before.
+func (e *exchange) recordOutput() {
+	parts := e.partFingerprints()
+	if len(parts) == 0 {
+		return
+	}
+	if outputs := e.server.opts.Guard.MarkOutput(parts); len(outputs) > 0 {
+		e.server.opts.Crashes.Produced(outputs)
 	}
 }
 
--- a/serving/crash_test.go
+++ b/serving/crash_test.go
@@ -16,10 +16,17 @@
 )
 
 // crashRecorder records the answers that broke off.
-type crashRecorder struct{ runs []quarantine.LostRequest }
+type crashRecorder struct {
+	runs    []quarantine.LostRequest
+	outputs []quarantine.Output
+}
 
 func (b *crashRecorder) Lost(_ workers.Worker, r quarantine.LostRequest) { b.runs = append(b.runs, r) }
 
+func (b *crashRecorder) Produced(outputs []quarantine.Output) {
+	b.outputs = append(b.outputs, outputs...)
+}
+
 // headOnly starts an answer and breaks off before any output.
 func headOnly(Attempt) (*Reply, error) {
 	return &Reply{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(brokenReader{}), Length: -1}, nil
@@ -141,3 +148,50 @@
 		must.EqOp(t, c.clears, f.server.opts.Guard.Finished(fp))
 	}
 }
+
+// holdPart holds back the prompts with a part.
+func holdPart(f *fleet, id string) {
+	parts := quarantine.PartSet(f.server.opts.Guard.FingerprintParts("s", "m", []string{id}))
+	f.server.opts.Guard.ApplyRows([]quarantine.Hold{{Fingerprint: parts.Fingerprint(), Parts: parts, Version: 5}})
+}
+
+// TestServe_HeldPartReachesNoWorker guards against sending a request whose prompt shares a held
+// part. Requests with other parts are served.
+func TestServe_HeldPartReachesNoWorker(t *testing.T) {
+	f, b, _ := newGuardedFleet(catalog.Stream, finishStream, finishStream)
+	holdPart(f, "b2")
+	w, _ := f.askWith("a1", "b2")
+	must.EqOp(t, http.StatusServiceUnavailable, w.Code)
+	must.StrContains(t, w.Body.String(), heldPartReason)
+	must.SliceEmpty(t, f.regions)
+	w, _ = f.askWith("a1", "b3")
+	must.EqOp(t, http.StatusOK, w.Code)
+	must.SliceEmpty(t, b.outputs)
+}
+
+// TestServe_OutputOnAHeldPartIsReported: a request that was under way when its part was held back
+// goes on and shows that the part crashes nothing.
+func TestServe_OutputOnAHeldPartIsReported(t *testing.T) {
+	var f *fleet
+	f, b, _ := newGuardedFleet(catalog.Stream, func(a Attempt) (*Reply, error) {
+		holdPart(f, "b2")
+		return finishStream(a)
+	})
+	w, _ := f.askWith("a1", "b2")
+	must.EqOp(t, http.StatusOK, w.Code)
+	must.SliceLen(t, 1, b.outputs)
+}
+
+// TestServe_ReportsPartsOfBegunRequests checks that crashes count against the parts of requests
+// that their worker had begun, not against those of others.
+func TestServe_ReportsPartsOfBegunRequests(t *testing.T) {
+	for _, c := range []struct {
+		lost  handler
+		parts int
+	}{{loseAnswer, 0}, {headOnly, 2}, {cutStream, 0}} {
+		f, b, _ := newGuardedFleet(catalog.Stream, c.lost, finishStream)
+		f.askWith("a1", "b2")
+		must.SliceLen(t, 1, b.runs)
+		must.SliceLen(t, c.parts, b.runs[0].Parts)
+	}
+}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -335,6 +335,9 @@
 	answer := &bufferedAnswer{reply: reply, body: body}
 	failed := reply.Status >= http.StatusInternalServerError
 	e.recordAnswer(target, failed)
+	if reply.Status == http.StatusOK {
+		e.recordOutput()
+	}
 	if failed && e.route.IsRepeatable() && e.sent < e.maxAttempts() {
 		e.logFailedAttempt(target, &failedError{status: reply.Status})
 		if relayableStatus(reply.Status) {
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -130,7 +130,10 @@
 }
 
 // ask sends a request and returns its response; aborted reports whether it was broken off.
-func (f *fleet) ask() (w *httptest.ResponseRecorder, aborted bool) {
+func (f *fleet) ask() (w *httptest.ResponseRecorder, aborted bool) { return f.askWith() }
+
+// askWith is ask for a prompt that shares some parts.
+func (f *fleet) askWith(parts ...string) (w *httptest.ResponseRecorder, aborted bool) {
 	w = httptest.NewRecorder()
 	defer func() {
 		if r := recover(); r != nil {
@@ -138,7 +141,7 @@
 		}
 	}()
 	r := httptest.NewRequest(http.MethodPost, "http://a.example/x", nil)
-	f.server.Serve(w, r, &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Model: "m", Credential: "key", Timeout: time.Minute})
+	f.server.Serve(w, r, &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Model: "m", Credential: "key", Timeout: time.Minute, SharedParts: parts})
 	return w, false
 }
 
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -31,7 +31,10 @@
 	for scanner.Scan() {
 		e.server.opts.Reach.Answered(target.Worker)
 		watch.recordEvent()
-		e.stage = quarantine.Producing
+		if e.stage != quarantine.Producing {
+			e.stage = quarantine.Producing
+			e.recordOutput()
+		}
 		if err := e.relayEvent(scanner.Bytes(), reply, control); err != nil {
 			return e.handleStreamError(ctx, target, err)
 		}
