load: Follow callers that move to one daemon

Callers saw most requests refused ('the model's groups are fully used') for seconds when the platform handed most new connections to one daemon, while all groups had room: a daemon's part of the load is an average over twenty seconds, so that a daemon with nine of ten callers took its part for a ninth of them, or a 58th, and enforced that as soon as two first events were late.

The part now follows at once where the load has grown by more than a surge of all callers explains (six times before the total shows it), and within two reports where it differs from the average by half and by three mean deviations, in either direction. A surge of all callers alike leaves it as it is; one whose total comes two reports late is right after six.

--- a/deps/loads.go
+++ b/deps/loads.go
@@ -114,7 +114,7 @@
 	if clock.Since(total.At) > partTTL {
 		return 0, 0, false
 	}
-	part, ok = l.parts.Share(m)
+	part, ok = l.parts.Share(m, l.meter.OfferedTo(clock.Now(), m), total.Offered[m])
 	demand = total.Offered.Overlapping(m)
 	if demand > 0 {
 		part *= total.Offered[m] / demand
--- a/load/meter.go
+++ b/load/meter.go
@@ -129,6 +129,18 @@
 	return o
 }
 
+// OfferedTo returns the present offered load of one model.
+func (m *Meter) OfferedTo(now time.Time, model Model) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, found := m.rates[model]
+	if !found {
+		return 0
+	}
+	r.decay(now)
+	return r.work
+}
+
 func (r *rate) decay(now time.Time) {
 	if elapsed := now.Sub(r.at); elapsed > 0 {
 		r.work *= math.Exp(-elapsed.Seconds() / meterTimeConstant.Seconds())
