--- a/testbed/standin/crash_parts_test.go
+++ b/testbed/standin/crash_parts_test.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,3 +82,51 @@
 	must.Positive(t, others.complete.Load())
 	must.EqOp(t, 0, others.failed.Load(), must.Sprint("requests without the part failed"))
 }
+
+// firstAttempts returns how many requests were begun and complete at the first attempt in a time.
+func (b *backgroundCallers) firstAttempts(d time.Duration) (begun, complete int64) {
+	begun, complete = b.begun.Load(), b.first.Load()
+	time.Sleep(d)
+	return b.begun.Load() - begun, b.first.Load() - complete
+}
+
+// TestCrash_OthersAreServedWhileAPartIsHeld guards against holding back sound requests along with
+// those that crash workers: they share their key, their first part and the other middle parts. From
+// twice the contact time after the fifth crash they are served at the first attempt at least half as
+// often as before, while requests with the deadly part go on.
+func TestCrash_OthersAreServedWhileAPartIsHeld(t *testing.T) {
+	const span, least = 3 * time.Second, 20
+	s, c := newDeadlyPartCluster(t)
+	others := startPartCallers(s)
+	s.awaitServed(s.daemons...)
+	begunBefore, before := others.firstAttempts(span)
+	ctx, cancel := context.WithCancel(t.Context())
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			c.send(n)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	eventually(t, "five workers have crashed", func() bool { return len(c.arrivals()) >= maxPartCrashes })
+	time.Sleep(2 * holdPropagation)
+	begun, first := others.firstAttempts(span)
+	cancel()
+	sending.Wait()
+	must.GreaterEq(t, least, begunBefore)
+	must.GreaterEq(t, least, begun)
+	t.Logf("at the first attempt: %d of %d before, %d of %d while the part is held", before, begunBefore, first, begun)
+	must.GreaterEq(t, float64(before)/float64(begunBefore)/2, float64(first)/float64(begun))
+}
+
+// TestCrash_LeaseHolderDiesWhileAPartCrashesWorkers guards against losing the record of crashes and
+// of output with the lease holder.
+func TestCrash_LeaseHolderDiesWhileAPartCrashesWorkers(t *testing.T) {
+	s, c := newDeadlyPartCluster(t)
+	c.crashUntil(maxPartCrashes)
+	propagated := time.Now().Add(holdPropagation)
+	s.killHolder()
+	time.Sleep(time.Until(propagated))
+	c.sendRepeatedly()
+	must.LessEq(t, maxHeldArrivals, c.arrivalsSince(propagated))
+}
