serving: Take an unframed stream without events for broken off

A worker that crashes as it begins an answer that has neither a length nor chunks ends its connection; that was passed on as a whole, empty stream: the caller saw a success without events, no other worker was tried, and the crash was reported by nobody.

Cause: the scanner returns no error at an end between events, the one before the first event included. Such an end now breaks the attempt off, also for a resumed stream.

Red before: TestServe_UnframedStreamWithoutEventsIsBroken (an empty 200).

--- a/serving/crash_test.go
+++ b/serving/crash_test.go
@@ -195,3 +195,36 @@
 		must.SliceLen(t, c.parts, b.runs[0].Parts)
 	}
 }
+
+// unframed answers with events that end with their connection.
+func unframed(body string) handler {
+	return func(Attempt) (*Reply, error) {
+		r := events(body)
+		r.EndsWithConnection = true
+		return r, nil
+	}
+}
+
+// TestServe_UnframedStreamWithoutEventsIsBroken guards against an empty answer for a stream whose
+// worker crashed as it began: the connection then ends as that of a complete stream does.
+func TestServe_UnframedStreamWithoutEventsIsBroken(t *testing.T) {
+	f, b, _ := newGuardedFleet(catalog.Stream, unframed(""), finishStream)
+	w, _ := f.askWith("a1")
+	must.EqOp(t, http.StatusOK, w.Code)
+	must.Positive(t, w.Body.Len())
+	must.SliceLen(t, 2, f.regions)
+	must.SliceLen(t, 1, b.runs)
+	must.EqOp(t, quarantine.Begun, b.runs[0].Stage)
+	must.SliceLen(t, 1, b.runs[0].Parts)
+
+	f, _, _ = newGuardedFleet(catalog.Stream, unframed("id: 1\ndata: a\n\n"))
+	w, aborted := f.ask()
+	must.EqOp(t, http.StatusOK, w.Code)
+	must.False(t, aborted)
+	must.SliceLen(t, 1, f.regions, must.Sprint("it ended after an event"))
+
+	f, _, _ = newGuardedFleet(catalog.Stream, unframed("id: 1\ndata: a\n\nid: 2\nda"), unframed("id: 2\ndata: b\n\n"))
+	w, aborted = f.ask()
+	must.False(t, aborted)
+	must.EqOp(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", w.Body.String())
+}
--- a/serving/request.go
+++ b/serving/request.go
@@ -65,6 +65,9 @@
 	// Length is the length of the body in bytes, -1 if unknown.
 	Length int64
 	Body   io.ReadCloser
+	// EndsWithConnection is set if the body has neither a length nor chunks: the end of its
+	// connection ends it.
+	EndsWithConnection bool
 	// NotRun is set if the worker didn't run the request and won't.
 	NotRun bool
 	// Unreachable is set if a peer didn't run the request, as it can't reach the workers.
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -16,9 +16,11 @@
 // initialBufferBytes is the initial size of the buffer for a stream's events.
 const initialBufferBytes = 2 << 10
 
-// errTruncated means that a stream ended within an event, and errEventGap that the event ids
-// are not consecutive.
+// errTruncated means that a stream ended within an event, errEventGap that the event ids are not
+// consecutive, and errNoEvents that a connection which ends a stream ended before any event, as
+// it does when a worker crashes.
 var (
+	errNoEvents  = errors.New("connection ended before the first event")
 	errTruncated = errors.New("stream ended within an event")
 	errEventGap  = errors.New("event ids are not consecutive")
 )
@@ -42,6 +44,9 @@
 	if err := scanner.Err(); err != nil {
 		return e.handleStreamError(ctx, target, err)
 	}
+	if reply.EndsWithConnection && e.stage != quarantine.Producing {
+		return e.handleStreamError(ctx, target, errNoEvents)
+	}
 	if !e.answerStarted { // the answer has no events
 		e.startAnswer(reply)
 		e.w.WriteHeader(reply.Status)
