serving: Reset a broken answer to an HTTP/1.0 caller

A caller that speaks HTTP/1.0 gets a stream without chunks. When the stream broke off, the daemon closed the connection in order, and the caller took what it had for the whole answer.

The daemon now resets the connection, which is the only sign there is. Red before: TestServe_BrokenStreamIsNotCompleteForOldCallers (read to the end without an error after two workers had cut the stream).

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -407,13 +408,31 @@
 }
 
 // finish logs the request and writes the fault, if any.
-func (e *exchange) finish(ctx context.Context, f *fault) {
-	e.record(ctx, f)
+func (e *exchange) finish(r *http.Request, f *fault) {
+	e.record(r.Context(), f)
 	if f == nil {
 		return
 	}
-	if f.aborted || ctx.Err() != nil {
-		panic(http.ErrAbortHandler)
+	if f.aborted || r.Context().Err() != nil {
+		e.abort(r)
 	}
 	writeFault(e.w, f)
 }
+
+// abort breaks off the answer and doesn't return. An answer to HTTP/1.0 has no chunks, so that only
+// a reset tells its caller that it isn't complete.
+func (e *exchange) abort(r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		panic(http.ErrAbortHandler)
+	}
+	conn, _, err := http.NewResponseController(e.w).Hijack()
+	if err != nil {
+		e.server.opts.Log.Warn().Str("event", "answer_not_reset").Str("id", e.req.ID).Err(err).Msg("")
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -187,7 +187,7 @@
 	count := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	e := &exchange{server: s, w: w, req: f.Request, arrived: s.opts.Now(), lastEvent: f.Request.LastEvent, forwardedBy: f.From, attempts: f.Attempts}
-	e.finish(r.Context(), e.serveForwarded(r.Context(), count, f.ConfigVersion))
+	e.finish(r, e.serveForwarded(r.Context(), count, f.ConfigVersion))
 }
 
 func (e *exchange) serveForwarded(ctx context.Context, inFlight int64, minVersion uint64) *fault {
--- a/serving/server.go
+++ b/serving/server.go
@@ -151,7 +151,7 @@
 	if fault == nil {
 		fault = e.serve(r.Context())
 	}
-	e.finish(r.Context(), fault)
+	e.finish(r, fault)
 }
 
 // Refuse answers a request that was not examined.
