--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -69,6 +69,10 @@
 	LoadsPerS   float64 `json:"loadsPerS"`
 	LoadsAtOnce int     `json:"loads_at_once"`
 	FormMs      float64 `json:"formMs"`
+	// StepMs, PerSeqMs and ReadPerS are the times of a group. Without them daemons know no work.
+	StepMs   float64 `json:"step_ms,omitempty"`
+	PerSeqMs float64 `json:"per_seq_ms,omitempty"`
+	ReadPerS float64 `json:"read_per_s,omitempty"`
 }
 
 // Model configures a model and its groups.
@@ -296,8 +300,13 @@
 
 // Send sends a request to the daemon and reads the whole response.
 func (d *Daemon) Send(ctx context.Context, a Request) Reply {
+	return SendBy(ctx, http.DefaultTransport, d.addr, a)
+}
+
+// SendBy sends a request to an address by a transport.
+func SendBy(ctx context.Context, transport http.RoundTripper, addr string, a Request) Reply {
 	started := time.Now()
-	req, err := http.NewRequestWithContext(ctx, a.Method, "http://"+d.addr+a.Path, strings.NewReader(a.Body))
+	req, err := http.NewRequestWithContext(ctx, a.Method, "http://"+addr+a.Path, strings.NewReader(a.Body))
 	if err != nil {
 		return Reply{Err: err}
 	}
@@ -310,7 +319,7 @@
 	if a.Key != "" {
 		req.Header.Set("Authorization", "Bearer "+a.Key)
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return Reply{Err: err, Elapsed: time.Since(started)}
 	}
