quarantine: Let the completion of a request count for a minute

A request that completed once at a daemon was held for harmless there until 8,192 others had completed, and at the deciders for good, so that one that a release made deadly was sent to worker after worker: evidence without an age, the same as for parts of prompts that produced output before they crashed workers.

A completion now counts for a minute at daemons and deciders. Shorter would hold back requests that are often asked where all workers of a small service end at once. Red before: TestBoard_ClearedRequestMayCrashWorkersLater, TestGuard_CompletionExpires.

--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -241,7 +241,7 @@
 		}
 	}
 	for _, f := range r.Finished {
-		q.board.Clear(f)
+		q.board.Clear(f, now)
 		q.scheduleRemoval(f, now)
 		q.edge.Log.Warn().Str("event", "request_cleared").Str("fingerprint", f.String()).Str("reporter", r.Reporter).Msg("the request finished normally at the reporter")
 	}
--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -43,6 +43,9 @@
 	// maxCrashes bounds how many crashes are kept; the oldest are dropped first. At 34 requests
 	// per crash and 60 bytes per request they take 1 MB.
 	maxCrashes = 512
+	// completionLifetime is how long the completion of a request counts as evidence that it
+	// crashes no workers. A release may make it deadly.
+	completionLifetime = time.Minute
 	// maxInnocent bounds how many innocent requests are remembered.
 	maxInnocent = 4096
 )
@@ -50,15 +53,16 @@
 // Board collects the crash reports of daemons and decides which requests to hold back. It is a
 // state machine that reads no clock, and its state is bounded.
 type Board struct {
-	crashes  []*crash
-	held     map[Fingerprint]bool
-	innocent map[Fingerprint]bool
+	crashes []*crash
+	held    map[Fingerprint]bool
+	// innocent is when requests were cleared.
+	innocent map[Fingerprint]time.Time
 	parts    partBoard
 }
 
 // NewBoard returns a board without reports.
 func NewBoard() *Board {
-	return &Board{held: map[Fingerprint]bool{}, innocent: map[Fingerprint]bool{}, parts: newPartBoard()}
+	return &Board{held: map[Fingerprint]bool{}, innocent: map[Fingerprint]time.Time{}, parts: newPartBoard()}
 }
 
 // Report adds a daemon's report, which may repeat an earlier one. New facts in it are judged
@@ -110,13 +114,13 @@
 	delete(b.parts.held, f)
 }
 
-// Clear records that a request has completed somewhere, so it crashes no workers. The crashes
-// attributed to it count against other requests again.
-func (b *Board) Clear(f Fingerprint) {
+// Clear records that a request has completed somewhere lately, so it crashes no workers. The
+// crashes attributed to it count against other requests again.
+func (b *Board) Clear(f Fingerprint, now time.Time) {
 	if len(b.innocent) >= maxInnocent {
 		clear(b.innocent)
 	}
-	b.innocent[f] = true
+	b.innocent[f] = now
 	delete(b.held, f)
 	for _, c := range b.crashes {
 		if c.attributed && c.attributedTo == f {
@@ -126,6 +130,12 @@
 	}
 }
 
+// isInnocent reports whether a request was cleared lately.
+func (b *Board) isInnocent(f Fingerprint, now time.Time) bool {
+	at, cleared := b.innocent[f]
+	return cleared && now.Sub(at) < completionLifetime
+}
+
 // attribute attributes a crash to a request that is held back, if one was running on the
 // worker.
 func (b *Board) attribute(c *crash) {
@@ -221,7 +231,7 @@
 			recentCrashes++
 		}
 		for f, run := range c.requests {
-			if b.innocent[f] {
+			if b.isInnocent(f, now) {
 				continue
 			}
 			if tallies[f] == nil {
--- a/quarantine/board_test.go
+++ b/quarantine/board_test.go
@@ -151,11 +151,23 @@
 	s.crash(begun(1), begun(2))
 	s.crash(begun(1), begun(2))
 	s.crash(begun(1))
-	s.board.Clear(print(1))
+	s.board.Clear(print(1), s.now)
 	must.SliceEmpty(t, s.crash(begun(1)))
 	must.Eq(t, []Fingerprint{print(2)}, s.crash(begun(1), begun(2)), must.Sprint("crashes attributed to a cleared request count against others"))
 }
 
+// TestBoard_ClearedRequestMayCrashWorkersLater guards against sending a request to worker after
+// worker since it completed once: a release may make it deadly.
+func TestBoard_ClearedRequestMayCrashWorkersLater(t *testing.T) {
+	s := newTestBoard()
+	s.board.Clear(print(1), s.now)
+	must.SliceEmpty(t, s.crash(begun(1)))
+	must.SliceEmpty(t, s.crash(begun(1)))
+	must.SliceEmpty(t, s.crash(begun(1)))
+	s.now = s.now.Add(completionLifetime)
+	must.Eq(t, []Fingerprint{print(1)}, s.crash(begun(1)))
+}
+
 func TestBoard_ReleasedRequestStartsWithoutCharge(t *testing.T) {
 	s := newTestBoard()
 	for range 3 {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -42,9 +42,8 @@
 
 	mu   sync.Mutex
 	held map[Fingerprint]Hold
-	// finished are requests that completed lately, finishedBefore those of the previous
-	// generation.
-	finished, finishedBefore map[Fingerprint]struct{}
+	// finished is when requests completed, finishedBefore that of the previous generation.
+	finished, finishedBefore map[Fingerprint]time.Time
 	// sets are the holds of two parts or more.
 	sets []Hold
 	// outputs is when this daemon last saw output on parts, outputsBefore that of the previous
@@ -56,7 +55,7 @@
 
 // NewGuard returns a guard without a key and without holds.
 func NewGuard(now func() time.Time) *Guard {
-	return &Guard{now: now, held: map[Fingerprint]Hold{}, finished: map[Fingerprint]struct{}{}, outputs: map[Fingerprint]time.Time{}, watched: map[Fingerprint]time.Time{}}
+	return &Guard{now: now, held: map[Fingerprint]Hold{}, finished: map[Fingerprint]time.Time{}, outputs: map[Fingerprint]time.Time{}, watched: map[Fingerprint]time.Time{}}
 }
 
 // SetKey sets the key that all daemons share.
@@ -205,13 +204,13 @@
 	defer g.mu.Unlock()
 	if len(g.finished) >= maxFinished {
 		g.finishedBefore = g.finished
-		g.finished = make(map[Fingerprint]struct{}, maxFinished)
+		g.finished = make(map[Fingerprint]time.Time, maxFinished)
 	}
-	g.finished[f] = struct{}{}
+	g.finished[f] = g.now()
 }
 
-// Finished reports whether a request has recently completed at this daemon. A request that
-// crashes every worker that starts it never does.
+// Finished reports whether a request has completed at this daemon within completionLifetime. A
+// request that crashes every worker that starts it never does.
 func (g *Guard) Finished(f Fingerprint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -220,7 +219,9 @@
 
 // finishedLocked implements Finished. The caller holds the lock.
 func (g *Guard) finishedLocked(f Fingerprint) bool {
-	_, current := g.finished[f]
-	_, previous := g.finishedBefore[f]
-	return current || previous
+	at, found := g.finished[f]
+	if !found {
+		at, found = g.finishedBefore[f]
+	}
+	return found && g.now().Sub(at) < completionLifetime
 }
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -80,6 +80,19 @@
 	must.LessEq(t, 2*maxFinished, len(g.finished)+len(g.finishedBefore))
 }
 
+// TestGuard_CompletionExpires: see TestBoard_ClearedRequestMayCrashWorkersLater.
+func TestGuard_CompletionExpires(t *testing.T) {
+	g, now := newTestGuard()
+	g.MarkFinished(print(1))
+	g.ApplyRows([]Hold{stored(1, 9)})
+	*now = now.Add(completionLifetime - time.Millisecond)
+	must.True(t, g.Finished(print(1)))
+	*now = now.Add(time.Millisecond)
+	must.False(t, g.Finished(print(1)))
+	_, held := g.Held(print(1))
+	must.True(t, held)
+}
+
 func rowOf(w store.Write, version uint64) store.Row {
 	return store.Row{Key: w.Key, Value: w.Value, At: store.At(0, version)}
 }
