serving: Cancel attempts that wait while their request is held back

A request that waits at a worker when its hold arrives crashed that worker all the same as it began: up to 34 other requests lost with each.

When a hold arrives, a daemon now cancels the attempts of held requests that have had no event. The worker isn't blamed, the crash search gets no report, and the caller gets 502, as a worker may have begun it. Holds of single requests do the same.

TestServe_Attempt- ThatWaitsIsCanceledByAHold is new with it and was not run without it.

--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -202,6 +202,7 @@
 		entry = entry.Strs("parts", quarantine.Strings(h.Parts))
 	}
 	entry.Msg("the request is no longer sent to workers")
+	q.edge.Server.CancelHeld()
 	if finishedHere {
 		q.crashReporter.clear(h.Fingerprint)
 	}
--- a/quarantine/parts_histories_test.go
+++ b/quarantine/parts_histories_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -169,6 +170,12 @@
 	for _, g := range h.guards {
 		g.ApplyRows(rows)
 	}
+	for _, p := range h.slots {
+		p.running = slices.DeleteFunc(p.running, func(u *partRun) bool {
+			_, held := h.guards[u.daemon].HeldParts(u.parts)
+			return held && u.stage(h.now) == Queued
+		})
+	}
 }
 
 func (h *partHistory) judge() {
--- a/serving/crash_test.go
+++ b/serving/crash_test.go
@@ -228,3 +228,31 @@
 	must.False(t, aborted)
 	must.EqOp(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", w.Body.String())
 }
+
+// TestServe_AttemptThatWaitsIsCanceledByAHold guards against a worker that crashes as it begins a
+// request which was held back while it waited there. Attempts of other requests go on, and the worker
+// isn't blamed.
+func TestServe_AttemptThatWaitsIsCanceledByAHold(t *testing.T) {
+	var f *fleet
+	waitForCancel := func(a Attempt) (*Reply, error) {
+		holdPart(f, "b2")
+		f.server.CancelHeld()
+		<-f.sendContext.Done()
+		return nil, &LostError{Err: f.sendContext.Err()}
+	}
+	f, b, _ := newGuardedFleet(catalog.Stream, waitForCancel)
+	w, _ := f.askWith("a1", "b2")
+	must.EqOp(t, http.StatusBadGateway, w.Code)
+	must.StrContains(t, w.Body.String(), heldPartReason)
+	must.SliceLen(t, 1, f.regions)
+	must.SliceEmpty(t, b.runs)
+
+	f, _, _ = newGuardedFleet(catalog.Stream, func(a Attempt) (*Reply, error) {
+		holdPart(f, "b2")
+		f.server.CancelHeld()
+		must.NoError(t, f.sendContext.Err())
+		return finishStream(a)
+	})
+	w, _ = f.askWith("a1", "b3")
+	must.EqOp(t, http.StatusOK, w.Code)
+}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -210,6 +210,8 @@
 	sent := s.opts.Now()
 	e.recordSent(sent, target)
 	e.stage = e.initialStage()
+	e.fingerprint()
+	e.partFingerprints()
 	watch := e.watch(target.Key, cancel)
 	defer watch.stop()
 	reply, err := s.opts.Upstream.Send(ctx, e.newAttempt(target, left))
@@ -267,7 +269,14 @@
 	if ctx.Err() != nil && !stalled {
 		return false, e.expired(ctx)
 	}
-	if warned := errors.Is(context.Cause(ctx), errWarned); !warned { // already reported by others
+	held := errors.Is(context.Cause(ctx), errHeld)
+	if held {
+		e.logFailedAttempt(target, errHeld)
+		if f := e.checkHold(); f != nil {
+			return false, f
+		}
+	}
+	if warned := errors.Is(context.Cause(ctx), errWarned); !warned && !held { // already reported by others
 		failure := AnswerLost
 		if notSent != nil || errors.Is(context.Cause(ctx), errSilent) {
 			failure = Unresponsive
--- a/serving/place_test.go
+++ b/serving/place_test.go
@@ -57,6 +57,8 @@
 	kind     catalog.Kind
 	// handlers respond to one request each, in order; the last one is used repeatedly.
 	handlers []handler
+	// sendContext is the context of the last attempt.
+	sendContext context.Context
 	// regions lists the region of each attempt.
 	regions []string
 	// demand lists the models for which demand was recorded.
@@ -68,7 +70,8 @@
 
 var fleetHalls = map[string]string{"h1": "north", "h2": "north", "h3": "south", "h4": "south"}
 
-func (f *fleet) Send(_ context.Context, a Attempt) (*Reply, error) {
+func (f *fleet) Send(ctx context.Context, a Attempt) (*Reply, error) {
+	f.sendContext = ctx
 	f.regions = append(f.regions, fleetHalls[a.Worker.Hall])
 	next := f.handlers[0]
 	if len(f.handlers) > 1 {
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/pointpass/pointpass/quarantine"
 )
 
 // errSilent is the cancellation cause of a stream whose target sends no further events.
@@ -15,6 +18,10 @@
 // dead.
 var errWarned = fmt.Errorf("another daemon reported the group dead: %w", errStalled)
 
+// errHeld is the cancellation cause of an attempt that waits for its first event while its request
+// is held back.
+var errHeld = fmt.Errorf("the request is held back: %w", errStalled)
+
 const (
 	// maxStreamSilence is how long one stream may get no events while the target serves
 	// others.
@@ -42,6 +49,9 @@
 	resuming bool
 	attempts int
 	tried    []string
+	// print and parts identify the request and the parts of its prompt.
+	print quarantine.Fingerprint
+	parts []quarantine.Fingerprint
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -55,7 +65,7 @@
 // but the deadline.
 func (e *exchange) watch(key string, cancel context.CancelCauseFunc) *watch {
 	now := e.server.opts.Now()
-	w := &watch{exchange: e, key: key, cancel: cancel, started: now, resuming: e.answerStarted, attempts: e.sent + 1, tried: slices.Clone(e.tried)}
+	w := &watch{exchange: e, key: key, cancel: cancel, started: now, resuming: e.answerStarted, attempts: e.sent + 1, tried: slices.Clone(e.tried), print: e.print, parts: e.partPrints}
 	if !e.route.Resumable {
 		return w
 	}
@@ -124,6 +134,24 @@
 	}
 }
 
+// cancelHeld cancels the attempt if it waits for its first event and its request is held back.
+func (w *watch) cancelHeld() {
+	w.mu.Lock()
+	waits := w.last.IsZero()
+	w.mu.Unlock()
+	if !waits {
+		return
+	}
+	guard := w.exchange.server.opts.Guard
+	_, held := guard.Held(w.print)
+	if !held {
+		_, held = guard.HeldParts(w.parts)
+	}
+	if held {
+		w.cancel(errHeld)
+	}
+}
+
 // check runs when this request got no event for a while. It cancels the attempt if the target
 // sends nothing to any request, or if this stream has got no event for too long.
 func (w *watch) check() {
@@ -204,6 +232,17 @@
 	}
 }
 
+// list returns all watched attempts.
+func (ws *watches) list() []*watch {
+	ws.mu.Lock()
+	defer ws.mu.Unlock()
+	var list []*watch
+	for _, attempts := range ws.all {
+		list = slices.AppendSeq(list, maps.Keys(attempts))
+	}
+	return list
+}
+
 // at returns the watched attempts at a target.
 func (ws *watches) at(key string) []*watch {
 	ws.mu.Lock()
@@ -249,6 +288,14 @@
 	return applied
 }
 
+// CancelHeld cancels the attempts of requests that are held back by now and that wait at workers,
+// which would crash as they begin them.
+func (s *Server) CancelHeld() {
+	for _, w := range s.watches.list() {
+		w.cancelHeld()
+	}
+}
+
 // WithdrawWarning ends a warning about a target.
 func (s *Server) WithdrawWarning(key string) { s.opts.Balancer.WithdrawWarning(key) }
 
