serving: Let the retry of a suspect await the verdict

A request whose worker ended as it began it was sent to the next worker at once; under a deadly part that worker ended too, 0.25 s before the deciders had judged the first crash.

Where a worker was lost as it had begun a request and daemons were asked about one of its parts lately, the retry waits 0.4 s. Sound requests rarely have such parts: output on them ends the suspicion, and only parts that crashed a worker under two requests or twice under one are asked about.

Red without the call: TestServe_RetryOfASuspectAwaitsTheVerdict.

--- a/quarantine/guard_parts.go
+++ b/quarantine/guard_parts.go
@@ -95,6 +95,14 @@
 	return g.outputsLocked(parts)
 }
 
+// Watched reports whether daemons were asked lately about a part of a prompt.
+func (g *Guard) Watched(parts []Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	return slices.ContainsFunc(parts, func(f Fingerprint) bool { return now.Before(g.watched[f]) })
+}
+
 // isHeldPartLocked reports whether a part is held back, alone or with others. The caller holds
 // the lock.
 func (g *Guard) isHeldPartLocked(f Fingerprint) bool {
--- a/quarantine/parts_histories_test.go
+++ b/quarantine/parts_histories_test.go
@@ -21,6 +21,8 @@
 	reportTime = 20 * time.Millisecond
 	// judgeStep is how often crashes are judged.
 	judgeStep = 50 * time.Millisecond
+	// suspectDelay is how long a daemon delays the retry of a suspected request.
+	suspectDelay = 400 * time.Millisecond
 )
 
 type partRun struct {
@@ -147,11 +149,21 @@
 			if u.sends%sendsPerTry == 0 {
 				again.daemon = h.rand.IntN(daemons)
 			}
-			h.send(again)
+			h.resend(again, u.stage(h.now))
 		}
 	}
 }
 
+// resend sends a lost request again, at once unless it may have crashed its worker by a suspected
+// part.
+func (h *partHistory) resend(u partRun, lost Stage) {
+	if lost != Begun || !h.guards[u.daemon].Watched(u.parts) {
+		h.send(u)
+		return
+	}
+	h.actions = append(h.actions, timedAction{at: h.now + suspectDelay, do: func() { h.send(u) }})
+}
+
 // report tells the decider of output on parts.
 func (h *partHistory) report(outputs []Output) {
 	for _, o := range outputs {
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -106,6 +106,28 @@
 		lost.Parts = e.partFingerprints()
 	}
 	e.server.opts.Crashes.Lost(target.Worker, lost)
+	e.awaitsVerdict = e.server.opts.Guard.Watched(lost.Parts)
+}
+
+// verdictDelay is how long the deciders take to judge a crash: its reports, the check whether the
+// worker has ended, and the hold.
+const verdictDelay = 400 * time.Millisecond
+
+// awaitVerdict delays the retry of a request whose worker may have crashed under a suspected part,
+// so that the next worker doesn't crash before the part is held back. It reports false if ctx ends.
+func (e *exchange) awaitVerdict(ctx context.Context) bool {
+	if !e.awaitsVerdict {
+		return true
+	}
+	e.awaitsVerdict = false
+	timer := time.NewTimer(verdictDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // recordOutput records that a worker produced output on the parts of the prompt, so that these
--- a/serving/crash_test.go
+++ b/serving/crash_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -256,3 +257,27 @@
 	w, _ = f.askWith("a1", "b3")
 	must.EqOp(t, http.StatusOK, w.Code)
 }
+
+// TestServe_RetryOfASuspectAwaitsTheVerdict guards against a second worker that crashes while the
+// deciders still judge the crash of the first. Requests without suspected parts retry at once.
+func TestServe_RetryOfASuspectAwaitsTheVerdict(t *testing.T) {
+	for _, suspected := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f, _, _ := newGuardedFleet(catalog.Stream, headOnly, finishStream)
+			if suspected {
+				f.server.opts.Guard.Watch(f.server.opts.Guard.FingerprintParts("s", "m", []string{"b2"}))
+			}
+			started := time.Now()
+			w, _ := f.askWith("a1", "b2")
+			must.EqOp(t, http.StatusOK, w.Code)
+			must.EqOp(t, suspected, time.Since(started) >= verdictDelay)
+		})
+	}
+
+	f, _, _ := newGuardedFleet(catalog.Stream, headOnly, finishStream)
+	f.server.opts.Guard.Watch(f.server.opts.Guard.FingerprintParts("s", "m", []string{"b2"}))
+	time.AfterFunc(verdictDelay/2, func() { holdPart(f, "b2") })
+	w, _ := f.askWith("a1", "b2")
+	must.EqOp(t, http.StatusBadGateway, w.Code)
+	must.SliceLen(t, 1, f.regions)
+}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -37,6 +37,8 @@
 	hasFingerprint bool
 	// partPrints are the fingerprints of the shared parts of the prompt, nil if not computed.
 	partPrints []quarantine.Fingerprint
+	// awaitsVerdict is set if the last attempt may have crashed its worker by a suspected part.
+	awaitsVerdict bool
 	// hold is the hold that the request is under, nil if there is none.
 	hold *quarantine.Hold
 	// stage is how far the worker got in the current attempt.
@@ -141,6 +143,9 @@
 		if e.sent >= e.maxAttempts() {
 			return e.giveUp(f)
 		}
+		if !e.awaitVerdict(ctx) {
+			return e.expired(ctx)
+		}
 		if e.sent > 0 && !e.spendRetry() {
 			return e.giveUp(f)
 		}
