quarantine: Let released parts start without a charge

Two faults of the hold of parts, found by reading it again, each with a test that was red before: - After an operator had released a part, the crashes under it still counted, so that the next crash of any worker that had begun a request with it held it back at once. - While 256 parts were suspected, a further one was not asked about, so that it was never held back: a caller who sends random parts could hide a deadly one. The bound now leaves out parts that would be held back.

--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -161,12 +161,12 @@
 func (q *crashQuarantine) updateBoard(holds, ended []quarantine.Hold) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := clock.Now()
 	for _, h := range ended {
 		if h.Version != 0 { // an announcement that expired is repeated
-			q.board.Release(h.Fingerprint)
+			q.board.Release(h.Fingerprint, now)
 		}
 	}
-	now := clock.Now()
 	present := map[quarantine.Fingerprint]bool{}
 	for _, h := range holds {
 		present[h.Fingerprint] = true
--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -109,9 +109,9 @@
 
 // Release records that a request or a set of parts is no longer held back. The crashes
 // attributed to it stay attributed and count against no other.
-func (b *Board) Release(f Fingerprint) {
+func (b *Board) Release(f Fingerprint, now time.Time) {
 	delete(b.held, f)
-	delete(b.parts.held, f)
+	b.releaseParts(f, now)
 }
 
 // Clear records that a request has completed somewhere lately, so it crashes no workers. The
--- a/quarantine/board_test.go
+++ b/quarantine/board_test.go
@@ -173,7 +173,7 @@
 	for range 3 {
 		s.crash(begun(1))
 	}
-	s.board.Release(print(1))
+	s.board.Release(print(1), s.now)
 	must.SliceEmpty(t, s.crash(begun(1)))
 	must.SliceEmpty(t, s.crash(begun(1)))
 	must.Eq(t, []Fingerprint{print(1)}, s.crash(begun(1)))
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -27,7 +27,7 @@
 	WatchDuration = time.Minute
 	// askRepeat is how long a question is repeated along with the next ones.
 	askRepeat = 5 * time.Second
-	// maxAsked bounds how many parts are asked about at a time.
+	// maxAsked bounds how many parts are asked about at a time, beside those that would be held back.
 	maxAsked = 256
 	// maxOutputs bounds how many parts are remembered as having produced output.
 	maxOutputs = 8192
@@ -111,6 +111,14 @@
 	}
 }
 
+// releaseParts records that a set is no longer held back. Its parts start without a charge.
+func (b *Board) releaseParts(f Fingerprint, now time.Time) {
+	for _, part := range b.parts.held[f].parts {
+		b.parts.outputs[part] = now
+	}
+	delete(b.parts.held, f)
+}
+
 // attributeToParts attributes a crash to a held set of parts, if a request with them had begun at
 // the worker.
 func (b *Board) attributeToParts(c *crash) {
@@ -157,10 +165,12 @@
 	maps.DeleteFunc(b.parts.asked, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) > WatchDuration-askDelay })
 	added := false
 	for f, t := range tallies {
-		if _, asked := b.parts.asked[f]; !asked && t.charge >= askCharge && len(b.parts.asked) < maxAsked {
-			b.parts.asked[f] = now
-			added = true
+		_, asked := b.parts.asked[f]
+		if asked || t.charge < askCharge || t.charge < partHoldCharge && len(b.parts.asked) >= maxAsked {
+			continue
 		}
+		b.parts.asked[f] = now
+		added = true
 	}
 	if !added {
 		return nil
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -215,3 +215,31 @@
 	_, err = ParseHolds([]store.Row{row})
 	must.ErrorContains(t, err, errDigits.Error())
 }
+
+// TestParts_ReleasedPartStartsWithoutCharge guards against holding back a part that an operator has
+// released at the next crash of any worker that had begun a request with it.
+func TestParts_ReleasedPartStartsWithoutCharge(t *testing.T) {
+	s := newTestBoard()
+	for n := range 3 {
+		s.crashWith(lostWith(n, deadly))
+	}
+	s.board.Release(partSet(deadly).Fingerprint(), s.now)
+	s.now = s.now.Add(time.Millisecond)
+	must.SliceEmpty(t, s.crashWith(lostWith(11, deadly)))
+	must.SliceEmpty(t, s.crashWith(lostWith(12, deadly)))
+	must.Eq(t, []PartSet{partSet(deadly)}, s.crashWith(lostWith(13, deadly)))
+}
+
+// TestParts_ManySuspectsDoNotHideTheDeadlyOne guards against requests with so many parts that no
+// further one is asked about, and so none is held back.
+func TestParts_ManySuspectsDoNotHideTheDeadlyOne(t *testing.T) {
+	s := newTestBoard()
+	for n := range 3 * maxAsked {
+		s.board.Report(Crash{Worker: "w", Reporter: "e1", At: s.now, LostRequests: []LostRequest{lostWith(n+1000, n+1000)}}, s.now)
+		s.board.Report(Crash{Worker: "x", Reporter: "e1", At: s.now.Add(time.Second), LostRequests: []LostRequest{lostWith(n+1000, n+1000)}}, s.now)
+	}
+	s.board.EvaluateParts(s.now)
+	s.crashWith(lostWith(1, deadly))
+	s.crashWith(lostWith(2, deadly))
+	must.Eq(t, []PartSet{partSet(deadly)}, s.crashWith(lostWith(3, deadly)))
+}
