shed: Turn connections away while one daemon lacks processor time

When the platform hands most new connections to one daemon of a large site, it reads more requests than it has processor time for: with 0.192 of a core and 447 requests a second first events came after 0.4 to 2 s, rows went stale ('credentials can't be checked at present'), and callers left. A request that was read can't be served elsewhere; a connection closed unread is retried at another daemon.

A daemon that has over three even parts of the load, by news of the others of the last 3 s, measures how late it runs and closes a share of the new connections unread, 0.9 at most. Nothing is measured beyond a timer each 25 ms while nothing is late.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -150,6 +150,9 @@
 		if err != nil {
 			return err
 		}
+		if server == p.callersServer {
+			listener = p.edge.GateListener(listener)
+		}
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				p.failed <- err
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -22,6 +22,7 @@
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/serving"
+	"github.com/pointpass/pointpass/shed"
 	"github.com/pointpass/pointpass/throttle"
 	"github.com/pointpass/pointpass/workers"
 )
@@ -48,6 +49,7 @@
 	// Placement decides where requests may run.
 	Placement *placement.Decider
 	stall     *placement.StallDetector
+	gate      *shed.Gate
 	Server    *serving.Server
 	Ingress   http.Handler
 	// Guard recognizes requests that crash workers.
@@ -99,6 +101,7 @@
 	e.entries = &entryLog{log: logger}
 	e.cold = newColdStart(e)
 	e.Placement = placement.NewDecider(settings.Current().HallRegions(), e.cold.ramp, e.Throttle, clock.Now)
+	e.gate = shed.NewGate(func() bool { return e.loads.hasSurplus() })
 	e.stall = placement.NewStallDetector(clock.Now, e.logStall)
 	client, closeStore := platform.NewStore(settings.Current().StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), clock.Now)
@@ -274,7 +277,7 @@
 // Run follows the store and forms groups until ctx ends.
 func (e *Edge) Run(ctx context.Context) {
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){e.followers.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run, e.quarantine.Run, e.reach.Run, e.watchStalls} {
+	for _, run := range []func(context.Context){e.followers.Run, e.Lease.Run, e.Controller.Run, e.reporter.Run, e.loads.Run, e.cold.Run, e.quarantine.Run, e.reach.Run, e.watchStalls, e.watchProcessorTime} {
 		running.Go(func() { run(ctx) })
 	}
 	running.Wait()
