quarantine: Report output on a watched part that has much of it

A part with output more often than ten times a second at a daemon was never reported while it was watched: each output counted as the last report. Such a part could stay suspected though it is harmless.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -51,11 +51,13 @@
 	outputs, outputsBefore map[Fingerprint]time.Time
 	// watched are the parts whose output is reported, and until when.
 	watched map[Fingerprint]time.Time
+	// reported is when output on them was last reported.
+	reported map[Fingerprint]time.Time
 }
 
 // NewGuard returns a guard without a key and without holds.
 func NewGuard(now func() time.Time) *Guard {
-	return &Guard{now: now, held: map[Fingerprint]Hold{}, finished: map[Fingerprint]time.Time{}, outputs: map[Fingerprint]time.Time{}, watched: map[Fingerprint]time.Time{}}
+	return &Guard{now: now, held: map[Fingerprint]Hold{}, finished: map[Fingerprint]time.Time{}, outputs: map[Fingerprint]time.Time{}, watched: map[Fingerprint]time.Time{}, reported: map[Fingerprint]time.Time{}}
 }
 
 // SetKey sets the key that all daemons share.
--- a/quarantine/guard_parts.go
+++ b/quarantine/guard_parts.go
@@ -68,15 +68,27 @@
 		g.outputs = make(map[Fingerprint]time.Time, maxFinished)
 	}
 	for _, f := range parts {
-		last, found := g.outputs[f]
 		g.outputs[f] = now
-		if found && now.Sub(last) < outputReportInterval {
-			continue
-		}
 		if now.Before(g.watched[f]) || g.isHeldPartLocked(f) {
 			report = append(report, Output{Part: f, At: now})
 		}
 	}
+	return g.limitReportsLocked(report, now)
+}
+
+// limitReportsLocked returns the output on parts that was not reported within outputReportInterval,
+// and records that it is reported now. The caller holds the lock.
+func (g *Guard) limitReportsLocked(report []Output, now time.Time) []Output {
+	report = slices.DeleteFunc(report, func(o Output) bool {
+		at, found := g.reported[o.Part]
+		return found && now.Sub(at) < outputReportInterval
+	})
+	if len(g.reported) > maxWatched {
+		clear(g.reported)
+	}
+	for _, o := range report {
+		g.reported[o.Part] = now
+	}
 	return report
 }
 
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -187,6 +187,12 @@
 	*now = now.Add(outputReportInterval)
 	must.Eq(t, []Output{{Part: print(1), At: *now}}, g.MarkOutput(partSet(1, 2)))
 	must.SliceEmpty(t, g.MarkOutput(partSet(1, 2)), must.Sprint("reported just before"))
+	reported := 0
+	for range 100 { // a part with more output than is reported
+		*now = now.Add(outputReportInterval / 10)
+		reported += len(g.MarkOutput(partSet(1, 2)))
+	}
+	must.EqOp(t, 10, reported)
 	*now = now.Add(WatchDuration)
 	must.SliceEmpty(t, g.MarkOutput(partSet(1, 2)))
 	both := partSet(2, 5)
