deps: Keep crashes when output fills the observations

A daemon keeps 128 observations for the next deciders. Output on suspected parts, ten times a second each, pushed the crashes out, so that a new holder of the lease learned of none. At most 32 observations are of output alone now; later output tells as much. Found by reading the change again. Red before: TestCrashReporter_OutputDoesNotPushOutCrashes.

--- a/deps/crashreporter.go
+++ b/deps/crashreporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,9 @@
 	// maxObservations is how many observations a daemon keeps for the next deciders, and
 	// observationTTL how long, which is how long they count there.
 	maxObservations = 128
-	observationTTL  = time.Hour
+	// maxOutputObservations is how many of them may be of output alone.
+	maxOutputObservations = 32
+	observationTTL        = time.Hour
 	// crashReportTimeout is how long a report to a daemon is retried. By then the other decider
 	// has it, or the lease passes on, which takes 5 s at most.
 	crashReportTimeout = 5 * time.Second
@@ -72,6 +75,9 @@
 	reportedIn map[string]uint64
 }
 
+// isOutput reports whether an observation is of output alone.
+func (o observation) isOutput() bool { return o.crash == nil && o.finished == nil }
+
 // crashReporterOptions configures a crashReporter.
 type crashReporterOptions struct {
 	// Self returns this daemon's name.
@@ -148,11 +154,27 @@
 		return
 	}
 	c.mu.Lock()
+	c.dropOldestOutput()
 	c.add(observation{at: clock.Now(), outputs: outputs})
 	c.mu.Unlock()
 	c.kick()
 }
 
+// dropOldestOutput makes room for another observation of output alone. Later output on a part tells
+// as much. The caller holds the lock.
+func (c *crashReporter) dropOldestOutput() {
+	n := 0
+	for _, o := range c.observations {
+		if o.isOutput() {
+			n++
+		}
+	}
+	if n >= maxOutputObservations {
+		i := slices.IndexFunc(c.observations, observation.isOutput)
+		c.observations = slices.Delete(c.observations, i, i+1)
+	}
+}
+
 // add stores an observation. The caller holds the lock.
 func (c *crashReporter) add(o observation) {
 	o.added = clock.Now()
--- a/deps/crashreporter_test.go
+++ b/deps/crashreporter_test.go
@@ -197,3 +197,17 @@
 	s.prune(now.Add(2 * observationTTL))
 	must.SliceEmpty(t, s.observations)
 }
+
+// TestCrashReporter_OutputDoesNotPushOutCrashes guards against a new decider that learns of no crash
+// since output on suspected parts filled the observations.
+func TestCrashReporter_OutputDoesNotPushOutCrashes(t *testing.T) {
+	d, s := newDeciders(t)
+	s.Lost(workers.Worker{ID: "w1"}, lostRun(1))
+	eventually(t, "a decider has the crash", func() bool { return len(d.reportedWorkers("e1")) == 1 })
+	for n := range 2 * maxObservations {
+		s.Produced([]quarantine.Output{{Part: quarantine.Fingerprint{byte(n)}, At: time.Now()}})
+	}
+	d.transferLease("e3", 8)
+	s.kick()
+	eventually(t, "the next holder has the crash", func() bool { return len(d.reportedWorkers("e3")) == 1 })
+}
