--- a/serving/crash_test.go
+++ b/serving/crash_test.go
@@ -274,10 +274,12 @@
 		})
 	}
 
-	f, _, _ := newGuardedFleet(catalog.Stream, headOnly, finishStream)
-	f.server.opts.Guard.Watch(f.server.opts.Guard.FingerprintParts("s", "m", []string{"b2"}))
-	time.AfterFunc(verdictDelay/2, func() { holdPart(f, "b2") })
-	w, _ := f.askWith("a1", "b2")
-	must.EqOp(t, http.StatusBadGateway, w.Code)
-	must.SliceLen(t, 1, f.regions)
+	synctest.Test(t, func(t *testing.T) {
+		f, _, _ := newGuardedFleet(catalog.Stream, headOnly, finishStream)
+		f.server.opts.Guard.Watch(f.server.opts.Guard.FingerprintParts("s", "m", []string{"b2"}))
+		time.AfterFunc(verdictDelay/2, func() { holdPart(f, "b2") })
+		w, _ := f.askWith("a1", "b2")
+		must.EqOp(t, http.StatusBadGateway, w.Code)
+		must.SliceLen(t, 1, f.regions)
+	})
 }
