rpc: List the fingerprints of parts among the fields between daemons

Both are 16 bytes of a keyed hash. The receiver drops other lengths, which TestCrashes_SkipsInvalidFingerprints now checks for both. The check itself is as before.

--- a/relay/crashes_test.go
+++ b/relay/crashes_test.go
@@ -61,10 +61,12 @@
 	s := NewServer(k, time.Now)
 	valid := quarantine.Fingerprint{1}
 	_, err := s.Crashes(t.Context(), &rpc.CrashesRequest{
-		Crashes:  []*rpc.WorkerCrash{{Worker: "w", Runs: []*rpc.LostRun{{Fingerprint: []byte("short")}, {Fingerprint: valid[:], Stage: 77}}}},
+		Crashes:  []*rpc.WorkerCrash{{Worker: "w", Runs: []*rpc.LostRun{{Fingerprint: []byte("short")}, {Fingerprint: valid[:], Stage: 77, Parts: [][]byte{[]byte("a prompt"), valid[:]}}}}},
 		Finished: [][]byte{nil, valid[:]},
+		Outputs:  []*rpc.PartOutput{{Part: []byte("a prompt")}, {Part: valid[:]}},
 	})
 	must.NoError(t, err)
-	must.Eq(t, []quarantine.LostRequest{{Fingerprint: valid}}, k.reports[0].Crashes[0].LostRequests)
+	must.Eq(t, []quarantine.LostRequest{{Fingerprint: valid, Parts: []quarantine.Fingerprint{valid}}}, k.reports[0].Crashes[0].LostRequests)
 	must.Eq(t, []quarantine.Fingerprint{valid}, k.reports[0].Finished)
+	must.SliceLen(t, 1, k.reports[0].Outputs)
 }
--- a/rpc/bodies_test.go
+++ b/rpc/bodies_test.go
@@ -28,6 +28,9 @@
 	// receiver checks. They reveal nothing about the request.
 	"pointpass.rpc.LostRun.fingerprint":     true,
 	"pointpass.rpc.CrashesRequest.finished": true,
+	// The same of the id of a part of a prompt.
+	"pointpass.rpc.LostRun.parts":           true,
+	"pointpass.rpc.PartOutput.part":         true,
 	"pointpass.rpc.CrashesRequest.reporter": true,
 	"pointpass.rpc.WorkerCrash.worker":      true,
 	// The id of a worker that reported a limit.
