replica: Keep workers that may rejoin from new groups while their head remains

A member that left is ordered into a new group, and if a late order brings it back just before, it accepts that while its own group's head is open (TWO).

A worker whose join to the group got no answer, or that joined by order of an earlier holder of the lease, is free only once the head has left too, or doesn't answer probes.

TestPlanner_MembersOfOpenHeadsArentFree, for 50 delays of the late order: TWO without the change, passes with it.

--- a/replica/late_test.go
+++ b/replica/late_test.go
@@ -62,6 +62,52 @@
 	must.EqOp(t, 4, w.serving())
 }
 
+// TestPlanner_MembersOfOpenHeadsArentFree checks that a worker that left a group isn't ordered into
+// another one while the group's head, which didn't answer its order to leave, may be open: a late order
+// may have brought the worker back since it wrote its entry.
+func TestPlanner_MembersOfOpenHeadsArentFree(t *testing.T) {
+	for delay := worldTick; delay <= 50*worldTick; delay += worldTick {
+		membersOfOpenHead(t, delay)
+	}
+}
+
+// membersOfOpenHead is the test for one delay of the late order.
+func membersOfOpenHead(t *testing.T, delay time.Duration) {
+	w := newWorld(1, 6)
+	w.service.Runtime.Models = w.service.Runtime.Models[:1]
+	h := &holder{planner: NewPlanner(1, testCeiling)}
+	var late []Order
+	h.fate = func(o Order) fate {
+		if o.Op == Join && len(late) == 0 && o.Worker.ID != o.Members[0] {
+			late = append(late, o)
+			return fateLost
+		}
+		return fateTaken
+	}
+	runFor(w, h, time.Minute, true)
+	must.EqOp(t, 4, w.serving())
+	g := w.view.Groups()[0]
+	w.rowLag = worldTick
+	h.fate = func(o Order) fate {
+		if o.Op == Leave && o.Worker.ID == g.Members[0].ID {
+			return fateLost
+		}
+		return fateTaken
+	}
+	w.carryOut(late, delay)
+	silent := g.Members[3].ID
+	if silent == late[0].Worker.ID {
+		silent = g.Members[2].ID
+	}
+	h.dissolve(w, g, silent)
+	runFor(w, h, 6*time.Second, false)
+	must.SliceEmpty(t, w.violations)
+	h.fate = nil
+	runFor(w, h, time.Minute, false)
+	must.SliceEmpty(t, w.violations)
+	must.EqOp(t, 4, w.serving())
+}
+
 // settles runs a holder until all listed groups serve, and reports whether they did within d.
 func (h *holder) settles(w *world, d time.Duration, idle bool) bool {
 	for end := w.now.Add(d); w.now.Before(end); {
--- a/replica/planner.go
+++ b/replica/planner.go
@@ -139,7 +139,9 @@
 	leftEntry    store.Position  // of the entry by which the worker was ordered to leave
 	leaveStarted time.Time       // when the worker was first ordered to leave its group
 	joined       workers.GroupID // the group of an accepted join
-	blockedUntil time.Time
+	// unansweredJoin is the group of the last join that got no answer. It may be carried out later.
+	unansweredJoin workers.GroupID
+	blockedUntil   time.Time
 	// unreachableUntil is until when the worker is treated as dead, since it did not answer
 	// while its group failed requests.
 	unreachableUntil time.Time
@@ -251,7 +253,9 @@
 		rec.leftEntry = o.Worker.At
 	case o.Op == Join && (outcome == Started || outcome == Satisfied):
 		rec.joined = o.Group
-	case o.Op == Join && outcome != Unanswered:
+	case o.Op == Join && outcome == Unanswered:
+		rec.unansweredJoin = o.Group
+	case o.Op == Join:
 		rec.blockedUntil = now.Add(refusalCooldown)
 		p.abandon(o.Group)
 	}
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -150,7 +150,7 @@
 	if w.Draining || rec.inFlight || r.unreachable(w.ID) || r.now.Before(rec.blockedUntil) {
 		return false
 	}
-	if w.Membership.Group.Name != "" {
+	if w.Membership.Group.Name != "" || r.mayRejoin(rec) && r.headRemains(rec.left) {
 		return false
 	}
 	joinInFlight := rec.last.Op == Join && !rec.lastAt.IsZero() && rec.left != rec.last.Group && r.now.Sub(rec.lastAt) < rowLag
--- a/replica/rejoin.go
+++ b/replica/rejoin.go
@@ -29,3 +29,24 @@
 		rec.left = workers.GroupID{}
 	}
 }
+
+// mayRejoin reports whether an order may still bring a worker back into the group that it left: one
+// that got no answer here, or an order of an earlier holder of the lease.
+func (r *round) mayRejoin(rec *record) bool {
+	return rec.left == rec.unansweredJoin || rec.left.Epoch/epochsPerTerm != r.term
+}
+
+// headRemains reports whether the head of a group that a worker left is still in it and may serve.
+func (r *round) headRemains(id workers.GroupID) bool {
+	if id.Name == "" {
+		return false
+	}
+	for _, g := range r.view.Groups() {
+		if g.ID != id {
+			continue
+		}
+		head, found := g.Head()
+		return found && r.membership(head).Group == id && !r.unreachable(head.ID)
+	}
+	return false
+}
