--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -67,8 +67,12 @@
 		panic(http.ErrAbortHandler)
 	case WrongID:
 		rw.Header().Set(headerAttemptID, "ffffffffffffffff")
+	case Anonymous:
+		rw.Header().Del(headerAttemptID)
+	}
+	if fault != Unsigned && fault != Anonymous {
+		rw.Header().Set(headerSignature, "sig-"+w.id+"-"+id)
 	}
-	rw.Header().Set(headerSignature, "sig-"+w.id+"-"+id)
 	if fault == Fails {
 		http.Error(rw, "failed", http.StatusInternalServerError)
 		return
--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -102,6 +102,36 @@
 	}
 }
 
+// TestMixed_WrongBytesAreNoSuccess checks rule MIXED: a success without a signature, and one without
+// the ID of its request, is not passed on. Another worker or group answers what may be repeated; the
+// caller of anything else gets 502, and it runs once.
+func TestMixed_WrongBytesAreNoSuccess(t *testing.T) {
+	for _, fault := range []Fault{Unsigned, Anonymous} {
+		s := newTestCluster(t, 4)
+		d := s.start(true)
+		s.awaitGroups(2)
+		eventually(t, "a stream is served", func() bool { return d.Send(t.Context(), s.newStreamRequest()).Status == http.StatusOK })
+		faulty := []string{"a0", s.openGroupHeads()[0].ID()}
+		s.setFaults(fault, faulty...)
+		moved := 0
+		for range 6 {
+			for _, a := range []Request{s.newRequest(http.MethodGet, "/get/x"), s.newStreamRequest()} {
+				r := d.Send(t.Context(), a)
+				must.EqOp(t, http.StatusOK, r.Status, must.Sprint("fault ", fault, a.Path, r.Body))
+				must.StrContains(t, r.Header.Get(headerSignature), a.ID)
+				moved += len(s.runs(a.ID)) - 1
+			}
+			a := s.newRequest(http.MethodPost, "/post/x")
+			r := d.Send(t.Context(), a)
+			must.Len(t, 1, s.runs(a.ID))
+			if r.Status != http.StatusBadGateway {
+				must.StrContains(t, r.Header.Get(headerSignature), a.ID)
+			}
+		}
+		must.Positive(t, moved)
+	}
+}
+
 // TestOrder_StreamsMoveWhole checks rule ORDER: a stream that breaks within an event is resumed
 // at another group, and the caller gets each event once.
 func TestOrder_StreamsMoveWhole(t *testing.T) {
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -46,6 +46,9 @@
 	PausesMidStream
 	// WrongID answers with the ID of another request.
 	WrongID
+	// Unsigned answers without a signature, and Anonymous without the ID of the request either.
+	Unsigned
+	Anonymous
 	// UnmarkedBusy answers 503 without the header that says that the request was not executed.
 	UnmarkedBusy
 )
