platform, workers: Reject entries that lack fields which each worker writes

Entries without version, seqno or coldLeftMs are no worker's. Where an earlier entry of the worker had born, one without it isn't either; some sites' workers never write it. The worker of such an entry counts as removed until its next heartbeat: a lost member, whose group goes on.

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -56,7 +56,7 @@
 }
 
 func (e *Edge) applyWorkers(u store.Update) {
-	changed, gone, unreadable := platform.Workers(u.Rows)
+	changed, gone, unreadable := e.readWorkers(u.Rows)
 	e.unreadable.record(unreadable, changed, gone)
 	if _, held := e.Lease.Held(); held || e.followers.reader.Direct() {
 		e.entries.logEach(changed, gone, u.At)
@@ -72,6 +72,21 @@
 	e.workersRead.Store(true)
 }
 
+// readWorkers returns the workers in changed rows, the ids of removed ones, and an error for each
+// entry that another writer wrote. The worker of such an entry counts as removed.
+func (e *Edge) readWorkers(rows []store.Row) (changed []workers.Worker, gone []string, unreadable []*platform.RowError) {
+	all, gone, unreadable := platform.Workers(rows)
+	for _, w := range all {
+		if e.Workers.Foreign(w) {
+			gone = append(gone, w.ID)
+			unreadable = append(unreadable, platform.MissingStart(w.ID))
+			continue
+		}
+		changed = append(changed, w)
+	}
+	return changed, gone, unreadable
+}
+
 // restoredWorkerDelay is how long workers that reappear in an older copy of the store stay
 // withheld. By then the store has dropped the entries of workers that are gone: after three missed
 // heartbeats, plus a margin of two seconds for live workers.
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -78,9 +78,11 @@
 	Address string      `json:"address"`
 	Zone    string      `json:"zone"`
 	Domain  string      `json:"domain"`
+	Version string      `json:"version"`
 	Slots   int         `json:"slots"`
 	State   string      `json:"state"`
-	ColdMs  float64     `json:"coldLeftMs,omitempty"`
+	ColdMs  float64     `json:"coldLeftMs"`
+	Seqno   int         `json:"seqno"`
 	Staged  []string    `json:"staged,omitempty"`
 	Group   *groupState `json:"group,omitempty"`
 }
@@ -297,6 +299,7 @@
 		Address: w.server.Listener.Addr().String(),
 		Zone:    w.hall,
 		Domain:  w.domain,
+		Version: "v1",
 		Slots:   4,
 		State:   "ready",
 		ColdMs:  max(0, float64(time.Until(w.coldUntil).Milliseconds())),
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -62,6 +62,20 @@
 	r.changed(r.publishView())
 }
 
+// Foreign reports whether an entry lacks its worker's start although an earlier entry of the worker
+// had one. A worker always writes its start, so another writer wrote the entry.
+func (r *Registry) Foreign(w Worker) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if w.StartMs != 0 {
+		return false
+	}
+	if current, listed := r.builder.worker(w.ID); listed {
+		return current.StartMs != 0
+	}
+	return r.departures.starts[w.ID].born != 0
+}
+
 // Restore applies all entries of a store that was restored from an older copy. Workers that
 // had left or were about to leave get no new requests. Restore returns the number of
 // withheld workers, those whose entry had only disappeared, and a function that releases
