workers: Keep later memberships over a restore of the store

The copy's entries, which name no group, replaced the later ones that the daemon had read.

Why it holds: what a daemon knew before the restore is later than the copy, by however much the copy is older. A daemon that starts afterwards can't hold the lease before the workers have written.

--- a/deps/apply.go
+++ b/deps/apply.go
@@ -95,11 +95,11 @@
 // restoreWorkers applies the entries of an older copy of the store.
 func (e *Edge) restoreWorkers(all []workers.Worker) {
 	withheld, admit := e.Workers.Restore(all)
+	time.AfterFunc(restoredWorkerDelay, admit)
 	if withheld == 0 {
 		return
 	}
 	e.Log.Warn().Str("event", "workers_withheld").Int("workers", withheld).Dur("for", restoredWorkerDelay).Msg("the restored store lists workers whose entries had been removed")
-	time.AfterFunc(restoredWorkerDelay, admit)
 }
 
 func (e *Edge) workersChanged(view *workers.View) {
--- a/workers/registry.go
+++ b/workers/registry.go
@@ -22,8 +22,10 @@
 	// lost are group members whose entry disappeared without an announcement.
 	lost       map[string]*Worker
 	departures *departures
-	view       atomic.Pointer[View]
-	changed    func(*View)
+	// outdated are the entries of a restored copy in place of which later ones of before count.
+	outdated map[string]Worker
+	view     atomic.Pointer[View]
+	changed  func(*View)
 }
 
 // NewRegistry returns an empty registry that passes each new view to changed.
@@ -77,29 +79,49 @@
 }
 
 // Restore applies all entries of a store that was restored from an older copy. Workers that
-// had left or were about to leave get no new requests. Restore returns the number of
-// withheld workers, those whose entry had only disappeared, and a function that releases
-// them unless the store has been restored again.
+// had left or were about to leave get no new requests, and what a worker wrote of itself in the
+// lost seconds counts. Restore returns the number of withheld workers, those whose entry had only
+// disappeared, and a function that lets the copy's entries count that haven't changed by then,
+// unless the store has been restored again.
 func (r *Registry) Restore(all []Worker) (withheld int, trust func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.departures.restores++
 	restore := r.departures.restores
-	r.removeAll()
+	previous := r.removeAll()
+	r.outdated = map[string]Worker{}
 	for _, w := range all {
-		r.put(r.departures.restored(w))
+		r.put(r.latest(previous[w.ID], r.departures.restored(w)))
 	}
 	r.changed(r.publishView())
 	return len(r.departures.withheld), func() { r.trustRestored(restore) }
 }
 
-// trustRestored releases the withheld entries that haven't changed.
+// latest returns the entry of a restored copy with what the same start of the worker wrote of its
+// models and its group before the restore, since the copy is older. The worker writes its entry again
+// if that differs from the copy's.
+func (r *Registry) latest(known *Worker, w Worker) Worker {
+	if known == nil || w.Draining || Restarted(*known, w) {
+		return w
+	}
+	r.outdated[w.ID] = w
+	w.Membership, w.Models, w.Staged = known.Membership, known.Models, known.Staged
+	return w
+}
+
+// trustRestored lets the entries of the copy count that haven't changed.
 func (r *Registry) trustRestored(restore int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if restore != r.departures.restores {
 		return
 	}
+	for id, w := range r.outdated {
+		if current, listed := r.builder.worker(id); listed && current.At == w.At {
+			r.put(w)
+		}
+	}
+	r.outdated = nil
 	for id, w := range r.departures.takeWithheld() {
 		if current, listed := r.builder.worker(id); listed && current.At == w.At {
 			r.recordReady(w)
--- a/workers/view_test.go
+++ b/workers/view_test.go
@@ -14,17 +14,20 @@
 
 // referenceRegistry holds workers as a registry does, and scans all of them for each
 // result. Left are workers that are leaving or gone, by whether they announced it, and
-// withheld are entries of a restored copy of the store.
+// withheld are entries of a restored copy of the store. Outdated are those whose later
+// membership of before the restore counts.
 type referenceRegistry struct {
-	workers, lost, withheld map[string]Worker
-	left                    map[string]bool
+	workers, lost, withheld, outdated map[string]Worker
+	left                              map[string]bool
 }
 
 func newReferenceRegistry() *referenceRegistry {
-	return &referenceRegistry{workers: map[string]Worker{}, lost: map[string]Worker{}, withheld: map[string]Worker{}, left: map[string]bool{}}
+	return &referenceRegistry{workers: map[string]Worker{}, lost: map[string]Worker{}, withheld: map[string]Worker{}, outdated: map[string]Worker{}, left: map[string]bool{}}
 }
 
 func (p *referenceRegistry) restore(all []Worker) {
+	previous := maps.Clone(p.workers)
+	clear(p.outdated)
 	p.drop(slices.Collect(maps.Keys(p.workers)))
 	for _, w := range all {
 		announced, left := p.left[w.ID]
@@ -32,12 +35,22 @@
 			p.withheld[w.ID] = w
 		}
 		w.Draining = w.Draining || left
+		if known, listed := previous[w.ID]; listed && !w.Draining {
+			p.outdated[w.ID] = w
+			w.Membership = known.Membership
+		}
 		p.put(w)
 	}
 	p.forgetLost()
 }
 
 func (p *referenceRegistry) trust() {
+	for id, w := range p.outdated {
+		if current, listed := p.workers[id]; listed && current.At == w.At {
+			p.put(w)
+		}
+	}
+	clear(p.outdated)
 	for id, w := range p.withheld {
 		if current, listed := p.workers[id]; listed && current.At == w.At {
 			delete(p.left, id)
