commands: Take no requests later than 3 s after SIGTERM

A connection that was accepted before could bring a request even later.

Requests are taken until 2.8 s after the signal at most. Then connections that rest are closed, and what new ones still bring is refused as not run.

Why it holds: the time starts at the signal, whatever the release of the lease takes, and Serve checks it for each request, also after the listener is closed.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -209,8 +209,10 @@
 
 const (
 	// leavingFraction is the part of the grace time in which the balancer and
-	// callers switch to other daemons.
+	// callers switch to other daemons. maxLeavingTime bounds it: requests that are
+	// taken later than 3 s after the signal may not be cut off any more.
 	leavingFraction = 0.4
+	maxLeavingTime  = 2800 * time.Millisecond
 	// exitReserve is kept free at the end of the grace time to close the servers
 	// and exit.
 	exitReserve = 600 * time.Millisecond
@@ -228,11 +230,17 @@
 	}
 }
 
+// leavingTime returns how long after the signal requests are still taken.
+func leavingTime(grace time.Duration) time.Duration {
+	return min(time.Duration(leavingFraction*float64(grace)), maxLeavingTime)
+}
+
 // drain releases the lease, leaves the balancer time to send callers elsewhere and
 // finishes the requests in flight. It uses the grace time in force when it starts.
 func (p *edgeProcess) drain() {
 	grace := p.settings.Bounds().GracePeriod
-	end := time.Now().Add(grace - exitReserve)
+	start := time.Now()
+	end := start.Add(grace - exitReserve)
 	p.stopping.Store(true)
 	p.edge.Server.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), leaseReleaseTimeout)
@@ -240,7 +248,8 @@
 		p.edge.Log.Warn().Str("event", "lease_not_released").Err(err).Msg("")
 	}
 	cancel()
-	time.Sleep(time.Duration(leavingFraction * float64(grace)))
+	time.Sleep(time.Until(start.Add(leavingTime(grace))))
+	p.edge.Server.Close()
 	ctx, cancel = context.WithDeadline(context.Background(), end)
 	defer cancel()
 	p.callersServer.Shutdown(ctx)
--- a/serving/server.go
+++ b/serving/server.go
@@ -104,6 +104,7 @@
 	opts         Options
 	inFlight     atomic.Int64
 	stopping     atomic.Bool
+	closed       atomic.Bool
 	firstRequest sync.Once
 	watches      watches
 
@@ -127,6 +128,10 @@
 // Stop makes the server ask callers to close their connections after the current request.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Close makes the server refuse further requests. A connection that was accepted before may still
+// bring some.
+func (s *Server) Close() { s.closed.Store(true) }
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
@@ -135,6 +140,8 @@
 	configRetryDelay      = 300 * time.Millisecond
 	busyRetryDelay        = 250 * time.Millisecond
 	unavailableRetryDelay = 400 * time.Millisecond
+	// stoppingRetryDelay is short, since other daemons serve the request at once.
+	stoppingRetryDelay = 50 * time.Millisecond
 )
 
 // Serve answers a request. It panics with http.ErrAbortHandler if an answer has started and
@@ -147,6 +154,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	e := &exchange{server: s, w: w, req: req, arrived: s.opts.Now(), lastEvent: req.LastEvent}
+	if s.closed.Load() {
+		e.finish(r, &fault{status: http.StatusServiceUnavailable, reason: "the daemon is stopping", retryAfter: stoppingRetryDelay})
+		return
+	}
 	fault := e.admit(count)
 	if fault == nil {
 		fault = e.serve(r.Context())
--- a/testbed/standin/rules_test.go
+++ b/testbed/standin/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -380,6 +381,52 @@
 	must.EqOp(t, orders, len(s.workers["m0"].Orders())+len(s.workers["m1"].Orders()))
 }
 
+// TestLost_TakesNoRequestsAfterThreeSeconds checks rule LOST for a daemon that stops: requests sent later
+// than 3 s after SIGTERM don't run there, neither on connections that rested nor on ones that are new,
+// since the rest of the grace time may be too short for them.
+func TestLost_TakesNoRequestsAfterThreeSeconds(t *testing.T) {
+	const bound = 3 * time.Second
+	s := newTestCluster(t, 0)
+	d := s.start(true)
+	s.editSettings(d, `"grace_s": 4`, `"grace_s": 8`)
+	d.Signal(syscall.SIGHUP)
+	awaitLog(t, d, `"changes":["bounds.grace_s: 4 -> 8"]`)
+	eventually(t, "requests are served", func() bool {
+		return d.Send(t.Context(), s.newRequest(http.MethodGet, "/get/x")).Status == http.StatusOK
+	})
+	var rested []*http.Transport
+	var fresh []net.Conn
+	for range 40 {
+		transport := &http.Transport{MaxConnsPerHost: 1}
+		must.EqOp(t, http.StatusOK, SendBy(t.Context(), transport, d.addr, s.newRequest(http.MethodGet, "/get/x")).Status)
+		rested = append(rested, transport)
+	}
+	d.Signal(syscall.SIGTERM)
+	stopped := time.Now()
+	time.Sleep(bound / 2)
+	for range rested {
+		conn, err := net.Dial("tcp", d.addr)
+		must.NoError(t, err)
+		defer conn.Close()
+		fresh = append(fresh, conn)
+	}
+	for i := range rested {
+		time.Sleep(time.Until(stopped.Add(bound - time.Second + time.Duration(i)*50*time.Millisecond)))
+		for _, transport := range []http.RoundTripper{rested[i], &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return fresh[i], nil }}} {
+			a := s.newRequest(http.MethodGet, "/get/x")
+			sent := time.Now()
+			r := SendBy(t.Context(), transport, d.addr, a)
+			if sent.Sub(stopped) > bound {
+				must.Len(t, 0, s.runs(a.ID), must.Sprint(sent.Sub(stopped), " after SIGTERM: ", r.Status))
+			}
+			if r.Err == nil {
+				must.True(t, r.Status == http.StatusOK || r.Status == http.StatusServiceUnavailable, must.Sprint(r.Status))
+			}
+		}
+	}
+	<-d.Done()
+}
+
 // TestLost_SIGTERMCompletesRequestsInFlight checks rules LOST and DRAIN for a daemon: after
 // SIGTERM it completes requests in flight, becomes not ready, and serves late requests while it
 // asks their callers to close the connection.
