--- a/deps/footprint_test.go
+++ b/deps/footprint_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/platform/platformtest"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/store"
@@ -18,12 +19,7 @@
 
 // workerEntry returns a worker's entry as the platform's workers write it.
 func workerEntry(i int, version uint64) store.Row {
-	value := fmt.Sprintf(`{"backend":"arbiter-lm","address":"10.%d.%d.%d:8347","zone":"hall-%d","domain":"f%d","version":"1.2",`+
-		`"slots":22,"state":"ready","coldLeftMs":0,"seqno":3,"born":1774685050000,"phase":"colocated",`+
-		`"models":[{"name":"sya114500xx","version":1,"loras":[]}],"staged":["sya114500xx"],`+
-		`"group":{"name":"sya114500xx.%d","epoch":%d,"rank":%d,"state":"ready"}}`,
-		i%200, i/200, i%250, i%5, i/37, 10000+i/16, 10000+i/16, i%16)
-	return store.Row{Key: fmt.Sprintf("i-%010x", i*7919), Value: []byte(value), At: store.At(0, version)}
+	return store.Row{Key: fmt.Sprintf("i-%010x", i*7919), Value: platformtest.WorkerEntry(i), At: store.At(0, version)}
 }
 
 func daemonRow(i int) store.Row {
