--- a/replica/late_test.go
+++ b/replica/late_test.go
@@ -125,7 +125,13 @@
 
 // TestPlanner_HistoriesOfLateOrders checks the same for random sets of late orders, silent members,
 // group sizes, delays and lags of the entries, and that all groups serve in the end.
-func TestPlanner_HistoriesOfLateOrders(t *testing.T) {
+func TestPlanner_HistoriesOfLateOrders(t *testing.T) { historiesOfLateOrders(t, 1) }
+
+// TestPlanner_HistoriesOfLateEntries checks the same with entries that are up to 0.5 s late.
+func TestPlanner_HistoriesOfLateEntries(t *testing.T) { historiesOfLateOrders(t, 5) }
+
+// historiesOfLateOrders runs histories whose entries are late by a number of ticks at most.
+func historiesOfLateOrders(t *testing.T, maxLag int) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(1, rapid.IntRange(4, 8).Draw(t, "workers"))
 		h := &holder{planner: NewPlanner(1, testCeiling)}
@@ -150,7 +156,7 @@
 			for _, o := range late {
 				w.carryOut([]Order{o}, time.Duration(rapid.IntRange(2, 120).Draw(t, "delay"))*worldTick)
 			}
-			w.rowLag = time.Duration(rapid.IntRange(0, 1).Draw(t, "lag")) * worldTick
+			w.rowLag = time.Duration(rapid.IntRange(0, maxLag).Draw(t, "lag")) * worldTick
 			h.dissolve(w, g, g.Members[rapid.IntRange(0, len(g.Members)-1).Draw(t, "silent")].ID)
 			runFor(w, h, time.Duration(rapid.IntRange(1, 80).Draw(t, "pause"))*worldTick, false)
 			must.SliceEmpty(t, w.violations, must.Sprint(w.violations))
