--- a/deps/edge.go
+++ b/deps/edge.go
@@ -106,7 +106,7 @@
 	client, closeStore := platform.NewStore(settings.Current().StoreAddr(), storeTimeout)
 	peers, closePeers := relay.NewClient(tcp.Dialer(peerTimeout), clock.Now)
 	e.reach = newWorkerReach(e)
-	upstream, closeUpstream := platform.NewUpstream(e.reach.Connected)
+	upstream, closeUpstream := platform.NewUpstream(e.reach.Sending)
 	e.reach.upstream = upstream
 	forwards, closeForwards := platform.NewForwardClient()
 	e.forwarder = newForwarder(e, forwards)
--- a/deps/reach.go
+++ b/deps/reach.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/platform"
@@ -25,6 +27,8 @@
 type workerReach struct {
 	edge     *Edge
 	upstream *platform.Upstream
+	// sentNew and sentKept count the requests sent on new connections and on kept ones.
+	sentNew, sentKept *metrics.Counter
 
 	mu       sync.Mutex
 	services map[string]*serviceReach
@@ -45,7 +49,12 @@
 }
 
 func newWorkerReach(e *Edge) *workerReach {
-	r := &workerReach{edge: e, services: map[string]*serviceReach{}}
+	r := &workerReach{
+		edge:     e,
+		services: map[string]*serviceReach{},
+		sentNew:  e.Metrics.NewCounter(`pointpass_sendings_total{connection="new"}`),
+		sentKept: e.Metrics.NewCounter(`pointpass_sendings_total{connection="kept"}`),
+	}
 	e.Metrics.NewGauge("pointpass_services_unreachable", func() float64 { return float64(len(r.cut())) })
 	return r
 }
@@ -64,8 +73,15 @@
 	return s
 }
 
-// Connected records that a connection to a worker was opened.
-func (r *workerReach) Connected(w workers.Worker) { r.service(w.Service).Connected() }
+// Sending records that a request is sent to a worker. A connection that wasn't kept has just been opened.
+func (r *workerReach) Sending(w workers.Worker, kept bool) {
+	if kept {
+		r.sentKept.Inc()
+		return
+	}
+	r.sentNew.Inc()
+	r.service(w.Service).Connected()
+}
 
 // Answered records that a worker sent something.
 func (r *workerReach) Answered(w workers.Worker) { r.service(w.Service).Answered() }
--- a/serving/record.go
+++ b/serving/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -162,5 +163,9 @@
 	if parts := e.partFingerprints(); len(parts) > 0 {
 		entry = entry.Strs("parts", quarantine.Strings(parts))
 	}
+	var lost *LostError
+	if errors.As(err, &lost) && lost.Sendings > 0 {
+		entry = entry.Bool("kept", lost.Kept).Int("sendings", lost.Sendings)
+	}
 	entry.Err(err).Msg("")
 }
--- a/serving/request.go
+++ b/serving/request.go
@@ -95,7 +95,13 @@
 func (e *NotSentError) Unwrap() error { return e.Err }
 
 // LostError means that the request may have run, but its answer is lost.
-type LostError struct{ Err error }
+type LostError struct {
+	Err error
+	// Kept is set if the connection had been used before. Sendings is how often the request was sent,
+	// 0 if that isn't known.
+	Kept     bool
+	Sendings int
+}
 
 // Error describes the error.
 func (e *LostError) Error() string { return fmt.Sprintf("answer lost: %v", e.Err) }
