--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -56,6 +56,9 @@
 		w.store.checker.checkRun(group, model, members)
 	}
 	run := w.startRun(r)
+	if w.spoilAnswer(rw, r, run) {
+		return
+	}
 	switch fault {
 	case DropsResponses:
 		panic(http.ErrAbortHandler)
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -131,6 +131,11 @@
 	deadly  func(Run) bool
 	onCrash func()
 	crashed bool
+	// spoil is how the worker spoils its answers. endless are the answers without end that have ended,
+	// and endlessOpen counts those that haven't.
+	spoil       Spoil
+	endless     []Endless
+	endlessOpen int
 }
 
 // NewWorker starts a worker with an entry in the store, and returns it with a function that
@@ -149,7 +154,9 @@
 	mux.HandleFunc("POST /order", w.serveOrder)
 	mux.HandleFunc("GET /report", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/", w.serve)
-	w.server = httptest.NewServer(mux)
+	w.server = httptest.NewUnstartedServer(mux)
+	w.server.Config.ConnContext = withRequestCount
+	w.server.Start()
 	w.publish()
 	return w, w.Kill
 }
