--- a/testbed/standin/kept_test.go
+++ b/testbed/standin/kept_test.go
@@ -82,3 +82,20 @@
 	}
 	return lines
 }
+
+// TestBudget_AnswersThatBreakOff guards against an answer that breaks off in its body and counts as two
+// sendings, so that no other worker gets the request.
+func TestBudget_AnswersThatBreakOff(t *testing.T) {
+	s := newTestCluster(t, 0)
+	d := s.start(true)
+	s.workers["a0"].SetSpoil(BreaksBody)
+	for range 12 {
+		a := s.newRequest(http.MethodGet, "/get/x")
+		a.Body = ""
+		r := d.Send(t.Context(), a)
+		must.EqOp(t, http.StatusOK, r.Status)
+		must.StrContains(t, r.Body, a.ID)
+		must.Between(t, 1, len(s.runs(a.ID)), 2)
+	}
+	must.StrContains(t, d.Log(), "attempt_failed")
+}
