common/conns, platform: Send each request once on kept connections

What callers saw: repeats beyond the budget. Workers that end a kept connection under a request got it again at once, up to five times.

Cause: net/http sends a request without a body again by itself if a kept connection ends before the first byte of an answer. Neither the attempts of the route nor the budget of the service knew of it. Class: a layer below the one that decides on repeats repeats on its own.

Evidence: 2,154 sendings counted at GotConn, 2,154 arrivals at workers, and a sum of 1,440 in the request lines, without an attempt_failed.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -247,12 +247,13 @@
 
 func (e *exchange) newAttempt(target Target, left time.Duration) Attempt {
 	a := Attempt{
-		Request:       e.req,
-		Worker:        target.Worker,
-		Priority:      e.route.Priority,
-		Timeout:       left,
-		LastEvent:     e.lastEvent,
-		NewConnection: !e.route.IsRepeatable(),
+		Request:   e.req,
+		Worker:    target.Worker,
+		Priority:  e.route.Priority,
+		Timeout:   left,
+		LastEvent: e.lastEvent,
+		Once:      !e.route.IsRepeatable(),
+		Fresh:     e.sent > 0, // a kept connection may have been the cause of the failure before
 	}
 	if e.customer != nil {
 		a.Customer = e.customer.Name
--- a/serving/record.go
+++ b/serving/record.go
@@ -164,8 +164,8 @@
 		entry = entry.Strs("parts", quarantine.Strings(parts))
 	}
 	var lost *LostError
-	if errors.As(err, &lost) && lost.Sendings > 0 {
-		entry = entry.Bool("kept", lost.Kept).Int("sendings", lost.Sendings)
+	if errors.As(err, &lost) {
+		entry = entry.Bool("kept", lost.Kept)
 	}
 	entry.Err(err).Msg("")
 }
--- a/serving/request.go
+++ b/serving/request.go
@@ -53,9 +53,11 @@
 	Timeout time.Duration
 	// LastEvent is the id of the event after which a stream resumes.
 	LastEvent string
-	// NewConnection sends the request on a new connection, so that a failure can't be that of
-	// an earlier request.
-	NewConnection bool
+	// Once is set if the request may not run twice. It is sent on a new connection that is closed
+	// afterwards, so that a failure can't be that of an earlier request.
+	Once bool
+	// Fresh sends the request on a new connection that may be used again.
+	Fresh bool
 }
 
 // Reply is a worker's answer whose body isn't read yet.
@@ -97,10 +99,8 @@
 // LostError means that the request may have run, but its answer is lost.
 type LostError struct {
 	Err error
-	// Kept is set if the connection had been used before. Sendings is how often the request was sent,
-	// 0 if that isn't known.
-	Kept     bool
-	Sendings int
+	// Kept is set if the connection had been used before.
+	Kept bool
 }
 
 // Error describes the error.
