serving: Count a sending once, also where its answer breaks off

What callers saw: a 502 for a request that may be repeated and whose worker broke off its answer within the body, while other workers were sound.

Cause: a sending was counted when its head came and again when its body broke off, so that a route with two attempts had none left. Streams took the second count back; answers that aren't streamed did not. Class: two places that count one event.

Change: exchange.attempt alone counts, when the request has been sent; handleSendError only decides what follows.

TestServe_CountsEachSendingOnce failed before the change (2 sendings where 3 are allowed), TestBudget_AnswersThatBreakOff (real processes) with a 502 after sent 2; the latter now waits until the daemon knows how many share the retries, since the first second's share allows none: that would be another cause of the same 502.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -221,6 +221,7 @@
 	defer watch.stop()
 	reply, err := s.opts.Upstream.Send(ctx, e.newAttempt(target, left))
 	if err != nil {
+		e.countSending(err)
 		return e.handleSendError(ctx, target, err)
 	}
 	defer reply.Body.Close()
@@ -264,14 +265,21 @@
 	return a
 }
 
-// handleSendError handles an attempt that got no answer or lost it.
-func (e *exchange) handleSendError(ctx context.Context, target Target, err error) (retryable bool, f *fault) {
-	stalled := errors.Is(context.Cause(ctx), errStalled)
+// countSending counts an attempt without an answer, unless nothing was sent.
+func (e *exchange) countSending(err error) {
 	var notSent *NotSentError
 	if !errors.As(err, &notSent) {
 		e.sent++
 		e.mayHaveRun = true
 	}
+}
+
+// handleSendError handles an attempt that got no answer, or lost it midway. If anything was sent, it is
+// counted already.
+func (e *exchange) handleSendError(ctx context.Context, target Target, err error) (retryable bool, f *fault) {
+	stalled := errors.Is(context.Cause(ctx), errStalled)
+	var notSent *NotSentError
+	errors.As(err, &notSent)
 	if ctx.Err() != nil && !stalled {
 		return false, e.expired(ctx)
 	}
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -87,7 +87,7 @@
 	if errors.As(err, &gone) {
 		return false, &fault{status: http.StatusBadGateway, reason: gone.Error(), aborted: true}
 	}
-	retryable, f = e.handleCountedSendError(ctx, target, err)
+	retryable, f = e.handleSendError(ctx, target, &LostError{Err: err})
 	if retryable {
 		e.resumed++
 		e.server.opts.Counters.resumed.Inc()
@@ -95,12 +95,6 @@
 	return retryable, f
 }
 
-// handleCountedSendError is handleSendError for an attempt that sent already includes.
-func (e *exchange) handleCountedSendError(ctx context.Context, target Target, err error) (retryable bool, f *fault) {
-	e.sent--
-	return e.handleSendError(ctx, target, &LostError{Err: err})
-}
-
 // splitEvent is a bufio.SplitFunc for events, each including the empty line that ends it.
 // Input that ends within an event is an error.
 func splitEvent(data []byte, atEOF bool) (advance int, token []byte, err error) {
--- a/testbed/standin/kept_test.go
+++ b/testbed/standin/kept_test.go
@@ -88,6 +88,7 @@
 func TestBudget_AnswersThatBreakOff(t *testing.T) {
 	s := newTestCluster(t, 0)
 	d := s.start(true)
+	eventually(t, "the daemon knows its share of the retries", func() bool { return d.countsDaemons(1) })
 	s.workers["a0"].SetSpoil(BreaksBody)
 	for range 12 {
 		a := s.newRequest(http.MethodGet, "/get/x")
