serving: Bound the memory of answers that are read whole

Cause: each answer might take 16 MB and the copies made while it grew, each head 10 MB, and nothing bounded them together. Class: a limit for each use of a resource without one for all uses.

Change: answers are read into blocks, all of them within an eighth of memory_mb, a new setting that the platform fills from its limits. If they need more, the longest unfinished one gives way and counts as lost, so that short answers go through. One that names a length over its bound isn't read.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -170,6 +170,7 @@
 		ReceivesWarnings: e.followers.receivesWarnings,
 		OnFirstRequest:   e.markStarted,
 		MaxRequests:      maxRequests,
+		AnswerMemory:     e.answerMemory,
 		Now:              clock.Now,
 		Log:              e.Log,
 	})
@@ -178,6 +179,17 @@
 	e.Peers = platform.NewForwardHandler(ingress, e.followers.handler(reportHandler{e}))
 }
 
+// answerMemoryShare is the part of the process's memory that answers may take which are read to their end
+// before they are passed on, as a divisor. Blocks that wait to be collected take as much again.
+const answerMemoryShare = 8
+
+func (e *Edge) answerMemory() int64 {
+	if memory := e.settings.Current().Memory(); memory > 0 {
+		return memory / answerMemoryShare
+	}
+	return serving.DefaultAnswerMemory
+}
+
 func (e *Edge) wireControl(orders *platform.Orders) {
 	e.Controller = replica.NewController(replica.Options{
 		Lease:        e.Lease,
@@ -255,6 +267,7 @@
 	e.Metrics.NewGauge("pointpass_store_direct", func() float64 { return boolGauge(e.followers.reader.Direct()) })
 	e.Metrics.NewGauge("pointpass_workers", func() float64 { return float64(e.Workers.View().Len()) })
 	e.Metrics.NewGauge("pointpass_halls_closed", func() float64 { return float64(len(e.Placement.Facts().Closings())) })
+	e.Metrics.NewGauge("pointpass_answer_bytes", func() float64 { return float64(e.Server.AnswerBytes()) })
 	e.Metrics.NewGauge("pointpass_requests_under_way", func() float64 { return float64(e.Server.InFlight()) })
 	e.Metrics.NewGauge("pointpass_load_daemons", func() float64 { return float64(e.loads.Total().Daemons) })
 	e.cold.registerGauges()
--- a/node/settings.go
+++ b/node/settings.go
@@ -24,6 +24,7 @@
 	peersAddr     string
 	seeds         []string
 	cores         float64
+	memoryMB      float64
 	storeAddr     string
 	logLevel      string
 	firstStart    bool
@@ -73,6 +74,7 @@
 	PeersAddr     string   `json:"peers_addr"`
 	Seeds         []string `json:"seeds"`
 	Cores         float64  `json:"cores"`
+	MemoryMB      float64  `json:"memory_mb"`
 	StoreAddr     string   `json:"store_addr"`
 	LogLevel      string   `json:"log_level"`
 	FirstStart    bool     `json:"first_start"`
@@ -151,6 +153,7 @@
 		peersAddr:     c.optionalAddress("peers_addr", f.PeersAddr),
 		seeds:         c.seeds(f.Seeds),
 		cores:         c.number("cores", &f.Cores, 0),
+		memoryMB:      c.number("memory_mb", &f.MemoryMB, 0),
 		storeAddr:     c.address("store_addr", f.StoreAddr),
 		logLevel:      c.logLevel(f.LogLevel),
 		firstStart:    f.FirstStart,
@@ -290,6 +293,9 @@
 // fraction.
 func (s *Settings) Cores() float64 { return s.cores }
 
+// Memory returns how many bytes of memory the daemon may use, 0 if not set.
+func (s *Settings) Memory() int64 { return int64(s.memoryMB * (1 << 20)) }
+
 // StoreAddr returns the address of the platform's store.
 func (s *Settings) StoreAddr() string { return s.storeAddr }
 
--- /dev/null
+++ b/serving/buffers.go
@@ -0,0 +1,204 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+const (
+	// maxAnswerBytes bounds the size of an answer that isn't streamed.
+	maxAnswerBytes = 16 << 20
+	// maxAnswerShare is the part of the memory for answers that one of them may take, as a divisor.
+	maxAnswerShare = 2
+	// DefaultAnswerMemory is the memory for all answers that are read before they are passed on, in bytes,
+	// where the memory of the process isn't known.
+	DefaultAnswerMemory = 32 << 20
+)
+
+// Sizes of the blocks that hold an answer whose length isn't known. Blocks of the last size are used again.
+const (
+	firstBlockBytes = 4 << 10
+	nextBlockBytes  = 16 << 10
+	maxBlockBytes   = 64 << 10
+)
+
+// errTooLong means that an answer exceeds its bound, errEvicted that the memory for answers was used up
+// while it was one of the longest. A worker in trouble may send an answer without end.
+var (
+	errTooLong = errors.New("the answer is too long")
+	errEvicted = errors.New("the memory for answers is used up")
+)
+
+// answerBuffers bounds the memory of all answers that are read to their end before they are passed on. It
+// is safe for concurrent use.
+type answerBuffers struct {
+	// limit returns the bound in bytes, which may change.
+	limit func() int64
+
+	mu   sync.Mutex
+	used int64
+	// reading are the answers that aren't complete.
+	reading map[*answerBody]struct{}
+	blocks  sync.Pool
+}
+
+func newAnswerBuffers(limit func() int64) *answerBuffers {
+	return &answerBuffers{limit: limit, reading: map[*answerBody]struct{}{}}
+}
+
+// Used returns the bytes that answers take.
+func (b *answerBuffers) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// answerBody is the body of an answer, in blocks.
+type answerBody struct {
+	of     *answerBuffers
+	cancel context.CancelCauseFunc
+	blocks [][]byte
+	size   int64
+	// reserved is the memory counted for the body. The lock of the buffers guards it.
+	reserved int64
+}
+
+// read reads the body of an answer to its end. cancel ends the attempt if the memory is needed for shorter
+// answers. Unless there is an error, the body must be released.
+func (b *answerBuffers) read(reply *Reply, cancel context.CancelCauseFunc) (*answerBody, error) {
+	limit := min(maxAnswerBytes, b.limit()/maxAnswerShare)
+	if reply.Length > limit {
+		return nil, errTooLong
+	}
+	body := &answerBody{of: b, cancel: cancel}
+	b.mu.Lock()
+	b.reading[body] = struct{}{}
+	b.mu.Unlock()
+	err := body.readFrom(reply, limit)
+	b.mu.Lock()
+	delete(b.reading, body)
+	b.mu.Unlock()
+	if err != nil {
+		body.release()
+		return nil, err
+	}
+	return body, nil
+}
+
+func (a *answerBody) readFrom(reply *Reply, limit int64) error {
+	for {
+		block, err := a.block(reply.Length)
+		if err != nil {
+			return err
+		}
+		n, err := reply.Body.Read(block[len(block):cap(block)])
+		a.blocks[len(a.blocks)-1] = block[:len(block)+n]
+		a.size += int64(n)
+		if a.size > limit {
+			return errTooLong
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// block returns the last block, or a new one if it is full.
+func (a *answerBody) block(length int64) ([]byte, error) {
+	if n := len(a.blocks); n > 0 && len(a.blocks[n-1]) < cap(a.blocks[n-1]) {
+		return a.blocks[n-1], nil
+	}
+	size := blockSize(len(a.blocks), length)
+	if err := a.of.reserve(a, int64(size)); err != nil {
+		return nil, err
+	}
+	a.blocks = append(a.blocks, a.of.newBlock(size))
+	return a.blocks[len(a.blocks)-1], nil
+}
+
+func blockSize(index int, length int64) int {
+	switch {
+	case index == 0 && length > 0:
+		return int(min(length, maxBlockBytes))
+	case index == 0:
+		return firstBlockBytes
+	case index == 1:
+		return nextBlockBytes
+	}
+	return maxBlockBytes
+}
+
+func (b *answerBuffers) newBlock(size int) []byte {
+	if size == maxBlockBytes {
+		if block, ok := b.blocks.Get().(*[]byte); ok {
+			return (*block)[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
+
+// reserve counts n more bytes for a body. If they exceed the limit, the longest answers are given up that
+// are longer than this one; without any this one is.
+func (b *answerBuffers) reserve(a *answerBody, n int64) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.used+n > b.limit() {
+		longest := b.longest()
+		if longest == nil || longest == a || longest.reserved <= a.reserved+n {
+			return errEvicted
+		}
+		b.used -= longest.reserved
+		longest.reserved = 0
+		delete(b.reading, longest)
+		longest.cancel(errEvicted)
+	}
+	if _, reading := b.reading[a]; !reading {
+		return errEvicted
+	}
+	b.used += n
+	a.reserved += n
+	return nil
+}
+
+// longest returns the longest answer that isn't complete, nil if there is none. The caller holds the lock.
+func (b *answerBuffers) longest() *answerBody {
+	var longest *answerBody
+	for a := range b.reading {
+		if longest == nil || a.reserved > longest.reserved {
+			longest = a
+		}
+	}
+	return longest
+}
+
+// release frees the memory of a body, which can't be used any more. Nil is allowed.
+func (a *answerBody) release() {
+	if a == nil {
+		return
+	}
+	a.of.mu.Lock()
+	a.of.used -= a.reserved
+	a.reserved = 0
+	a.of.mu.Unlock()
+	for _, block := range a.blocks {
+		if cap(block) == maxBlockBytes {
+			a.of.blocks.Put(&block)
+		}
+	}
+	a.blocks = nil
+}
+
+// writeTo writes the body to a caller.
+func (a *answerBody) writeTo(w http.ResponseWriter) {
+	for _, block := range a.blocks {
+		if _, err := w.Write(block); err != nil {
+			return // the caller has gone
+		}
+	}
+}
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -80,16 +79,13 @@
 // bufferedAnswer is an answer that was read to its end.
 type bufferedAnswer struct {
 	reply *Reply
-	body  []byte
+	body  *answerBody
 }
 
 // maxMidAnswerRejections bounds how many workers may reject a request after its answer has
 // started.
 const maxMidAnswerRejections = 2
 
-// maxAnswerBytes bounds the size of an answer that isn't streamed.
-const maxAnswerBytes = 16 << 20
-
 // deadlineMargin is how long before its deadline a request is given up, so that the response
 // arrives in time. minAttemptTime is the least remaining time that justifies an attempt.
 const (
@@ -243,7 +239,7 @@
 	if e.route.Kind == catalog.Stream && reply.Status == http.StatusOK {
 		return e.relayStream(ctx, target, reply, watch)
 	}
-	return e.relayBuffered(ctx, target, reply)
+	return e.relayBuffered(ctx, cancel, target, reply)
 }
 
 func (e *exchange) newAttempt(target Target, left time.Duration) Attempt {
@@ -277,10 +273,10 @@
 // handleSendError handles an attempt that got no answer, or lost it midway. If anything was sent, it is
 // counted already.
 func (e *exchange) handleSendError(ctx context.Context, target Target, err error) (retryable bool, f *fault) {
-	stalled := errors.Is(context.Cause(ctx), errStalled)
+	cancelled := errors.Is(context.Cause(ctx), errStalled) || errors.Is(context.Cause(ctx), errEvicted)
 	var notSent *NotSentError
 	errors.As(err, &notSent)
-	if ctx.Err() != nil && !stalled {
+	if ctx.Err() != nil && !cancelled {
 		return false, e.expired(ctx)
 	}
 	held := errors.Is(context.Cause(ctx), errHeld)
@@ -348,15 +344,17 @@
 func (r *rejectedError) Error() string { return "rejected with status " + strconv.Itoa(r.status) }
 
 // relayBuffered relays an answer that isn't streamed, once it was read to its end.
-func (e *exchange) relayBuffered(ctx context.Context, target Target, reply *Reply) (retryable bool, f *fault) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = io.ErrShortBuffer
-	}
+func (e *exchange) relayBuffered(ctx context.Context, cancel context.CancelCauseFunc, target Target, reply *Reply) (retryable bool, f *fault) {
+	answer, err := e.readAnswer(reply, cancel)
 	if err != nil {
 		return e.handleSendError(ctx, target, &LostError{Err: err})
 	}
-	answer := &bufferedAnswer{reply: reply, body: body}
+	kept := false
+	defer func() {
+		if !kept {
+			answer.body.release()
+		}
+	}()
 	failed := reply.Status >= http.StatusInternalServerError
 	e.recordAnswer(target, failed)
 	if reply.Status == http.StatusOK {
@@ -365,7 +363,8 @@
 	if failed && e.route.IsRepeatable() && e.sent < e.maxAttempts() {
 		e.logFailedAttempt(target, &failedError{status: reply.Status})
 		if relayableStatus(reply.Status) {
-			e.failure = answer
+			e.dropFailure()
+			e.failure, kept = answer, true
 		}
 		return true, &fault{status: http.StatusBadGateway, reason: "the worker failed", aborted: e.answerStarted}
 	}
@@ -379,6 +378,23 @@
 	return false, nil
 }
 
+// readAnswer reads an answer to its end. The body must be released.
+func (e *exchange) readAnswer(reply *Reply, cancel context.CancelCauseFunc) (*bufferedAnswer, error) {
+	body, err := e.server.answers.read(reply, cancel)
+	if errors.Is(err, errTooLong) || errors.Is(err, errEvicted) {
+		e.server.opts.Counters.tooLong.Inc()
+	}
+	return &bufferedAnswer{reply: reply, body: body}, err
+}
+
+// dropFailure drops the error answer that was kept, if any.
+func (e *exchange) dropFailure() {
+	if e.failure != nil {
+		e.failure.body.release()
+		e.failure = nil
+	}
+}
+
 // Consecutive error answers that make a target suspect. Groups don't return errors in normal
 // operation; plain services have errors of their own.
 const (
@@ -401,9 +417,9 @@
 // writeBuffered writes a buffered answer to the caller.
 func (e *exchange) writeBuffered(a *bufferedAnswer) {
 	e.startAnswer(a.reply)
-	e.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	e.w.Header().Set("Content-Length", strconv.FormatInt(a.body.size, 10))
 	e.w.WriteHeader(a.reply.Status)
-	e.w.Write(a.body)
+	a.body.writeTo(e.w)
 }
 
 // relayableStatus reports whether a worker's status may be relayed unchanged. Statuses that
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -83,6 +83,8 @@
 // can.
 func (e *exchange) forward(ctx context.Context) (done bool, f *fault) {
 	s := e.server
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	service := e.service.Name
 	peers, unreachable := s.opts.Forwarder.Peers(service, e.placementRequest())
 	for _, p := range peers {
@@ -106,7 +108,7 @@
 		default:
 			s.opts.Counters.forwarded.Inc()
 			e.forwardedTo = p.Name
-			return true, e.relayForwarded(ctx, p, reply)
+			return true, e.relayForwarded(ctx, cancel, p, reply)
 		}
 	}
 	s.opts.Counters.notForwarded.Inc()
@@ -123,29 +125,27 @@
 	e.mayHaveRun = true
 	e.sent = e.maxAttempts()
 	e.server.opts.Log.Warn().Str("event", "forward_failed").Str("id", e.req.ID).Str("to", p.Name).Err(err).Msg("")
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errEvicted) {
 		return e.expired(ctx)
 	}
 	return e.giveUp(&fault{status: http.StatusBadGateway, reason: "the answer of another daemon is lost", aborted: e.answerStarted})
 }
 
 // relayForwarded relays the answer of a peer, which is final.
-func (e *exchange) relayForwarded(ctx context.Context, p Peer, reply *Reply) *fault {
+func (e *exchange) relayForwarded(ctx context.Context, cancel context.CancelCauseFunc, p Peer, reply *Reply) *fault {
 	defer reply.Body.Close()
 	if e.route.Kind == catalog.Stream && reply.Status == http.StatusOK {
 		return e.relayForwardedStream(ctx, p, reply)
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = io.ErrShortBuffer
-	}
+	answer, err := e.readAnswer(reply, cancel)
 	if err != nil {
 		return e.forwardLost(ctx, p, err)
 	}
+	defer answer.body.release()
 	if e.answerStarted {
 		return &fault{status: http.StatusBadGateway, reason: "the stream can't be resumed", aborted: true}
 	}
-	e.writeBuffered(&bufferedAnswer{reply: reply, body: body})
+	e.writeBuffered(answer)
 	return nil
 }
 
@@ -187,6 +187,7 @@
 	count := s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	e := &exchange{server: s, w: w, req: f.Request, arrived: s.opts.Now(), lastEvent: f.Request.LastEvent, forwardedBy: f.From, attempts: f.Attempts}
+	defer e.dropFailure()
 	e.finish(r, e.serveForwarded(r.Context(), count, f.ConfigVersion))
 }
 
--- a/serving/record.go
+++ b/serving/record.go
@@ -35,6 +35,8 @@
 	notForwarded *metrics.Counter
 	// warned counts the warnings about groups from other daemons.
 	warned *metrics.Counter
+	// tooLong counts the answers given up for their length.
+	tooLong *metrics.Counter
 	// oldEvidence counts the verdicts that rested on old evidence.
 	oldEvidence map[catalog.Verdict]*metrics.Counter
 	firstEvent  *metrics.Histogram
@@ -58,6 +60,7 @@
 		unknownRegion: set.NewCounter("pointpass_targets_unknown_region_total"),
 		forwarded:     set.NewCounter(`pointpass_forwarded_total{outcome="answered"}`),
 		notForwarded:  set.NewCounter(`pointpass_forwarded_total{outcome="no peer"}`),
+		tooLong:       set.NewCounter("pointpass_answers_too_long_total"),
 		warned:        set.NewCounter("pointpass_group_warnings_total"),
 		firstEvent:    set.NewHistogram("pointpass_first_event_seconds"),
 		duration:      set.NewHistogram("pointpass_request_seconds"),
--- a/serving/server.go
+++ b/serving/server.go
@@ -67,8 +67,11 @@
 	OnFirstRequest func()
 	// MaxRequests is how many requests may be in flight.
 	MaxRequests int64
-	Now         func() time.Time
-	Log         *log.Logger
+	// AnswerMemory returns how many bytes the answers may take that are read to their end before they are
+	// passed on. Nil means DefaultAnswerMemory.
+	AnswerMemory func() int64
+	Now          func() time.Time
+	Log          *log.Logger
 }
 
 // Placement decides where requests may run.
@@ -107,6 +110,7 @@
 	closed       atomic.Bool
 	firstRequest sync.Once
 	watches      watches
+	answers      *answerBuffers
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
@@ -117,7 +121,12 @@
 
 // NewServer returns a server with the given options.
 func NewServer(opts Options) *Server {
+	memory := opts.AnswerMemory
+	if memory == nil {
+		memory = func() int64 { return DefaultAnswerMemory }
+	}
 	return &Server{
+		answers:      newAnswerBuffers(memory),
 		opts:         opts,
 		budgets:      map[string]*retry.Window{},
 		windows:      map[load.Model]*admission.Window{},
@@ -132,6 +141,9 @@
 // bring some.
 func (s *Server) Close() { s.closed.Store(true) }
 
+// AnswerBytes returns how many bytes the answers take that are read to their end before they are passed on.
+func (s *Server) AnswerBytes() int64 { return s.answers.Used() }
+
 // InFlight returns the number of requests being served.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
@@ -154,6 +166,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	e := &exchange{server: s, w: w, req: req, arrived: s.opts.Now(), lastEvent: req.LastEvent}
+	defer e.dropFailure()
 	if s.closed.Load() {
 		e.finish(r, &fault{status: http.StatusServiceUnavailable, reason: "the daemon is stopping", retryAfter: stoppingRetryDelay})
 		return
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -152,11 +152,14 @@
 
 const settingsTemplate = `{
   "name": %q, "hall": %q, "first_start": %t,
-  "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2,
+  "callers_addr": %q, "readiness_addr": %q, "metrics_addr": %q, "peers_addr": %q, "store_addr": %q, "cores": 0.2, "memory_mb": %d,
   "hall_regions": {"z1": "r1", "z2": "r1", "z3": "r2", "z4": "r2"},
   "bounds": {"grace_s": 4, "revoke_ms": 5000, "retry_ratio": %v, "retry_extra": %v, "retry_window_s": %v, "revoke_strict": %t, "fenced": %t, "cold_overrun": 1.5, "cold_slack": 5},
 }`
 
+// memoryMB is the memory that a daemon may use, the least of the known deployments.
+const memoryMB = 160
+
 // Setup holds the options of a daemon's start.
 type Setup struct {
 	// FirstStart is set if no daemon of the system has run before.
@@ -193,7 +196,7 @@
 		*addr = free
 	}
 	d.file = filepath.Join(dir, name+".jsonc")
-	text := fmt.Sprintf(settingsTemplate, name, setup.hall(), setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store),
+	text := fmt.Sprintf(settingsTemplate, name, setup.hall(), setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store), memoryMB,
 		retryRatio, retryExtra, retryWindow.Seconds(), !setup.LooseRevoke, setup.Fenced)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
