common/drain, commands: Answer requests that are read while connections are closed

Cause: http.Server.Shutdown closes a connection as idle while a request that was just read from it is being parsed. Where the process lacks processor time at that moment, the whole request has been read, and its caller gets a closed connection. Class: the state by which one goroutine closes is set by another one later than what it describes.

Change: connections are tracked where they are read. A stop makes the server's own read fail by its deadline where no byte of a request has come, and that read decides: it either fails, or has got bytes that are handled and answered. Peers' connections are waited for in the same way, so that a forwarded request that was just read is answered. New connections get 1 s for their first request, where Shutdown gave 5 s. The time kept for the exit is a tenth of a short grace time.

TestDrain_RequestThatWasReadIsAnswered fails with http.Server.Shutdown in place of Tracker.Drain (unexpected EOF).

--- a/commands/daemon.go
+++ b/commands/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/pointpass/pointpass/common/control"
+	"github.com/pointpass/pointpass/common/drain"
 	"github.com/pointpass/pointpass/config"
 	"github.com/pointpass/pointpass/deps"
 	"github.com/pointpass/pointpass/rpc"
@@ -139,13 +140,15 @@
 	if err != nil {
 		return err
 	}
+	connections := drain.NewTracker()
 	callersServer := newCallersServer(cfg, d)
+	callersServer.ConnState = connections.Observe
 	controlServer, err := newControlServer(cfg, d)
 	if err != nil {
 		return err
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- callersServer.Serve(callersListener) }()
+	go func() { failed <- callersServer.Serve(connections.Listener(callersListener)) }()
 	go func() { failed <- controlServer.Serve(d.Control.Listener(controlListener)) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -157,12 +160,12 @@
 	case s := <-signals:
 		logger.Info().Str("signal", s.String()).Msg("draining")
 	}
-	return drain(cfg, d, callersServer, controlServer)
+	return stop(cfg, d, callersListener, connections, controlServer)
 }
 
-// drain waits for the requests in flight before it hands over the duties: a
+// stop waits for the requests in flight before it hands over the duties: a
 // request in flight may still need a claim that this daemon holds.
-func drain(cfg *config.Config, d *deps.Deps, callers, control *http.Server) error {
+func stop(cfg *config.Config, d *deps.Deps, callers net.Listener, connections *drain.Tracker, control *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), cfg.Timing().Drain)
 	defer cancel()
 	if err := d.Gateway.Drain(ctx); err != nil {
@@ -175,7 +178,10 @@
 	}
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
-	callers.Shutdown(closeCtx)
+	callers.Close()
+	if left := connections.Drain(closeCtx); left > 0 {
+		d.Log.Warn().Int("connections", left).Msg("callers' connections cut off")
+	}
 	control.Shutdown(closeCtx)
 	d.Log.Info().Msg("stopped")
 	return nil
--- a/commands/edge.go
+++ b/commands/edge.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -17,6 +18,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
 
+	"github.com/pointpass/pointpass/common/drain"
 	"github.com/pointpass/pointpass/common/tcp"
 	"github.com/pointpass/pointpass/deps"
 	"github.com/pointpass/pointpass/node"
@@ -89,8 +91,12 @@
 	settings      *node.Holder
 	stopping      atomic.Bool
 	callersServer *http.Server
-	auxServers    []*http.Server
-	failed        chan error
+	// callersListener accepts callers' connections, callers and peers track those of callers and of other
+	// daemons.
+	callersListener net.Listener
+	callers, peers  *drain.Tracker
+	auxServers      []*http.Server
+	failed          chan error
 }
 
 func runEdge(settings *node.Holder, reload <-chan os.Signal, stdout io.Writer) error {
@@ -100,7 +106,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	edge, cleanUp := deps.NewEdge(settings, logger)
 	defer cleanUp()
-	p := &edgeProcess{edge: edge, settings: settings, failed: make(chan error, 4)}
+	p := &edgeProcess{edge: edge, settings: settings, callers: drain.NewTracker(), peers: drain.NewTracker(), failed: make(chan error, 4)}
 	if err := p.listen(); err != nil {
 		return err
 	}
@@ -116,7 +122,7 @@
 	case s := <-signals:
 		logger.Info().Str("event", "stopping").Str("signal", s.String()).Int64("under_way", edge.Server.InFlight()).Msg("")
 	}
-	p.drain()
+	p.stop()
 	logger.Info().Str("event", "stopped").Int64("under_way", edge.Server.InFlight()).Msg("")
 	return nil
 }
@@ -131,7 +137,7 @@
 )
 
 func (p *edgeProcess) listen() error {
-	p.callersServer = &http.Server{Handler: p.edge.Ingress, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, ErrorLog: nil}
+	p.callersServer = &http.Server{Handler: p.edge.Ingress, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, ConnState: p.callers.Observe}
 	readiness := http.NewServeMux()
 	readiness.HandleFunc("GET /readyz", p.serveReadiness)
 	metricsMux := http.NewServeMux()
@@ -142,7 +148,7 @@
 	settings := p.settings.Current()
 	addrs := []string{settings.CallersAddr(), settings.ReadinessAddr(), settings.MetricsAddr()}
 	if settings.PeersAddr() != "" {
-		p.auxServers = append(p.auxServers, &http.Server{Handler: p.edge.Peers, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout})
+		p.auxServers = append(p.auxServers, &http.Server{Handler: p.edge.Peers, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, ConnState: p.peers.Observe})
 		addrs = append(addrs, settings.PeersAddr())
 	}
 	for i, server := range append([]*http.Server{p.callersServer}, p.auxServers...) {
@@ -150,11 +156,15 @@
 		if err != nil {
 			return err
 		}
-		if server == p.callersServer {
-			listener = p.edge.GateListener(listener)
+		switch {
+		case server == p.callersServer:
+			listener = p.callers.Listener(p.edge.GateListener(listener))
+			p.callersListener = listener
+		case addrs[i] == settings.PeersAddr():
+			listener = p.peers.Listener(listener)
 		}
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				p.failed <- err
 			}
 		}()
@@ -214,8 +224,9 @@
 	leavingFraction = 0.4
 	maxLeavingTime  = 2800 * time.Millisecond
 	// exitReserve is kept free at the end of the grace time to close the servers
-	// and exit.
-	exitReserve = 600 * time.Millisecond
+	// and exit, and exitReserveFraction of it at the most.
+	exitReserve         = 600 * time.Millisecond
+	exitReserveFraction = 0.1
 	// leaseReleaseTimeout bounds the release of the lease.
 	leaseReleaseTimeout = time.Second
 )
@@ -223,9 +234,10 @@
 // inFlightPoll is the interval between checks for requests in flight.
 const inFlightPoll = 20 * time.Millisecond
 
-// awaitForwarded waits until the requests that other daemons forwarded are finished, or ctx ends.
+// awaitForwarded waits until the requests that other daemons forwarded are finished, also those that were
+// just read, or ctx ends.
 func (p *edgeProcess) awaitForwarded(ctx context.Context) {
-	for p.edge.Server.InFlight() > 0 && ctx.Err() == nil {
+	for (p.edge.Server.InFlight() > 0 || p.peers.Unhandled() > 0) && ctx.Err() == nil {
 		time.Sleep(inFlightPoll)
 	}
 }
@@ -235,12 +247,12 @@
 	return min(time.Duration(leavingFraction*float64(grace)), maxLeavingTime)
 }
 
-// drain releases the lease, leaves the balancer time to send callers elsewhere and
+// stop releases the lease, leaves the balancer time to send callers elsewhere and
 // finishes the requests in flight. It uses the grace time in force when it starts.
-func (p *edgeProcess) drain() {
+func (p *edgeProcess) stop() {
 	grace := p.settings.Bounds().GracePeriod
 	start := time.Now()
-	end := start.Add(grace - exitReserve)
+	end := start.Add(grace - min(exitReserve, time.Duration(exitReserveFraction*float64(grace))))
 	p.stopping.Store(true)
 	p.edge.Server.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), leaseReleaseTimeout)
@@ -252,7 +264,10 @@
 	p.edge.Server.Close()
 	ctx, cancel = context.WithDeadline(context.Background(), end)
 	defer cancel()
-	p.callersServer.Shutdown(ctx)
+	p.callersListener.Close()
+	if left := p.callers.Drain(ctx); left > 0 {
+		p.edge.Log.Warn().Str("event", "callers_cut").Int("connections", left).Int64("under_way", p.edge.Server.InFlight()).Msg("the grace time is over")
+	}
 	p.awaitForwarded(ctx)
 	for _, server := range p.auxServers {
 		server.Close()
--- /dev/null
+++ b/common/drain/tracker.go
@@ -0,0 +1,159 @@
+// Package drain ends the connections of an HTTP server without losing requests that it has read.
+// http.Server.Shutdown closes a connection as idle while a request that was just read from it is being
+// parsed; its caller then gets no answer, and can't know whether the request has run.
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// pollInterval is how often connections are checked while a server drains.
+	pollInterval = 20 * time.Millisecond
+	// firstRequestTime is how long the first request on a connection is waited for.
+	firstRequestTime = time.Second
+)
+
+// Tracker tracks the connections of one server. It is safe for concurrent use.
+type Tracker struct {
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// NewTracker returns a tracker. Its Listener and its Observe must both be used by the server.
+func NewTracker() *Tracker { return &Tracker{conns: map[*conn]struct{}{}} }
+
+// Listener returns a listener whose connections are tracked.
+func (t *Tracker) Listener(l net.Listener) net.Listener { return &listener{Listener: l, tracker: t} }
+
+// Observe is a ConnState function of the server.
+func (t *Tracker) Observe(c net.Conn, state http.ConnState) {
+	tracked, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	tracked.mu.Lock()
+	defer tracked.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		tracked.idle = false
+		tracked.used = true
+	case http.StateIdle:
+		tracked.idle = true
+		tracked.unhandled = false
+	}
+}
+
+// Drain ends the connections without a request, and those with one once it is answered. It returns how many
+// are left when ctx ends.
+func (t *Tracker) Drain(ctx context.Context) int {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		left := t.endIdle()
+		if left == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return left
+		case <-ticker.C:
+		}
+	}
+}
+
+// endIdle ends the connections without a request, and returns how many connections there are.
+func (t *Tracker) endIdle() int {
+	list := t.list()
+	for _, c := range list {
+		c.endIfIdle()
+	}
+	return len(list)
+}
+
+// Unhandled returns the number of connections from which bytes of a request were read that no handler has
+// got yet.
+func (t *Tracker) Unhandled() int {
+	n := 0
+	for _, c := range t.list() {
+		c.mu.Lock()
+		if c.idle && c.unhandled {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
+func (t *Tracker) list() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*conn
+	for c := range t.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, tracker: l.tracker, accepted: time.Now(), idle: true}
+	l.tracker.mu.Lock()
+	l.tracker.conns[c] = struct{}{}
+	l.tracker.mu.Unlock()
+	return c, nil
+}
+
+// conn is a tracked connection.
+type conn struct {
+	net.Conn
+	tracker  *Tracker
+	accepted time.Time
+
+	mu sync.Mutex
+	// idle is set while no request is being handled, and used once one was. unhandled is set if bytes of a
+	// request were read since the connection became idle.
+	idle, used, unhandled bool
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if n > 0 {
+		c.mu.Lock()
+		c.unhandled = c.unhandled || c.idle
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.tracker.mu.Lock()
+	delete(c.tracker.conns, c)
+	c.tracker.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// endIfIdle makes the server close the connection if it waits for a request. The server's own read decides:
+// it either fails by its deadline, or has got bytes and goes on to handle them.
+func (c *conn) endIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.unhandled && (c.used || time.Since(c.accepted) > firstRequestTime) {
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
--- /dev/null
+++ b/common/drain/tracker_test.go
@@ -0,0 +1,175 @@
+package drain
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// lateListener accepts connections whose reads return late, as if the process lacked processor time: after a
+// read has got bytes on a used connection, read is closed, and the bytes are returned once resume is closed.
+type lateListener struct {
+	net.Listener
+	read, resume chan struct{}
+}
+
+type lateConn struct {
+	net.Conn
+	listener *lateListener
+	reads    int
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &lateConn{Conn: c, listener: l}, err
+}
+
+func (c *lateConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if n == 0 {
+		return n, err
+	}
+	c.reads++
+	if c.reads == 2 {
+		close(c.listener.read)
+		<-c.listener.resume
+	}
+	return n, err
+}
+
+const request = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+// TestDrain_RequestThatWasReadIsAnswered guards against a connection that is closed as idle after its next
+// request was read and before it is handled.
+func TestDrain_RequestThatWasReadIsAnswered(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	late := &lateListener{Listener: raw, read: make(chan struct{}), resume: make(chan struct{})}
+	tracker := NewTracker()
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: tracker.Observe}
+	go server.Serve(tracker.Listener(late))
+	t.Cleanup(func() { server.Close() })
+	conn, err := net.Dial("tcp", raw.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	fmt.Fprint(conn, request)
+	_, err = http.ReadResponse(in, nil)
+	must.NoError(t, err)
+	fmt.Fprint(conn, request)
+	<-late.read
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	left := make(chan int, 1)
+	go func() { left <- tracker.Drain(ctx) }()
+	time.Sleep(5 * pollInterval)
+	close(late.resume)
+	resp, err := http.ReadResponse(in, nil)
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusOK, resp.StatusCode)
+	conn.Close()
+	must.EqOp(t, 0, <-left)
+}
+
+// TestDrain_ConnectionsEnd checks that idle connections end at once, that those with a request end after its
+// answer, that new ones get a moment, and what is left when the time is over.
+func TestDrain_ConnectionsEnd(t *testing.T) {
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	tracker := NewTracker()
+	finish := make(chan struct{})
+	started := make(chan struct{}, 2)
+	server := &http.Server{ConnState: tracker.Observe, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			started <- struct{}{}
+			<-finish
+		}
+	})}
+	go server.Serve(tracker.Listener(raw))
+	t.Cleanup(func() { server.Close() })
+	dial := func(path string) (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		must.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		if path != "" {
+			fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: a.example\r\n\r\n", path)
+		}
+		return conn, bufio.NewReader(conn)
+	}
+	_, idle := dial("/")
+	_, err = http.ReadResponse(idle, nil)
+	must.NoError(t, err)
+	_, slow := dial("/slow")
+	<-started
+	fresh, freshIn := dial("")
+	for len(tracker.list()) < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	raw.Close()
+	short, cancel := context.WithTimeout(t.Context(), 10*pollInterval)
+	defer cancel()
+	must.EqOp(t, 2, tracker.Drain(short))
+	_, err = idle.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	fmt.Fprint(fresh, request)
+	_, err = http.ReadResponse(freshIn, nil)
+	must.NoError(t, err)
+	close(finish)
+	long, cancelLong := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancelLong()
+	must.EqOp(t, 0, tracker.Drain(long))
+	_, err = http.ReadResponse(slow, nil)
+	must.NoError(t, err)
+	must.EqOp(t, 0, tracker.Unhandled())
+}
+
+// TestDrain_UnderLoad checks that each request that the server's handler has got is answered, while callers
+// use their connections until these end.
+func TestDrain_UnderLoad(t *testing.T) {
+	const callers = 50
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	tracker := NewTracker()
+	var handled, answered atomic.Int64
+	server := &http.Server{ConnState: tracker.Observe, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })}
+	go server.Serve(tracker.Listener(raw))
+	t.Cleanup(func() { server.Close() })
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			conn, err := net.Dial("tcp", raw.Addr().String())
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			in := bufio.NewReader(conn)
+			for {
+				if _, err := fmt.Fprint(conn, request); err != nil {
+					return
+				}
+				if _, err := http.ReadResponse(in, nil); err != nil {
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for handled.Load() < 1000 {
+		time.Sleep(time.Millisecond)
+	}
+	raw.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	must.EqOp(t, 0, tracker.Drain(ctx))
+	running.Wait()
+	must.EqOp(t, handled.Load(), answered.Load())
+}
