engine: Send requests without a body once, too

The Sender now uses common/conns; heads of engines end at 64 KiB.

TestSend_RequestsWithoutABodyAreSentOnce failed before the change (the second request was answered after a third sending).

--- a/engine/client.go
+++ b/engine/client.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/pointpass/pointpass/common/meter"
 )
@@ -59,7 +58,7 @@
 
 // NewClient returns a client and a function that closes its idle connections.
 func NewClient(dial meter.DialFunc) (*Client, func()) {
-	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
 	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
--- a/engine/sender.go
+++ b/engine/sender.go
@@ -8,10 +8,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/pointpass/pointpass/common/conns"
 )
 
 // Headers between the gateway and endpoints.
@@ -71,56 +72,44 @@
 // response doesn't report them.
 func (r *Reply) Load() (running, waiting int, reported bool) { return r.running, r.waiting, r.hasLoad }
 
-// Sender sends requests to endpoints, each of them once: neither the Sender nor its
-// HTTP transport retries a request that may have arrived.
-type Sender struct {
-	pooled   http.RoundTripper
-	unpooled http.RoundTripper
-}
+// Sender sends requests to endpoints, each of them once: neither the Sender nor the connections below it
+// repeat a request that may have arrived.
+type Sender struct{ pool *conns.Pool }
+
+// Limits of connections to endpoints.
+const (
+	maxIdleConns   = 64
+	idleTimeout    = 30 * time.Second
+	maxHeaderBytes = 64 << 10
+)
 
 // NewSender returns a sender and a function that closes its idle connections.
 // Requests that may run at most once always use a new connection: on a reused one, an
 // idle close by the server can't be distinguished from a crash after the request
 // arrived.
 func NewSender() (*Sender, func()) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
-	unpooled := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	return &Sender{pooled: pooled, unpooled: unpooled}, pooled.CloseIdleConnections
-}
-
-// opaqueBody hides the type of a reader from net/http, which could otherwise rewind the
-// body and retry a request on its own.
-type opaqueBody struct {
-	io.Reader
+	pool, closePool := conns.New(conns.Options{
+		Dialer:         &net.Dialer{Timeout: dialTimeout},
+		MaxIdle:        maxIdleConns,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	})
+	return &Sender{pool: pool}, closePool
 }
 
-// Close does nothing; the bytes belong to the caller.
-func (opaqueBody) Close() error { return nil }
-
 // Send makes one attempt. The error is a *NotRunError if the request certainly did not
 // run, else a *LostError.
 func (s *Sender) Send(ctx context.Context, call Call) (*Reply, error) {
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	r, err := newRequest(httptrace.WithClientTrace(ctx, trace), call)
+	r, err := newRequest(ctx, call)
 	if err != nil {
 		return nil, &NotRunError{addr: call.Addr, err: err}
 	}
-	transport := s.pooled
-	if call.Once {
-		transport = s.unpooled
+	resp, err := s.pool.Send(r, conns.Sending{})
+	var failed *conns.SendError
+	if errors.As(err, &failed) && !failed.Sent {
+		return nil, &NotRunError{addr: call.Addr, err: err}
 	}
-	resp, err := transport.RoundTrip(r)
 	if err != nil {
-		if !connected {
-			return nil, &NotRunError{addr: call.Addr, err: err}
-		}
 		return nil, &LostError{addr: call.Addr, err: err}
 	}
 	return newReply(call, resp)
@@ -135,9 +124,11 @@
 		r.Header[name] = values
 	}
 	if len(call.Body) > 0 {
-		r.Body = opaqueBody{bytes.NewReader(call.Body)}
+		r.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(call.Body)), nil }
+		r.Body = io.NopCloser(bytes.NewReader(call.Body))
 		r.ContentLength = int64(len(call.Body))
 	}
+	r.Close = call.Once
 	if call.Group != "" {
 		r.Header.Set(headerGroup, call.Group)
 		r.Header.Set(headerEpoch, strconv.FormatUint(call.Epoch, 10))
--- a/engine/sender_test.go
+++ b/engine/sender_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -163,3 +164,27 @@
 	var lost *LostError
 	must.True(t, errors.As(err, &lost))
 }
+
+// TestSend_RequestsWithoutABodyAreSentOnce guards against a request without a body that the HTTP library
+// sends again when its kept connection ends, outside of the attempts and budgets of the gateway.
+func TestSend_RequestsWithoutABodyAreSentOnce(t *testing.T) {
+	s := startServer(t, func(n int, conn net.Conn) {
+		if n == 1 {
+			conn.Write([]byte(okReply))
+			return
+		}
+		conn.Close()
+	})
+	sender, cleanUp := NewSender()
+	defer cleanUp()
+	call := Call{Addr: s.addr, Method: http.MethodGet, Path: "/", Stream: "s"}
+	reply, err := sender.Send(t.Context(), call)
+	must.NoError(t, err)
+	_, err = io.ReadAll(reply.Body())
+	must.NoError(t, err)
+	must.NoError(t, reply.Body().Close())
+	_, err = sender.Send(t.Context(), call)
+	var lost *LostError
+	must.True(t, errors.As(err, &lost))
+	must.EqOp(t, 2, s.requests.Load())
+}
