gateway: Give up a connection that sends events out of order without end

An engine that repeats old events, or sends unnumbered ones, kept the stream of its caller waiting until the deadline, since each such event was passed over. After 1,000 in a row the connection is closed and the stream asked for again from its last event. No test shows it; the tests of the package hold.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -24,6 +24,10 @@
 // maxEventBytes is the maximum size of an event from an engine.
 const maxEventBytes = 256 << 10
 
+// maxStrayEvents is how many events that aren't the next may follow each other before a connection is given
+// up. After a resumption, an engine may repeat some.
+const maxStrayEvents = 1000
+
 // resumeDelay is the delay before an interrupted stream is requested again.
 const resumeDelay = 100 * time.Millisecond
 
@@ -115,14 +119,19 @@
 func (s *stream) relay(reply *engine.Reply) {
 	defer reply.Body().Close()
 	config := &sse.ReadConfig{MaxEventSize: maxEventBytes}
+	stray := 0
 	for event, err := range sse.Read(reply.Body(), config) {
 		if err != nil || s.ended {
 			return
 		}
 		offset, err := strconv.Atoi(event.LastEventID)
 		if err != nil || offset != s.id.offset+1 {
+			if stray++; stray > maxStrayEvents {
+				return
+			}
 			continue // duplicate or unnumbered
 		}
+		stray = 0
 		s.id.offset = offset
 		s.forward(event.Data)
 		if s.callerGone && !s.call.atMostOnce() {
