commands: Log what libraries write to the standard log, bounded

A worker that sends bytes after its answer made net/http print up to 8 KB of them to standard error for each connection, besides the structured log. Such lines are now events of the log, which never blocks, with 200 bytes each at most.

--- a/commands/edge.go
+++ b/commands/edge.go
@@ -102,6 +102,7 @@
 func runEdge(settings *node.Holder, reload <-chan os.Signal, stdout io.Writer) error {
 	logger, closeLog := newEdgeLogger(settings.Current(), stdout)
 	defer closeLog()
+	defer captureLibraryLog(logger)()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	edge, cleanUp := deps.NewEdge(settings, logger)
--- a/commands/log.go
+++ b/commands/log.go
@@ -2,6 +2,9 @@
 
 import (
 	"io"
+	stdlog "log"
+	"os"
+	"strings"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -40,3 +43,27 @@
 	w.closed = true
 	return w.lines.Close()
 }
+
+// maxLibraryLineBytes bounds the part of a library's log line that is kept: some contain what a peer sent.
+const maxLibraryLineBytes = 200
+
+// libraryLog logs lines that libraries write to Go's standard log.
+type libraryLog struct{ log *log.Logger }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(line []byte) (int, error) {
+	text := strings.ToValidUTF8(strings.TrimSpace(string(line[:min(len(line), maxLibraryLineBytes)])), "?")
+	l.log.Warn().Str("event", "library").Msg(text)
+	return len(line), nil
+}
+
+// captureLibraryLog directs Go's standard log to a logger, and returns a function that restores it.
+func captureLibraryLog(logger *log.Logger) func() {
+	flags := stdlog.Flags()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{logger})
+	return func() {
+		stdlog.SetFlags(flags)
+		stdlog.SetOutput(os.Stderr)
+	}
+}
--- a/commands/log_test.go
+++ b/commands/log_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	stdlog "log"
+	"strings"
 	"sync"
 	"testing"
 
@@ -30,3 +32,14 @@
 	must.StrContains(t, written, `"event":"first"`)
 	must.EqOp(t, written, out.String())
 }
+
+// TestLibraryLog_IsBounded guards against lines of libraries that bypass the log, at any length.
+func TestLibraryLog_IsBounded(t *testing.T) {
+	var out bytes.Buffer
+	restore := captureLibraryLog(&log.Logger{Writer: log.IOWriter{Writer: &out}})
+	stdlog.Printf("Unsolicited response starting with %q\n\xff", strings.Repeat("x", 10_000))
+	restore()
+	must.StrContains(t, out.String(), `"event":"library"`)
+	must.StrContains(t, out.String(), "Unsolicited response")
+	must.Less(t, 2*maxLibraryLineBytes, out.Len())
+}
