replica, platform: Join workers by their own report where earlier orders may come late

What went wrong: where entries are up to 0.5 s late, a head that had left, rejoined by a late order and opened was ordered into a new group while it served (TWO).

Cause: between a late join and its entry the planner can't know of it, and no time is long enough to wait. Class: a decision on a copy of a state that isn't checked where the state is changed.

Change: a join to a worker that an unanswered join, or an earlier holder's order, may still bring into a group is guarded. It is sent only if the worker's report names no other group, and with the count of orders of the same report as its condition, so that a worker that has taken any order since refuses it.

The stand-in workers report their group and count, and keep conditions.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -195,6 +195,7 @@
 		Lease:        e.Lease,
 		Orders:       orders,
 		Prober:       orders,
+		Reporter:     orders,
 		Workers:      e.Workers.View,
 		Catalogs:     e.Catalogs,
 		Fenced:       func() bool { return e.settings.Bounds().Fenced },
--- a/replica/controller.go
+++ b/replica/controller.go
@@ -17,6 +17,7 @@
 	Lease    *Lease
 	Orders   Orders
 	Prober   Prober
+	Reporter Reporter
 	Workers  func() *workers.View
 	Catalogs *catalog.Holder
 	// Ceiling returns the limit on loads. It may change at any time.
@@ -277,21 +278,31 @@
 	var err error
 	started := c.opts.Now()
 	if held, ok := c.opts.Lease.Held(); ok && held == term {
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
 		if c.opts.Fenced() {
 			o.Fence = term
 		}
-		outcome, err = c.opts.Orders.Send(ctx, o)
+		outcome, err = c.deliver(ctx, o)
 	}
 	c.orders.Inc()
 	if outcome == Unanswered {
 		c.unanswered.Inc()
 	}
 	c.opts.Log.Info().Str("event", "order").Str("op", o.Op.String()).Str("group", o.Group.Name).Uint64("epoch", o.Group.Epoch).
-		Str("worker", o.Worker.ID).Str("model", o.Model).Str("outcome", outcome.String()).Dur("took", c.opts.Now().Sub(started)).Uint64("term", term).Err(err).Msg("")
+		Str("worker", o.Worker.ID).Str("model", o.Model).Str("outcome", outcome.String()).Bool("guarded", o.Guarded).Dur("took", c.opts.Now().Sub(started)).Uint64("term", term).Err(err).Msg("")
 	select {
 	case c.results <- result{term: term, order: o, outcome: outcome, sent: started}:
 	case <-ctx.Done():
 	}
 }
+
+// deliver sends an order to its worker, if its guard allows that.
+func (c *Controller) deliver(ctx context.Context, o Order) (Outcome, error) {
+	if o.Guarded {
+		if outcome, err := c.guard(ctx, &o); outcome != Started {
+			return outcome, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return c.opts.Orders.Send(ctx, o)
+}
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -38,6 +38,8 @@
 
 func (l *joinRecorder) Answers(context.Context, workers.Worker) bool { return true }
 
+func (l *joinRecorder) Report(context.Context, workers.Worker) (Report, error) { return Report{}, nil }
+
 // TestController_KeepsPlannerWhenRenewalIsLate lets the lease of a slow holder lapse while its
 // renewal is in flight, and continue under the same term. A second planner of that term would
 // reuse the names of the first one's groups for other groups.
@@ -58,6 +60,7 @@
 		Lease:        lease,
 		Orders:       orders,
 		Prober:       orders,
+		Reporter:     orders,
 		Workers:      func() *workers.View { return w.view },
 		Catalogs:     &catalogs,
 		Ceiling:      func() LoadCeiling { return testCeiling },
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	f.joinAttempts[w.ID]++
-	o := Order{Worker: w, Op: Join, Group: f.id, Model: f.model.Name, Members: f.members}
+	o := Order{Worker: w, Op: Join, Group: f.id, Model: f.model.Name, Members: f.members, Guarded: r.mayJoinUnseen(r.record(w.ID))}
 	if f.joinAttempts[w.ID] > 1 {
 		r.repeatLoad(o)
 	} else if preparationOf(w, f.model.Name) == fromStore {
--- /dev/null
+++ b/replica/guard_test.go
@@ -0,0 +1,72 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/workers"
+)
+
+// reports is a Reporter that gives one report after the other, the last one for ever. A nil report is none.
+type reports struct{ list []*Report }
+
+var errNoReport = errors.New("no report")
+
+func (r *reports) Report(context.Context, workers.Worker) (Report, error) {
+	next := r.list[0]
+	if len(r.list) > 1 {
+		r.list = r.list[1:]
+	}
+	if next == nil {
+		return Report{}, errNoReport
+	}
+	return *next, nil
+}
+
+// sentOrders accepts all orders and records them.
+type sentOrders struct{ orders []Order }
+
+func (o *sentOrders) Send(_ context.Context, order Order) (Outcome, error) {
+	o.orders = append(o.orders, order)
+	return Started, nil
+}
+
+// TestController_GuardedJoins guards against a join that takes a worker out of a group into which a late
+// order brought it, which its entry doesn't show yet: a guarded join names the orders that the worker has
+// taken, and isn't sent while the worker reports another group.
+func TestController_GuardedJoins(t *testing.T) {
+	own, other := workers.NewGroupID("m", 2), workers.NewGroupID("m", 1)
+	for _, c := range []struct {
+		name    string
+		guarded bool
+		reports []*Report
+		outcome Outcome
+		sent    bool
+		orders  int64
+	}{
+		{"unguarded", false, []*Report{nil}, Started, true, 0},
+		{"in no group", true, []*Report{{Orders: 7}}, Started, true, 7},
+		{"in the group that it is to join", true, []*Report{{Orders: 8, Group: own}}, Started, true, 8},
+		{"in another group", true, []*Report{{Orders: 7, Group: other}}, WrongState, false, 0},
+		{"in another group until now", true, []*Report{{Orders: 7, Group: other}, {Orders: 8}}, Started, true, 8},
+		{"no report", true, []*Report{nil}, NotDelivered, false, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			sent := &sentOrders{}
+			ctrl := NewController(Options{Orders: sent, Reporter: &reports{list: c.reports}, Metrics: metrics.NewSet(), Now: time.Now, Log: &log.Logger{Level: log.PanicLevel}})
+			outcome, _ := ctrl.deliver(t.Context(), Order{Op: Join, Group: own, Guarded: c.guarded})
+			must.EqOp(t, c.outcome, outcome, must.Sprint(c.name))
+			must.EqOp(t, c.sent, len(sent.orders) == 1, must.Sprint(c.name))
+			if c.sent {
+				must.EqOp(t, c.orders, sent.orders[0].Condition, must.Sprint(c.name))
+			}
+		})
+	}
+}
--- a/replica/order.go
+++ b/replica/order.go
@@ -33,6 +33,12 @@
 	// Model is set for Join and Stage. Members, the head first, is set for Join.
 	Model   string
 	Members []string
+	// Guarded is set for a join of a worker that an earlier order may still bring into another group. It
+	// is sent only if the worker reports to be in none, and under the condition that it has taken no
+	// order since.
+	Guarded bool
+	// Condition is the number of orders that the worker must have taken so far, if Guarded is set.
+	Condition int64
 	// Fence is the fencing token: the term of the lease under which the order is sent. Workers
 	// that check it reject orders of earlier terms. Where workers don't check it, it is 0 and
 	// isn't sent.
@@ -82,3 +88,17 @@
 	// Answers reports whether a worker answers before the context ends.
 	Answers(ctx context.Context, w workers.Worker) bool
 }
+
+// Reporter asks workers for their state.
+type Reporter interface {
+	// Report returns a worker's own report, which may be some hundred milliseconds old.
+	Report(ctx context.Context, w workers.Worker) (Report, error)
+}
+
+// Report is the state of a worker by its own account, all of one moment.
+type Report struct {
+	// Orders is the number of orders that the worker has taken.
+	Orders int64
+	// Group is the group that it is in, its name "" if it is in none.
+	Group workers.GroupID
+}
--- a/replica/rejoin.go
+++ b/replica/rejoin.go
@@ -50,3 +50,12 @@
 	}
 	return false
 }
+
+// mayJoinUnseen reports whether an earlier order to join may still be carried out without being known: one
+// that got no answer, or one of an earlier holder of the lease, until an order of this one was accepted.
+func (r *round) mayJoinUnseen(rec *record) bool {
+	if rec.unansweredJoin.Name != "" {
+		return true
+	}
+	return r.term > 1 && rec.joined.Epoch/epochsPerTerm != r.term
+}
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -36,8 +36,15 @@
 	stagedAt  time.Time
 	// brokenSince is since when the group that it heads lacks a member.
 	brokenSince time.Time
+	// orders is the number of orders that it has taken, and reports what it reported in the last ticks, the
+	// oldest first.
+	orders  int64
+	reports []Report
 }
 
+// worldReportTicks is how many ticks a report is old.
+const worldReportTicks = 2
+
 // delayedOrder is an order that is applied later.
 type delayedOrder struct {
 	at    time.Time
@@ -121,6 +128,8 @@
 	e.worker.Draining = false
 	e.last = ""
 	e.seenEpoch = 0
+	e.orders = 0
+	e.reports = nil
 	e.members = nil
 	e.staging = ""
 	e.brokenSince = time.Time{}
@@ -148,7 +157,10 @@
 func (w *world) step() {
 	w.now = w.now.Add(worldTick)
 	for _, id := range w.ids() {
-		w.advance(w.engines[id])
+		e := w.engines[id]
+		e.reports = append(e.reports, Report{Orders: e.orders, Group: e.worker.Membership.Group})
+		e.reports = e.reports[max(len(e.reports)-worldReportTicks, 0):]
+		w.advance(e)
 	}
 	w.deliverOrders()
 	w.deliverRows()
@@ -252,6 +264,17 @@
 
 // send sends an order with the given fate and returns its outcome.
 func (w *world) send(o Order, f fate, delay time.Duration) Outcome {
+	if o.Guarded {
+		e, ok := w.engines[o.Worker.ID]
+		if !ok || !e.dead.IsZero() || len(e.reports) == 0 {
+			return NotDelivered
+		}
+		report := e.reports[0]
+		if report.Group.Name != "" && report.Group != o.Group {
+			return WrongState
+		}
+		o.Condition = report.Orders
+	}
 	switch f {
 	case fateLost:
 		return Unanswered
@@ -303,6 +326,18 @@
 	if !ok || !e.dead.IsZero() {
 		return Unanswered
 	}
+	if o.Guarded && o.Condition != e.orders {
+		return WrongState
+	}
+	outcome := w.apply(e, o)
+	if outcome == Started || outcome == Satisfied && o.Op != Join {
+		e.orders++
+	}
+	return outcome
+}
+
+// apply has a worker apply an order whose condition holds.
+func (w *world) apply(e *engine, o Order) Outcome {
 	m := &e.worker.Membership
 	switch o.Op {
 	case Join:
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -116,6 +116,7 @@
 	epoch    uint64 // highest seen
 	fence    uint64 // highest fencing token seen
 	orders   []string
+	taken    int64 // orders that began something
 	runs     []*Run
 	killed   chan struct{} // closed by Kill
 	// coldUntil is the end of the time in which the worker has reduced capacity.
@@ -152,7 +153,7 @@
 	w := &Worker{id: id, service: service, domain: domain, hall: hall, store: store, killed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /order", w.serveOrder)
-	mux.HandleFunc("GET /report", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /report", w.serveReport)
 	mux.HandleFunc("/", w.serve)
 	w.server = httptest.NewUnstartedServer(mux)
 	w.server.Config.ConnContext = withRequestCount
@@ -331,6 +332,26 @@
 	Model   string   `json:"modelId"`
 	Members []string `json:"members"`
 	Fence   uint64   `json:"fencingToken"`
+	// Condition is how many orders the worker must have taken, nil for any number.
+	Condition *int64 `json:"expectedRev"`
+}
+
+// report is a worker's own account of its state.
+type report struct {
+	Seqno int64       `json:"seqno"`
+	Group *groupState `json:"group,omitempty"`
+}
+
+func (w *Worker) serveReport(rw http.ResponseWriter, _ *http.Request) {
+	w.mu.Lock()
+	r := report{Seqno: w.taken}
+	if w.group != nil {
+		group := *w.group
+		r.Group = &group
+	}
+	w.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(rw).Encode(r)
 }
 
 func (w *Worker) serveOrder(rw http.ResponseWriter, r *http.Request) {
@@ -347,7 +368,7 @@
 	status := http.StatusPreconditionFailed
 	if o.Fence >= w.fence {
 		w.fence = o.Fence
-		status = w.applyOrder(o)
+		status = w.applyOrderIf(o)
 	}
 	w.orders = append(w.orders, fmt.Sprintf("%s %s/%d %d", o.Op, o.Group, o.Epoch, status))
 	w.mu.Unlock()
@@ -355,6 +376,18 @@
 	rw.WriteHeader(status)
 }
 
+// applyOrderIf carries out an order if its condition holds. The caller holds w.mu.
+func (w *Worker) applyOrderIf(o order) int {
+	if o.Condition != nil && *o.Condition != w.taken {
+		return http.StatusConflict
+	}
+	status := w.applyOrder(o)
+	if status == http.StatusAccepted || status == http.StatusOK && o.Op != "join" {
+		w.taken++
+	}
+	return status
+}
+
 // applyOrder carries out an order and returns the response status. The caller holds w.mu.
 func (w *Worker) applyOrder(o order) int {
 	switch o.Op {
