replica: Check the lease again after a guard has waited

Found by reading the change: a guarded join may wait 0.4 s for a report, and the lease was checked before that; the margin at its end is 0.7 s, and an order may take 0.4 s more. An order could be sent under a lease that another daemon holds. TestController_NoOrderAfterTheLeaseEnds fails with the check before the guard.

--- a/replica/controller.go
+++ b/replica/controller.go
@@ -274,15 +274,11 @@
 
 // sendOrder sends an order unless the lease has ended in the meantime.
 func (c *Controller) sendOrder(ctx context.Context, term uint64, o Order) {
-	outcome := NotDelivered
-	var err error
 	started := c.opts.Now()
-	if held, ok := c.opts.Lease.Held(); ok && held == term {
-		if c.opts.Fenced() {
-			o.Fence = term
-		}
-		outcome, err = c.deliver(ctx, o)
+	if c.opts.Fenced() {
+		o.Fence = term
 	}
+	outcome, err := c.deliver(ctx, term, o)
 	c.orders.Inc()
 	if outcome == Unanswered {
 		c.unanswered.Inc()
@@ -295,13 +291,16 @@
 	}
 }
 
-// deliver sends an order to its worker, if its guard allows that.
-func (c *Controller) deliver(ctx context.Context, o Order) (Outcome, error) {
+// deliver sends an order to its worker, if its guard allows that and the lease hasn't ended.
+func (c *Controller) deliver(ctx context.Context, term uint64, o Order) (Outcome, error) {
 	if o.Guarded {
 		if outcome, err := c.guard(ctx, &o); outcome != Started {
 			return outcome, err
 		}
 	}
+	if held, ok := c.opts.Lease.Held(); !ok || held != term {
+		return NotDelivered, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	return c.opts.Orders.Send(ctx, o)
--- a/replica/guard_test.go
+++ b/replica/guard_test.go
@@ -60,8 +60,8 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			sent := &sentOrders{}
-			ctrl := NewController(Options{Orders: sent, Reporter: &reports{list: c.reports}, Metrics: metrics.NewSet(), Now: time.Now, Log: &log.Logger{Level: log.PanicLevel}})
-			outcome, _ := ctrl.deliver(t.Context(), Order{Op: Join, Group: own, Guarded: c.guarded})
+			ctrl, term := newGuardingController(t, sent, &reports{list: c.reports})
+			outcome, _ := ctrl.deliver(t.Context(), term, Order{Op: Join, Group: own, Guarded: c.guarded})
 			must.EqOp(t, c.outcome, outcome, must.Sprint(c.name))
 			must.EqOp(t, c.sent, len(sent.orders) == 1, must.Sprint(c.name))
 			if c.sent {
@@ -70,3 +70,35 @@
 		})
 	}
 }
+
+// newGuardingController returns a controller that holds the lease, and its term.
+func newGuardingController(t *testing.T, orders Orders, reporter Reporter) (*Controller, uint64) {
+	_, leases := newLeases(1)
+	leases[0].round(t.Context())
+	term, held := leases[0].Held()
+	must.True(t, held)
+	return NewController(Options{
+		Lease: leases[0], Orders: orders, Reporter: reporter, Fenced: func() bool { return false },
+		Metrics: metrics.NewSet(), Now: time.Now, Log: &log.Logger{Level: log.PanicLevel},
+	}), term
+}
+
+// endingReporter is a Reporter during whose report the lease ends.
+type endingReporter struct{ end func() }
+
+func (r endingReporter) Report(context.Context, workers.Worker) (Report, error) {
+	r.end()
+	return Report{}, nil
+}
+
+// TestController_NoOrderAfterTheLeaseEnds guards against a guarded join that is sent under a lease which
+// ended while the worker was asked for its report.
+func TestController_NoOrderAfterTheLeaseEnds(t *testing.T) {
+	sent := &sentOrders{}
+	reporter := &endingReporter{}
+	ctrl, term := newGuardingController(t, sent, reporter)
+	reporter.end = func() { must.NoError(t, ctrl.opts.Lease.Release(t.Context())) }
+	outcome, _ := ctrl.deliver(t.Context(), term, Order{Op: Join, Guarded: true})
+	must.EqOp(t, NotDelivered, outcome)
+	must.SliceEmpty(t, sent.orders)
+}
