common: Tests of connections wait for conditions, not times

Two tests slept for a fixed time until a connection had ended; beside load that may be too short. The time for the first request of a connection is a field of the tracker, and Drain counts what is left when its time is over, not a poll before.

--- a/common/conns/pool_test.go
+++ b/common/conns/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -90,27 +91,44 @@
 		response    string
 		sending     Sending
 		connections int64
+		// dirty is set if bytes follow the response, which are read on the idle connection.
+		dirty bool
 	}{
-		{okResponse, Sending{}, 1},
-		{"HTTP/1.1 204 None\r\n\r\n", Sending{}, 1},
-		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Sending{}, 1},
-		{okResponse, Sending{Fresh: true}, 5},
-		{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", Sending{}, 5},
-		{"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", Sending{}, 5},
-		{"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9, max=3\r\nContent-Length: 2\r\n\r\nok", Sending{}, 1},
-		{okResponse + "HTTP/1.1 200 OK\r\n", Sending{}, 5},
+		{okResponse, Sending{}, 1, false},
+		{"HTTP/1.1 204 None\r\n\r\n", Sending{}, 1, false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Sending{}, 1, false},
+		{okResponse, Sending{Fresh: true}, 5, false},
+		{"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", Sending{}, 5, false},
+		{"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", Sending{}, 5, false},
+		{"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9, max=3\r\nContent-Length: 2\r\n\r\nok", Sending{}, 1, false},
+		{okResponse + "HTTP/1.1 200 OK\r\n", Sending{}, 5, true},
 	} {
 		s := newServer(t, func(int, int) string { return c.response })
 		p := newPool(t)
 		for range 5 {
 			_, err := ask(t, p, s.addr, http.MethodGet, c.sending)
 			must.NoError(t, err, must.Sprint(c.response))
-			time.Sleep(5 * time.Millisecond) // bytes after a response are read on the idle connection
+			if c.dirty {
+				p.awaitClosed(s.addr)
+			}
 		}
 		must.EqOp(t, c.connections, s.connections.Load(), must.Sprint(c.response))
 	}
 }
 
+// awaitClosed waits until the idle connections to an address are closed.
+func (p *Pool) awaitClosed(addr string) {
+	for {
+		p.mu.Lock()
+		closed := !slices.ContainsFunc(p.idle[addr], func(c *conn) bool { return c.cc.Err() == nil })
+		p.mu.Unlock()
+		if closed {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestPool_SendsOnce guards against a request that is sent again by the HTTP library when its kept
 // connection ends, whatever its method and header.
 func TestPool_SendsOnce(t *testing.T) {
--- a/common/drain/tracker.go
+++ b/common/drain/tracker.go
@@ -20,12 +20,16 @@
 
 // Tracker tracks the connections of one server. It is safe for concurrent use.
 type Tracker struct {
+	firstRequestTime time.Duration
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
 
 // NewTracker returns a tracker. Its Listener and its Observe must both be used by the server.
-func NewTracker() *Tracker { return &Tracker{conns: map[*conn]struct{}{}} }
+func NewTracker() *Tracker {
+	return &Tracker{firstRequestTime: firstRequestTime, conns: map[*conn]struct{}{}}
+}
 
 // Listener returns a listener whose connections are tracked.
 func (t *Tracker) Listener(l net.Listener) net.Listener { return &listener{Listener: l, tracker: t} }
@@ -54,13 +58,12 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		left := t.endIdle()
-		if left == 0 {
+		if t.endIdle() == 0 {
 			return 0
 		}
 		select {
 		case <-ctx.Done():
-			return left
+			return len(t.list())
 		case <-ticker.C:
 		}
 	}
@@ -153,7 +156,7 @@
 func (c *conn) endIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && !c.unhandled && (c.used || time.Since(c.accepted) > firstRequestTime) {
+	if c.idle && !c.unhandled && (c.used || time.Since(c.accepted) > c.tracker.firstRequestTime) {
 		c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/common/drain/tracker_test.go
+++ b/common/drain/tracker_test.go
@@ -81,11 +81,12 @@
 }
 
 // TestDrain_ConnectionsEnd checks that idle connections end at once, that those with a request end after its
-// answer, that new ones get a moment, and what is left when the time is over.
+// answer, that new ones get a moment for their first request, and what is left when the time is over.
 func TestDrain_ConnectionsEnd(t *testing.T) {
 	raw, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	tracker := NewTracker()
+	tracker.firstRequestTime = time.Hour
 	finish := make(chan struct{})
 	started := make(chan struct{}, 2)
 	server := &http.Server{ConnState: tracker.Observe, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -115,18 +116,20 @@
 		time.Sleep(time.Millisecond)
 	}
 	raw.Close()
-	short, cancel := context.WithTimeout(t.Context(), 10*pollInterval)
-	defer cancel()
-	must.EqOp(t, 2, tracker.Drain(short))
+	ctx, cancel := context.WithCancel(t.Context())
+	left := make(chan int, 1)
+	go func() { left <- tracker.Drain(ctx) }()
 	_, err = idle.ReadByte()
 	must.ErrorIs(t, err, io.EOF)
 	fmt.Fprint(fresh, request)
 	_, err = http.ReadResponse(freshIn, nil)
 	must.NoError(t, err)
+	_, err = freshIn.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	cancel()
+	must.EqOp(t, 1, <-left)
 	close(finish)
-	long, cancelLong := context.WithTimeout(t.Context(), 10*time.Second)
-	defer cancelLong()
-	must.EqOp(t, 0, tracker.Drain(long))
+	must.EqOp(t, 0, tracker.Drain(t.Context()))
 	_, err = http.ReadResponse(slow, nil)
 	must.NoError(t, err)
 	must.EqOp(t, 0, tracker.Unhandled())
