deps: Show whether the key of fingerprints is known; a test waits for it

By its log the daemon that had served the request read the key of fingerprints 0.08 s afterwards, 0.5 s after its start, so that it could not recognize the request later and clear it; that is as designed. Nothing showed whether a daemon knows the key: a gauge does now, and the test waits for it before the request that it wants recognized. What it checks is unchanged.

--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -78,6 +78,10 @@
 		Metrics: e.Metrics,
 		Log:     e.Log,
 	})
+	e.Metrics.NewGauge("pointpass_fingerprint_key_known", func() float64 {
+		_, known := e.Guard.Fingerprint(quarantine.Content{})
+		return boolGauge(known)
+	})
 	e.Metrics.NewGauge("pointpass_parts_held_back", func() float64 { return float64(e.Guard.PartHolds()) })
 	e.Metrics.NewGauge("pointpass_requests_held_back", func() float64 { return float64(len(e.Guard.Holds())) })
 	return q
--- a/testbed/standin/crash_test.go
+++ b/testbed/standin/crash_test.go
@@ -111,6 +111,9 @@
 // it.
 func TestCrash_SuccessAtAnotherDaemonReleases(t *testing.T) {
 	s, c := newCrashCluster(t)
+	eventually(t, "the first daemon recognizes requests that it has served", func() bool {
+		return strings.Contains(s.daemons[0].Metrics(), "pointpass_fingerprint_key_known 1\n")
+	})
 	c.arm(false)
 	eventually(t, "the first daemon has read of the groups and serves the request", func() bool { return c.send(0).Status == http.StatusOK })
 	c.arm(true)
