common/conns: Let requests take a connection that becomes idle while one is opened

Cause: a request without an idle connection waited for a new one, which an overloaded worker accepts late; after 0.5 s its group counted as unreachable and its streams moved. http.Transport hands such a request any connection that becomes idle meanwhile.

Change: the request takes whichever comes first; a connection that is opened and not needed is kept.

--- a/common/conns/pool.go
+++ b/common/conns/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -31,14 +32,16 @@
 
 	mu sync.Mutex
 	// idle holds the idle connections of each address, the newest last.
-	idle   map[string][]*conn
-	losses losses
-	closed bool
+	idle map[string][]*conn
+	// waiting holds the requests of each address that wait for a connection, the oldest first.
+	waiting map[string][]chan *conn
+	losses  losses
+	closed  bool
 }
 
 // New returns a pool, and a function that closes it with its idle connections.
 func New(opts Options) (*Pool, func()) {
-	p := &Pool{opts: opts, idle: map[string][]*conn{}, losses: losses{}}
+	p := &Pool{opts: opts, idle: map[string][]*conn{}, waiting: map[string][]chan *conn{}, losses: losses{}}
 	p.transport = &http.Transport{
 		DialContext:            p.dial,
 		DisableCompression:     true,
@@ -137,7 +140,79 @@
 		}
 		c.cc.Close() // the other side has closed it
 	}
-	return p.open(ctx, addr)
+	if fresh {
+		return p.open(ctx, addr)
+	}
+	return p.openOrAwait(ctx, addr)
+}
+
+// dialed is the outcome of opening a connection.
+type dialed struct {
+	c   *conn
+	err error
+}
+
+// openOrAwait opens a connection, and returns it or one that becomes idle meanwhile: a server whose queue
+// of new connections is full takes seconds to accept one.
+func (p *Pool) openOrAwait(ctx context.Context, addr string) (*conn, error) {
+	opened := make(chan dialed, 1)
+	go func() {
+		c, err := p.open(context.WithoutCancel(ctx), addr)
+		opened <- dialed{c, err}
+	}()
+	idle := p.await(addr)
+	defer p.stopAwaiting(addr, idle)
+	for {
+		select {
+		case d := <-opened:
+			return d.c, d.err
+		case c := <-idle:
+			if c.cc.Reserve() == nil {
+				go p.keepOpened(opened)
+				return c, nil
+			}
+			c.cc.Close()
+		case <-ctx.Done():
+			go p.keepOpened(opened)
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// keepOpened keeps a connection that is being opened and that its request no longer needs.
+func (p *Pool) keepOpened(opened <-chan dialed) {
+	d := <-opened
+	if d.err != nil {
+		return
+	}
+	d.c.cc.Release()
+	d.c.lifetime = p.opts.IdleTimeout
+	p.put(d.c)
+}
+
+// await returns a channel that gets the next connection to an address that becomes idle.
+func (p *Pool) await(addr string) chan *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := make(chan *conn, 1)
+	p.waiting[addr] = append(p.waiting[addr], idle)
+	return idle
+}
+
+// stopAwaiting ends await. A connection that came too late is kept.
+func (p *Pool) stopAwaiting(addr string, idle chan *conn) {
+	p.mu.Lock()
+	list := slices.DeleteFunc(p.waiting[addr], func(other chan *conn) bool { return other == idle })
+	p.waiting[addr] = list
+	if len(list) == 0 {
+		delete(p.waiting, addr)
+	}
+	p.mu.Unlock()
+	select {
+	case c := <-idle:
+		p.put(c)
+	default:
+	}
 }
 
 // pop removes the newest idle connection of an address from the pool, nil if there is none.
@@ -211,6 +286,11 @@
 		return false
 	}
 	c.kept = true
+	if waiting := p.waiting[c.addr]; len(waiting) > 0 {
+		p.waiting[c.addr] = waiting[1:]
+		waiting[0] <- c
+		return true
+	}
 	p.idle[c.addr] = append(list, c)
 	c.timer = time.AfterFunc(c.lifetime, func() { p.expire(c) })
 	return true
--- a/common/conns/pool_test.go
+++ b/common/conns/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -201,6 +202,43 @@
 	must.EqOp(t, 1, lost)
 }
 
+// TestPool_WaitingRequestGetsAnIdleConnection guards against a request that waits for a new connection to a
+// server which accepts none for a while, though another connection to it has become idle.
+func TestPool_WaitingRequestGetsAnIdleConnection(t *testing.T) {
+	answer := make(chan struct{})
+	s := newServer(t, func(int, int) string {
+		<-answer
+		return okResponse
+	})
+	p := newPool(t)
+	dial := p.transport.DialContext
+	blocked := make(chan struct{})
+	p.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if s.requests.Load() > 0 {
+			close(blocked)
+			<-t.Context().Done()
+		}
+		return dial(ctx, network, addr)
+	}
+	done := make(chan error, 2)
+	go func() {
+		_, err := ask(t, p, s.addr, http.MethodGet, Sending{})
+		done <- err
+	}()
+	for s.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go func() {
+		_, err := ask(t, p, s.addr, http.MethodGet, Sending{})
+		done <- err
+	}()
+	<-blocked
+	close(answer)
+	must.NoError(t, <-done)
+	must.NoError(t, <-done)
+	must.EqOp(t, 1, s.connections.Load())
+}
+
 // TestLosses_FreshTimeGrows checks how long no connections are kept after losses.
 func TestLosses_FreshTimeGrows(t *testing.T) {
 	l := losses{}
