serving: Send again on a new connection only after a kept one ended

Each new connection takes capacity of its worker, and a stream that moves from a silent group gains nothing by one.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -48,6 +48,8 @@
 	// midAnswerRejections counts the workers that rejected the request, without running it,
 	// after its answer had started. They aren't included in sent.
 	midAnswerRejections int
+	// lostOnKept is set if a kept connection ended under the last attempt, as others may.
+	lostOnKept bool
 	// mayHaveRun is set once a worker may have run the request or may still run it.
 	mayHaveRun bool
 	// overload is the decision by which the request was refused for lack of capacity, nil if
@@ -216,8 +218,11 @@
 	watch := e.watch(target.Key, cancel)
 	defer watch.stop()
 	reply, err := s.opts.Upstream.Send(ctx, e.newAttempt(target, left))
+	e.lostOnKept = false
 	if err != nil {
 		e.countSending(err)
+		var lost *LostError
+		e.lostOnKept = errors.As(err, &lost) && lost.Kept && ctx.Err() == nil
 		return e.handleSendError(ctx, target, err)
 	}
 	defer reply.Body.Close()
@@ -250,7 +255,7 @@
 		Timeout:   left,
 		LastEvent: e.lastEvent,
 		Once:      !e.route.IsRepeatable(),
-		Fresh:     e.sent > 0, // a kept connection may have been the cause of the failure before
+		Fresh:     e.lostOnKept,
 	}
 	if e.customer != nil {
 		a.Customer = e.customer.Name
--- a/serving/sendings_test.go
+++ b/serving/sendings_test.go
@@ -49,3 +49,23 @@
 		must.Len(t, c.sent, f.regions, must.Sprint(c.name))
 	}
 }
+
+// TestServe_NewConnectionAfterAKeptOneEnded checks that a request is sent again on a new connection only if
+// a kept one ended under it: new connections take capacity of workers.
+func TestServe_NewConnectionAfterAKeptOneEnded(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		var fresh []bool
+		record := func(next handler) handler {
+			return func(a Attempt) (*Reply, error) {
+				fresh = append(fresh, a.Fresh)
+				return next(a)
+			}
+		}
+		lose := func(Attempt) (*Reply, error) { return nil, &LostError{Err: io.EOF, Kept: kept} }
+		f := newFleet(catalog.Repeatable, allHalls, record(lose), record(breakBody), record(signed))
+		f.configure(nil, nil)
+		w, _ := f.ask()
+		must.EqOp(t, http.StatusOK, w.Code)
+		must.Eq(t, []bool{false, kept, false}, fresh)
+	}
+}
