--- a/serving/forward_test.go
+++ b/serving/forward_test.go
@@ -168,6 +168,7 @@
 		{"silenced", silenced, false, 1, []handler{never(t)}, 503, 0, true},
 		{"cut off", cut, false, 1, []handler{unreachable}, 503, 4, true},
 		{"cut off later", cut, false, 1, []handler{loseAnswer, unreachable}, 503, 4, false},
+		{"cut off after a rejection", cut, false, 1, []handler{rejectBusy, unreachable}, 503, 4, false},
 		{"silenced meanwhile", &laterSilenced{}, false, 1, []handler{unreachable}, 503, 1, true},
 		{"an older configuration", fixedReach{}, false, 2, []handler{never(t)}, 503, 0, true},
 		{"stopping", fixedReach{}, true, 1, []handler{never(t)}, 503, 0, true},
--- a/testbed/standin/checker.go
+++ b/testbed/standin/checker.go
@@ -32,6 +32,8 @@
 	leaving map[string]time.Time
 	// retries holds the arrivals of requests and retries by service.
 	retries map[string]*retryArrivals
+	// retryExtra is the number of retries that a service may receive beyond the ratio.
+	retryExtra float64
 }
 
 func newChecker() *Checker {
@@ -46,6 +48,7 @@
 		pauses:       map[string][]*pause{},
 		leaving:      map[string]time.Time{},
 		retries:      map[string]*retryArrivals{},
+		retryExtra:   retryExtra,
 	}
 }
 
--- a/testbed/standin/cluster.go
+++ b/testbed/standin/cluster.go
@@ -172,6 +172,9 @@
 	Hall string
 	// Frontend is the store address that the daemon uses, the primary one if nil.
 	Frontend *Frontend
+	// RetryExtra is the number of retries beyond the ratio that all daemons together may make, retryExtra
+	// if 0.
+	RetryExtra float64
 }
 
 // hall returns the daemon's data hall.
@@ -197,21 +200,36 @@
 	}
 	d.file = filepath.Join(dir, name+".jsonc")
 	text := fmt.Sprintf(settingsTemplate, name, setup.hall(), setup.FirstStart, d.addr, d.readiness, d.metrics, d.peers, setup.storeAddr(store), memoryMB,
-		retryRatio, retryExtra, retryWindow.Seconds(), !setup.LooseRevoke, setup.Fenced)
+		retryRatio, cmp.Or(setup.RetryExtra, retryExtra), retryWindow.Seconds(), !setup.LooseRevoke, setup.Fenced)
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		return nil, nil, err
 	}
+	if err := d.run(program); err != nil {
+		return nil, nil, err
+	}
+	return d, d.Kill, nil
+}
+
+// run starts the daemon's process.
+func (d *Daemon) run(program string) error {
 	d.command = exec.Command(program, "edge", "-config", d.file)
 	d.command.Stdout = d.log
 	d.command.Stderr = d.log
 	if err := d.command.Start(); err != nil {
-		return nil, nil, err
+		return err
 	}
+	command, done := d.command, d.done
 	go func() {
-		d.command.Wait()
-		close(d.done)
+		command.Wait()
+		close(done)
 	}()
-	return d, d.Kill, nil
+	return nil
+}
+
+// Restart starts a daemon that has exited again, with the same settings, as a supervisor does.
+func (d *Daemon) Restart(program string) error {
+	d.done = make(chan struct{})
+	return d.run(program)
 }
 
 // Kill kills the daemon and waits for its exit.
--- a/testbed/standin/groups_test.go
+++ b/testbed/standin/groups_test.go
@@ -153,3 +153,22 @@
 		must.EqOp(t, 0, w.Fence())
 	}
 }
+
+// TestGroups_FormWhereReportsLackTheirCount guards against a holder of the lease that forms no groups since the
+// workers' reports don't say how many orders they have taken.
+func TestGroups_FormWhereReportsLackTheirCount(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, 4)
+	for _, w := range s.workers {
+		w.SetSparseReport()
+	}
+	s.start(true)
+	s.start(false)
+	s.awaitGroups(2)
+	s.killHolder()
+	for _, head := range s.openGroupHeads() {
+		s.workers[head.ID()].Kill()
+		s.store.Put("servers", head.ID(), nil)
+	}
+	s.awaitGroups(1)
+}
--- a/testbed/standin/retries.go
+++ b/testbed/standin/retries.go
@@ -18,18 +18,24 @@
 type retryArrivals struct {
 	seen           map[string]bool
 	first, retries []time.Time
+	// worst is the window with the most retries beyond the allowed ones, or the fewest below.
+	worst RetryWindow
 }
 
+// RetryWindow is a window of the retries that a service receives.
+type RetryWindow struct {
+	Retries int
+	Allowed float64
+}
+
+func (w RetryWindow) excess() float64 { return float64(w.Retries) - w.Allowed }
+
 // checkRetry checks rule BUDGET for a request that reaches a worker. Requests that never arrive
 // aren't counted, so that the check is stricter than the rule.
 func (c *Checker) checkRetry(service, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := c.retries[service]
-	if a == nil {
-		a = &retryArrivals{seen: map[string]bool{}}
-		c.retries[service] = a
-	}
+	a := c.arrivals(service)
 	now := time.Now()
 	if !a.seen[id] {
 		a.seen[id] = true
@@ -41,10 +47,37 @@
 	for _, earlier := range []time.Duration{0, retryWindow / 2, retryWindow} {
 		requests = max(requests, countWithin(a.first, now.Add(-earlier)))
 	}
-	allowed := retryRatio*float64(requests) + retryExtra
-	if n := countWithin(a.retries, now); float64(n) > allowed {
-		c.violations = append(c.violations, fmt.Sprintf("BUDGET: %s got %d retries in %v for %d requests, allowed %v", service, n, retryWindow, requests, allowed))
+	w := RetryWindow{Retries: countWithin(a.retries, now), Allowed: retryRatio*float64(requests) + c.retryExtra}
+	if w.excess() > 0 {
+		c.violations = append(c.violations, fmt.Sprintf("BUDGET: %s got %d retries in %v for %d requests, allowed %v", service, w.Retries, retryWindow, requests, w.Allowed))
+	}
+	if a.worst.Retries == 0 || w.excess() > a.worst.excess() {
+		a.worst = w
+	}
+}
+
+// arrivals returns the arrivals of a service. The caller holds c.mu.
+func (c *Checker) arrivals(service string) *retryArrivals {
+	a := c.retries[service]
+	if a == nil {
+		a = &retryArrivals{seen: map[string]bool{}}
+		c.retries[service] = a
 	}
+	return a
+}
+
+// SetRetryExtra sets the retries that a service may receive in addition to the ratio.
+func (c *Checker) SetRetryExtra(n float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retryExtra = n
+}
+
+// WorstRetries returns the window of a service with the most retries, relative to the allowed ones.
+func (c *Checker) WorstRetries(service string) RetryWindow {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrivals(service).worst
 }
 
 // countWithin counts the times in the retryWindow that ends at until.
--- a/testbed/standin/store.go
+++ b/testbed/standin/store.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -39,6 +40,8 @@
 	era       uint64
 	calls     map[string]int
 	checker   *Checker
+	// refused is the start of the keys whose rows callers can't write, "" for none.
+	refused string
 }
 
 // NewStore starts a store and returns it with a function that stops it.
@@ -82,6 +85,19 @@
 	s.wake()
 }
 
+// RefuseWrites makes the store refuse the transactions that write rows whose keys start with a prefix, as
+// one that is too busy does. "" ends that.
+func (s *Store) RefuseWrites(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = prefix
+}
+
+// refuses reports whether a transaction is refused. The caller holds s.mu.
+func (s *Store) refuses(t transaction) bool {
+	return s.refused != "" && slices.ContainsFunc(t.Write, func(r Row) bool { return strings.HasPrefix(r.Key, s.refused) })
+}
+
 // Put writes a row, as the operator or a worker does. A nil value deletes it.
 func (s *Store) Put(table, key string, value any) {
 	s.mu.Lock()
@@ -269,6 +285,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setEraHeader(w)
+	if s.refuses(t) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	for _, want := range t.Expected {
 		if s.rows[want.Table+"\x00"+want.Key].Version != want.Version {
 			w.WriteHeader(http.StatusPreconditionFailed)
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -117,8 +117,10 @@
 	fence    uint64 // highest fencing token seen
 	orders   []string
 	taken    int64 // orders that began something
-	runs     []*Run
-	killed   chan struct{} // closed by Kill
+	// sparseReport is set if the worker's report lacks its group and the number of its orders.
+	sparseReport bool
+	runs         []*Run
+	killed       chan struct{} // closed by Kill
 	// coldUntil is the end of the time in which the worker has reduced capacity.
 	coldUntil time.Time
 	// limit is the rate limit that the worker sets in its responses, "" for none.
@@ -253,6 +255,13 @@
 	w.leaving = true
 }
 
+// SetSparseReport makes the worker's report lack its group and the number of its orders.
+func (w *Worker) SetSparseReport() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sparseReport = true
+}
+
 // Runs returns the requests that the worker started to run.
 func (w *Worker) Runs() []Run {
 	w.mu.Lock()
@@ -338,14 +347,18 @@
 
 // report is a worker's own account of its state.
 type report struct {
-	Seqno int64       `json:"seqno"`
+	Seqno *int64      `json:"seqno,omitempty"`
 	Group *groupState `json:"group,omitempty"`
 }
 
 func (w *Worker) serveReport(rw http.ResponseWriter, _ *http.Request) {
 	w.mu.Lock()
-	r := report{Seqno: w.taken}
-	if w.group != nil {
+	var r report
+	if !w.sparseReport {
+		taken := w.taken
+		r.Seqno = &taken
+	}
+	if w.group != nil && !w.sparseReport {
 		group := *w.group
 		r.Group = &group
 	}
