--- a/serving/forward_test.go
+++ b/serving/forward_test.go
@@ -153,40 +153,54 @@
 // TestServeForwarded checks that a forwarded request isn't forwarded again, keeps to the attempts
 // that it has left, counts as no demand, and is turned away where workers can't be reached.
 func TestServeForwarded(t *testing.T) {
-	for _, c := range []struct {
-		name        string
-		reach       Reach
-		stopping    bool
-		version     uint64
-		workers     []handler
-		status      int
-		sent        int
-		unreachable bool
-	}{
+	for _, c := range []forwardedCase{
 		{"served", fixedReach{}, false, 1, []handler{signed}, 200, 1, false},
 		{"attempts", fixedReach{}, false, 1, []handler{loseAnswer}, 502, 2, false},
 		{"silenced", silenced, false, 1, []handler{never(t)}, 503, 0, true},
 		{"cut off", cut, false, 1, []handler{unreachable}, 503, 4, true},
 		{"cut off later", cut, false, 1, []handler{loseAnswer, unreachable}, 503, 4, false},
-		{"cut off after a rejection", cut, false, 1, []handler{rejectBusy, unreachable}, 503, 4, false},
 		{"silenced meanwhile", &laterSilenced{}, false, 1, []handler{unreachable}, 503, 1, true},
 		{"an older configuration", fixedReach{}, false, 2, []handler{never(t)}, 503, 0, true},
 		{"stopping", fixedReach{}, true, 1, []handler{never(t)}, 503, 0, true},
 	} {
-		f := newFleet(catalog.Repeatable, allHalls[:4], c.workers...)
-		f.configure(nil, nil)
-		f.server.opts.Reach, f.server.opts.Forwarder = c.reach, &peers{handlers: []handler{never(t)}}
-		if c.stopping {
-			f.server.Stop()
-		}
-		w := httptest.NewRecorder()
-		req := &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Credential: "key", Timeout: time.Minute}
-		f.server.ServeForwarded(w, httptest.NewRequest(http.MethodPost, "http://a.example/x", nil), Forward{Attempt: Attempt{Request: req}, Attempts: 2, From: "other", ConfigVersion: c.version})
-		must.EqOp(t, c.status, w.Code, must.Sprint(c.name))
-		must.Len(t, c.sent, f.regions, must.Sprint(c.name))
-		must.EqOp(t, c.unreachable, w.Header().Get(UnreachableHeader) != "", must.Sprint(c.name))
-		must.SliceEmpty(t, f.demand)
+		c.check(t)
+	}
+}
+
+// TestServeForwarded_RejectedRequestIsNotUnreachable guards against requests that another peer sends to
+// workers once more, without a retry for that, though a worker has rejected them here.
+func TestServeForwarded_RejectedRequestIsNotUnreachable(t *testing.T) {
+	c := forwardedCase{"cut off after a rejection", cut, false, 1, []handler{rejectBusy, unreachable}, 503, 4, false}
+	c.check(t)
+}
+
+// forwardedCase is a request that a peer forwards, and what becomes of it.
+type forwardedCase struct {
+	name        string
+	reach       Reach
+	stopping    bool
+	version     uint64
+	workers     []handler
+	status      int
+	sent        int
+	unreachable bool
+}
+
+func (c forwardedCase) check(t *testing.T) {
+	t.Helper()
+	f := newFleet(catalog.Repeatable, allHalls[:4], c.workers...)
+	f.configure(nil, nil)
+	f.server.opts.Reach, f.server.opts.Forwarder = c.reach, &peers{handlers: []handler{never(t)}}
+	if c.stopping {
+		f.server.Stop()
 	}
+	w := httptest.NewRecorder()
+	req := &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Credential: "key", Timeout: time.Minute}
+	f.server.ServeForwarded(w, httptest.NewRequest(http.MethodPost, "http://a.example/x", nil), Forward{Attempt: Attempt{Request: req}, Attempts: 2, From: "other", ConfigVersion: c.version})
+	must.EqOp(t, c.status, w.Code, must.Sprint(c.name))
+	must.Len(t, c.sent, f.regions, must.Sprint(c.name))
+	must.EqOp(t, c.unreachable, w.Header().Get(UnreachableHeader) != "", must.Sprint(c.name))
+	must.SliceEmpty(t, f.demand)
 }
 
 // TestForward_PeersAreChosenByRegions checks that peers are chosen by the regions where both route
