deps, serving: Log by which rows retries are shared, and which attempts are canceled

The logs couldn't tell whether a daemon that divides the retries by the listed ones is listed itself, nor what was left for an attempt when the one before it was canceled: both are needed to tell the hypotheses of the incident apart. retry_share names listed; attempt_canceled and pointpass_attempts_canceled_total are new. No decision changes.

--- a/deps/retries.go
+++ b/deps/retries.go
@@ -19,6 +19,8 @@
 type retryShareState struct {
 	allowance retry.Allowance
 	daemons   int
+	// listed is set if this daemon's own row is among those that were counted.
+	listed bool
 }
 
 func newRetryShare(e *Edge) *retryShare {
@@ -35,7 +37,7 @@
 	now := clock.Now()
 	// A stopping daemon deletes its row first and serves callers until its grace period ends.
 	retention := bounds.RetryWindow + bounds.GracePeriod
-	s := retryShareState{daemons: max(r.edge.Lease.Nodes(), r.members.Count(now, retention))}
+	s := retryShareState{daemons: max(r.edge.Lease.Nodes(), r.members.Count(now, retention)), listed: r.edge.isListed()}
 	s.allowance = r.share.Of(total, s.daemons, now)
 	if last := r.last.Swap(&s); last == nil || *last != s {
 		r.log(s)
@@ -48,5 +50,12 @@
 
 func (r *retryShare) log(s retryShareState) {
 	r.edge.Log.Info().Str("event", "retry_share").Float64("ratio", s.allowance.Ratio).Float64("extra", s.allowance.Extra).
-		Dur("window", s.allowance.Window).Int("daemons", s.daemons).Msg("")
+		Dur("window", s.allowance.Window).Int("daemons", s.daemons).Bool("listed", s.listed).Msg("")
+}
+
+// isListed reports whether this daemon's row is among those that it has read last.
+func (e *Edge) isListed() bool {
+	known, _ := e.followers.directory.Snapshot()
+	_, listed := known.NodeVersions[e.settings.Current().Name()]
+	return listed
 }
--- a/serving/record.go
+++ b/serving/record.go
@@ -72,6 +72,18 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`pointpass_retries_total{service=%q}`, service)).Inc()
 }
 
+// canceled counts an attempt that was canceled since its target sent nothing, or its request is held back.
+func (c *Counters) canceled(cause error) {
+	name := "silent"
+	switch {
+	case errors.Is(cause, errWarned):
+		name = "warned"
+	case errors.Is(cause, errHeld):
+		name = "held"
+	}
+	c.set.GetOrCreateCounter(`pointpass_attempts_canceled_total{cause="` + name + `"}`).Inc()
+}
+
 // barred counts a request that was refused because placement allowed no target.
 func (c *Counters) barred(reason placement.Reason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`pointpass_refused_placement_total{reason=%q}`, string(reason))).Inc()
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -130,10 +130,23 @@
 	case w.resuming && !w.canMove(now):
 		w.warned = true
 	default:
-		w.cancel(errWarned)
+		w.end(errWarned, now)
 	}
 }
 
+// end cancels the attempt. Its log line shows whether there was a retry for the next one.
+func (w *watch) end(cause error, now time.Time) {
+	e := w.exchange
+	e.server.opts.Counters.canceled(cause)
+	entry := e.server.opts.Log.Info().Str("event", "attempt_canceled").Str("target", w.key).Dur("running", now.Sub(w.started)).
+		Bool("begun", !w.last.IsZero()).Bool("resuming", w.resuming).Err(cause)
+	if e.req != nil && e.service != nil {
+		entry = entry.Str("id", e.req.ID).Bool("retry_left", e.server.hasRetry(e.service.Name, now))
+	}
+	entry.Msg("")
+	w.cancel(cause)
+}
+
 // cancelHeld cancels the attempt if it waits for its first event and its request is held back.
 func (w *watch) cancelHeld() {
 	w.mu.Lock()
@@ -148,7 +161,7 @@
 		_, held = guard.HeldParts(w.parts)
 	}
 	if held {
-		w.cancel(errHeld)
+		w.end(errHeld, w.exchange.server.opts.Now())
 	}
 }
 
@@ -169,7 +182,7 @@
 		return
 	}
 	if w.warned {
-		w.cancel(errWarned)
+		w.end(errWarned, now)
 		return
 	}
 	streamSilence := time.Duration(0)
@@ -179,7 +192,7 @@
 	}
 	silence := balancer.Silence(w.key, w.started, now)
 	if silence >= limit || streamSilence >= maxStreamSilence {
-		w.cancel(w.stallCause())
+		w.end(w.stallCause(), now)
 		return
 	}
 	w.arm(now, limit-silence)
