retry, quota: Share the extra retries among daemons that are sure to count each other

Cause: each daemon divided the extra by the rows that it saw, whether or not its own was among them. Daemons that can't write their rows again after a stop used parts that nobody counted, and a setting that says that the system starts for the first time gave each start a whole part. Class: a bound on all daemons that is divided by a count in which some who use it don't stand, and a promise that rests on a setting.

Change: quota.Roster, whose proof already holds for the limits of workers, decides who has a part of the extra: daemons that have seen their own row long enough, without a gap in their views, so that all of them count each other. No setting is read. The ratio: each request earns half of it, since retries within a window are made for the requests of two windows; that holds for restarts and for load that moves, so that restarts need no rule of their own. Retries count half a second longer than the window and requests half a second shorter, as that is how much later a retry may arrive. The extra is used whole in return for 0.7 of it. A daemon has no part of the extra for 19.5 s after its row is written; the proof needs no more, so that limits and slow starts begin up to 3 s earlier too.

TestWindow_KeepsRetriesWhenItsLengthChanges allows for the send delay. Tests that need the extra wait until it is shared; those of endless answers do that beside each other.

--- a/deps/cold.go
+++ b/deps/cold.go
@@ -10,7 +10,6 @@
 	"github.com/pointpass/pointpass/common/clock"
 	"github.com/pointpass/pointpass/quota"
 	"github.com/pointpass/pointpass/ramp"
-	"github.com/pointpass/pointpass/store"
 	"github.com/pointpass/pointpass/workers"
 )
 
@@ -31,7 +30,7 @@
 }
 
 func newColdStart(e *Edge) *coldStart {
-	c := &coldStart{edge: e, roster: quota.NewRoster(e.settings.Current().Name(), ramp.RosterMargin), book: ramp.NewColdTracker(e.coldUsage)}
+	c := &coldStart{edge: e, roster: quota.NewRoster(e.settings.Current().Name(), ramp.RosterMargin, quota.MaxEvidenceAge), book: ramp.NewColdTracker(e.coldUsage)}
 	c.ramp = ramp.New(ramp.Options{
 		Roster:       c.roster,
 		Tracker:      c.book,
@@ -67,8 +66,7 @@
 }
 
 // learnDaemons records which daemons have announced themselves.
-func (c *coldStart) learnDaemons(rows map[string]uint64, u store.Update) {
-	view := quota.View{Rows: rows, Evidence: u.Evidence}
+func (c *coldStart) learnDaemons(view quota.View) {
 	c.roster.Learn(view, clock.Now())
 	c.edge.Throttle.LearnDaemons(view, clock.Now())
 }
--- a/deps/edge_test.go
+++ b/deps/edge_test.go
@@ -9,6 +9,7 @@
 	"github.com/pointpass/pointpass/platform"
 	"github.com/pointpass/pointpass/quota"
 	"github.com/pointpass/pointpass/replica"
+	"github.com/pointpass/pointpass/retry"
 
 	"github.com/pointpass/pointpass/catalog"
 	"github.com/pointpass/pointpass/node"
@@ -66,6 +67,8 @@
 		case replica.LeaseTable:
 			must.Less(t, maxControlAge, leafAge)
 			must.Less(t, quota.MaxEvidenceAge, leafAge, must.Sprint("the ramp has a valid view at all times"))
+			standaloneAge := 2*p.longPoll.standalone + p.debounce.standalone + latency
+			must.Less(t, retry.MaxViewAge, max(standaloneAge, leafAge), must.Sprint("the retries are shared at all times"))
 		}
 	}
 }
--- a/deps/followers.go
+++ b/deps/followers.go
@@ -12,6 +12,7 @@
 	"github.com/pointpass/pointpass/health"
 	"github.com/pointpass/pointpass/node"
 	"github.com/pointpass/pointpass/platform"
+	"github.com/pointpass/pointpass/quota"
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/rpc"
@@ -303,8 +304,9 @@
 func (f *tableFollowers) applyControl(u store.Update) {
 	changed := f.directory.Apply(u)
 	latest, _ := f.directory.Snapshot()
-	f.edge.cold.learnDaemons(latest.NodeVersions, u)
-	f.edge.retries.observeDaemons(len(latest.NodeVersions))
+	daemons := quota.View{Rows: latest.NodeVersions, Evidence: u.Evidence}
+	f.edge.cold.learnDaemons(daemons)
+	f.edge.retries.learnDaemons(daemons)
 	view := *f.control.Load()
 	changed = changed || view.Holder != latest.Holder
 	view.Control = latest.Control
--- a/deps/retries.go
+++ b/deps/retries.go
@@ -1,61 +1,59 @@
 package deps
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/pointpass/pointpass/common/clock"
+	"github.com/pointpass/pointpass/quota"
 	"github.com/pointpass/pointpass/retry"
 )
 
 // retryShare computes this daemon's share of the retries for a service, and logs its changes.
 type retryShare struct {
-	edge    *Edge
-	share   *retry.Share
-	members retry.Members
-	last    atomic.Pointer[retryShareState]
-}
+	edge *Edge
+	last atomic.Pointer[retry.Part]
 
-// retryShareState is a share and the number of daemons it was computed for.
-type retryShareState struct {
-	allowance retry.Allowance
-	daemons   int
-	// listed is set if this daemon's own row is among those that were counted.
-	listed bool
+	mu    sync.Mutex
+	share *retry.Share
 }
 
 func newRetryShare(e *Edge) *retryShare {
-	r := &retryShare{edge: e, share: retry.NewShare(clock.Now(), e.settings.Current().FirstStart())}
+	r := &retryShare{edge: e}
 	e.Metrics.NewGauge("pointpass_retry_ratio", func() float64 { return r.allowance().Ratio })
 	e.Metrics.NewGauge("pointpass_retry_extra", func() float64 { return r.allowance().Extra })
+	e.Metrics.NewGauge("pointpass_retry_daemons", func() float64 { return float64(r.part().Daemons) })
 	return r
 }
 
 // allowance returns the share as of now.
-func (r *retryShare) allowance() retry.Allowance {
+func (r *retryShare) allowance() retry.Allowance { return r.part().Allowance }
+
+func (r *retryShare) part() retry.Part {
 	bounds := r.edge.settings.Bounds()
-	total := retry.Allowance{Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow}
-	now := clock.Now()
-	// A stopping daemon deletes its row first and serves callers until its grace period ends.
-	retention := bounds.RetryWindow + bounds.GracePeriod
-	s := retryShareState{daemons: max(r.edge.Lease.Nodes(), r.members.Count(now, retention)), listed: r.edge.isListed()}
-	s.allowance = r.share.Of(total, s.daemons, now)
-	if last := r.last.Swap(&s); last == nil || *last != s {
-		r.log(s)
+	p := r.current().Of(retry.Allowance{Ratio: bounds.RetryRatio, Extra: bounds.RetryExtra, Window: bounds.RetryWindow}, clock.Now())
+	if last := r.last.Swap(&p); last == nil || *last != p {
+		r.log(p)
 	}
-	return s.allowance
+	return p
 }
 
-// observeDaemons records how many daemons have announced themselves.
-func (r *retryShare) observeDaemons(n int) { r.members.Observe(n, clock.Now()) }
-
-func (r *retryShare) log(s retryShareState) {
-	r.edge.Log.Info().Str("event", "retry_share").Float64("ratio", s.allowance.Ratio).Float64("extra", s.allowance.Extra).
-		Dur("window", s.allowance.Window).Int("daemons", s.daemons).Bool("listed", s.listed).Msg("")
+// current returns the share. One for another window starts anew, since daemons count each other for as long as
+// its window.
+func (r *retryShare) current() *retry.Share {
+	window := r.edge.settings.Bounds().RetryWindow
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.share == nil || r.share.Window() != window {
+		r.share = retry.NewShare(r.edge.settings.Current().Name(), window)
+	}
+	return r.share
 }
 
-// isListed reports whether this daemon's row is among those that it has read last.
-func (e *Edge) isListed() bool {
-	known, _ := e.followers.directory.Snapshot()
-	_, listed := known.NodeVersions[e.settings.Current().Name()]
-	return listed
+// learnDaemons records which daemons have announced themselves.
+func (r *retryShare) learnDaemons(v quota.View) { r.current().Learn(v, clock.Now()) }
+
+func (r *retryShare) log(p retry.Part) {
+	r.edge.Log.Info().Str("event", "retry_share").Float64("ratio", p.Ratio).Float64("extra", p.Extra).
+		Dur("window", p.Window).Int("daemons", p.Daemons).Str("standing", string(p.Standing)).Msg("")
 }
--- a/quota/histories_test.go
+++ b/quota/histories_test.go
@@ -104,7 +104,7 @@
 
 // start starts or restarts a daemon. It announces itself unless its row exists.
 func (w *cluster) start(name string, lag time.Duration) {
-	w.daemons[name] = &daemon{name: name, roster: NewRoster(name, w.margin), ledger: NewLedger(w.bound.MaxWindow), lag: lag, nextView: w.now}
+	w.daemons[name] = &daemon{name: name, roster: NewRoster(name, w.margin, MaxEvidenceAge), ledger: NewLedger(w.bound.MaxWindow), lag: lag, nextView: w.now}
 	if w.rows[name] == 0 {
 		w.write(func() { w.rows[name] = w.version })
 	}
--- a/quota/roster.go
+++ b/quota/roster.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// MaxEvidenceAge is the maximum age of the newest view. It exceeds the age of views while
-// the store responds, also behind daemons that relay. Each second more makes a daemon
+// MaxEvidenceAge is the usual maximum age of the newest view. It exceeds the age of views
+// while the store responds, also behind daemons that relay. Each second more makes a daemon
 // that starts send nothing for two seconds longer.
 const MaxEvidenceAge = 3300 * time.Millisecond
 
@@ -22,8 +22,9 @@
 // Roster tracks which daemons may send their parts. It is safe for concurrent use.
 type Roster struct {
 	self string
-	// margin is the time within which active daemons have to count each other.
-	margin time.Duration
+	// margin is the time within which active daemons have to count each other, maxAge the
+	// maximum age of the newest view.
+	margin, maxAge time.Duration
 
 	mu       sync.RWMutex
 	evidence time.Time
@@ -38,24 +39,33 @@
 }
 
 // NewRoster returns the roster of the daemon named self, which knows no other daemon yet.
-// margin has to exceed Bound.Within, with some room for clock drift.
-func NewRoster(self string, margin time.Duration) *Roster {
-	return &Roster{self: self, margin: margin, gone: map[string]time.Time{}}
+// margin has to exceed the window of the bound, with some room for clock drift. The parts of
+// a bound add up only if the rosters of all daemons have the same margin and maxAge.
+func NewRoster(self string, margin, maxAge time.Duration) *Roster {
+	return &Roster{self: self, margin: margin, maxAge: maxAge, gone: map[string]time.Time{}}
 }
 
 // goneRetention is how long a daemon counts after its row is gone, and the minimum time
 // for which views have to come without a gap.
-func (r *Roster) goneRetention() time.Duration { return MaxEvidenceAge + r.margin }
+func (r *Roster) goneRetention() time.Duration { return r.maxAge + r.margin }
+
+// listedSlack is how much longer than two views a daemon's row has to be listed at least, with
+// some room for clock drift.
+const listedSlack = 2 * time.Second
 
 // minListed is the minimum time for which a daemon has to see its own row.
-func (r *Roster) minListed() time.Duration { return 2*MaxEvidenceAge + r.margin }
+func (r *Roster) minListed() time.Duration { return r.maxAge + max(r.margin, r.maxAge+listedSlack) }
+
+// SettlingTime is how long after its row was written a daemon becomes active, if views come
+// without a gap.
+func (r *Roster) SettlingTime() time.Duration { return max(r.minListed(), r.goneRetention()) }
 
 // Learn applies a view. One that is older than the newest only adds the daemons that it
 // doesn't show to those that are gone, and only for a while.
 func (r *Roster) Learn(v View, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(r.evidence) > MaxEvidenceAge {
+	if now.Sub(r.evidence) > r.maxAge {
 		r.gaplessSince = now
 	}
 	if v.Evidence.After(r.evidence) {
@@ -115,7 +125,7 @@
 
 func (r *Roster) standing(now time.Time) Standing {
 	switch {
-	case now.Sub(r.evidence) > MaxEvidenceAge:
+	case now.Sub(r.evidence) > r.maxAge:
 		return Uninformed
 	case now.Sub(r.gaplessSince) < r.goneRetention():
 		return Resuming
@@ -125,6 +135,22 @@
 	return Active
 }
 
+// Count returns how many daemons count, this one included, and false while it may not send.
+func (r *Roster) Count(now time.Time) (count int, active bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if r.standing(now) != Active {
+		return 0, false
+	}
+	count = len(r.rows)
+	for _, at := range r.gone {
+		if now.Sub(at) <= r.goneRetention() {
+			count++
+		}
+	}
+	return count, true
+}
+
 // Place returns this daemon's rank among the daemons that count for a worker, and how many
 // count. It returns false while this daemon may not send.
 func (r *Roster) Place(worker string, now time.Time) (rank, count int, active bool) {
--- a/quota/roster_test.go
+++ b/quota/roster_test.go
@@ -68,7 +68,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			x, d := NewRoster("x", wide.margin), NewRoster("d", wide.margin)
+			x, d := NewRoster("x", wide.margin, MaxEvidenceAge), NewRoster("d", wide.margin, MaxEvidenceAge)
 			c.table.update(x, c.xViews...)
 			c.table.update(d, c.dViews...)
 			at := second(c.at)
@@ -81,7 +81,7 @@
 }
 
 func TestRoster_ReportsWhyItIsNotActive(t *testing.T) {
-	r := NewRoster("x", wide.margin)
+	r := NewRoster("x", wide.margin, MaxEvidenceAge)
 	must.EqOp(t, Uninformed, r.Standing(noon))
 	tb := table{[]float64{0}}
 	tb.update(r, steps(0, 4, 0.5)...)
@@ -100,7 +100,7 @@
 // TestRoster_DistributesWorkersOverDaemons guards against daemons that get the low ranks of
 // too many or too few workers.
 func TestRoster_DistributesWorkersOverDaemons(t *testing.T) {
-	r := NewRoster("x", wide.margin)
+	r := NewRoster("x", wide.margin, MaxEvidenceAge)
 	rows := map[string]uint64{"x": 1}
 	for i := range 89 {
 		rows["edge-"+string(rune('a'+i%26))+string(rune('a'+i/26))] = 1
--- a/ramp/ramp_test.go
+++ b/ramp/ramp_test.go
@@ -24,7 +24,7 @@
 // newActive returns the ramp of daemon "x" among the given number of daemons. The daemon is
 // active at the returned time.
 func newActive(daemons int, b *ColdTracker) (*Ramp, time.Time) {
-	r := quota.NewRoster("x", RosterMargin)
+	r := quota.NewRoster("x", RosterMargin, quota.MaxEvidenceAge)
 	rows := map[string]uint64{"x": 1}
 	for i := range daemons - 1 {
 		rows[fmt.Sprint("d", i)] = 1
@@ -74,7 +74,7 @@
 func TestRamp_AdmitsNothingBeforeTheRosterIsComplete(t *testing.T) {
 	b := newTestTracker()
 	b.ApplyEntries([]workers.Worker{entry("b", 20*time.Second)}, nil, false, open, noon)
-	r := New(Options{Roster: quota.NewRoster("x", RosterMargin), Tracker: b, ColdSettings: usage, Limits: func() Limits { return limits }})
+	r := New(Options{Roster: quota.NewRoster("x", RosterMargin, quota.MaxEvidenceAge), Tracker: b, ColdSettings: usage, Limits: func() Limits { return limits }})
 	must.EqOp(t, 0, takeAll(r, entry("b", 0), noon))
 }
 
@@ -102,7 +102,7 @@
 func TestRamp_IgnoresServicesWithoutSlowStart(t *testing.T) {
 	b := newTestTracker()
 	b.ApplyEntries([]workers.Worker{entry("b", time.Hour)}, nil, false, open, noon)
-	r := New(Options{Roster: quota.NewRoster("x", RosterMargin), Tracker: b, ColdSettings: func(string) catalog.Cold { return catalog.Cold{Duration: time.Second} }, Limits: func() Limits { return limits }})
+	r := New(Options{Roster: quota.NewRoster("x", RosterMargin, quota.MaxEvidenceAge), Tracker: b, ColdSettings: func(string) catalog.Cold { return catalog.Cold{Duration: time.Second} }, Limits: func() Limits { return limits }})
 	must.EqOp(t, 1000, takeAll(r, entry("b", 0), noon))
 }
 
--- a/retry/share.go
+++ b/retry/share.go
@@ -1,39 +1,57 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/pointpass/pointpass/quota"
+)
 
 const (
-	// shareFraction is the fraction of the allowed retries that daemons use in normal operation.
-	shareFraction = 0.7
-	// restartedFraction is the fraction of the allowed ratio that a restarted daemon uses while
-	// retries of its previous run may still count. Both together are the whole ratio.
-	restartedFraction = 1 - shareFraction
+	// ratioFraction is the fraction of the allowed ratio that each daemon uses for its own
+	// requests. Retries within any span as long as the window are made for the requests of that
+	// span and of the one before it, each of which may hold as many as the ratio counts.
+	ratioFraction = 0.5
+	// MaxViewAge is the maximum age of a daemon's view of the others. It exceeds the age of views
+	// while the store responds, also at a daemon that polls it seldom.
+	MaxViewAge = 8 * time.Second
+	// driftMargin is how much clocks may differ over the time that a roster covers.
+	driftMargin = 500 * time.Millisecond
 )
 
 // Share is a daemon's share of the retries that all daemons together may make. The daemons don't
-// coordinate: each uses the ratio for its own requests, and they divide the extra.
-//
-// A daemon doesn't remember the retries of its previous run. Within a window, at most one of its
-// runs has been up for a whole window: that one makes up to shareFraction of the daemon's part.
-// All later runs together make up to restartedFraction of the ratio for their requests, and no
-// extra retries.
+// coordinate: each uses a fraction of the ratio for its own requests, and those that are sure to
+// count each other divide the extra. A process that has just started knows neither who shares the
+// extra nor what its previous run has sent, and has no part until both are past.
 type Share struct {
-	started time.Time
-	first   bool
+	roster *quota.Roster
+	window time.Duration
 }
 
-// NewShare returns the share of a daemon that started at a time. First is set if it can't have run
-// before.
-func NewShare(started time.Time, first bool) *Share { return &Share{started: started, first: first} }
+// NewShare returns the share of the daemon named self for allowances with a window.
+func NewShare(self string, window time.Duration) *Share {
+	return &Share{roster: quota.NewRoster(self, window+SendDelay+driftMargin, MaxViewAge), window: window}
+}
 
-// Of returns this daemon's share of a total, given the number of daemons.
-func (s *Share) Of(total Allowance, daemons int, now time.Time) Allowance {
-	if !s.first && now.Sub(s.started) < total.Window {
-		return Allowance{Ratio: restartedFraction * total.Ratio, Window: total.Window}
-	}
-	return Allowance{
-		Ratio:  shareFraction * total.Ratio,
-		Extra:  shareFraction * total.Extra / float64(daemons),
-		Window: total.Window,
+// Window returns the window of the allowances that the share is for.
+func (s *Share) Window() time.Duration { return s.window }
+
+// Learn applies a view of the daemons.
+func (s *Share) Learn(v quota.View, now time.Time) { s.roster.Learn(v, now) }
+
+// Part is a daemon's part of an allowance, and how many daemons share the extra, 0 while this one
+// doesn't.
+type Part struct {
+	Allowance
+	Daemons  int
+	Standing quota.Standing
+}
+
+// Of returns this daemon's part of a total.
+func (s *Share) Of(total Allowance, now time.Time) Part {
+	p := Part{Allowance: Allowance{Ratio: ratioFraction * total.Ratio, Window: total.Window}, Standing: s.roster.Standing(now)}
+	if n, active := s.roster.Count(now); active && s.window == total.Window {
+		p.Daemons = n
+		p.Extra = total.Extra / float64(n)
 	}
+	return p
 }
--- a/retry/share_test.go
+++ b/retry/share_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -8,101 +9,166 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/pointpass/pointpass/quota"
 )
 
 // noon is when simulations start.
 var noon = time.Unix(1_000_000, 0)
 
-// total is the allowance of a simulated deployment.
-var total = Allowance{Ratio: 0.2, Extra: 40, Window: 10 * time.Second}
+// total is the allowance of a simulated deployment, ratioOnly and extraOnly are its parts: what one
+// leaves unused mustn't make up for too much of the other.
+var (
+	total     = Allowance{Ratio: 0.2, Extra: 40, Window: 10 * time.Second}
+	ratioOnly = Allowance{Ratio: 0.2, Window: total.Window}
+	extraOnly = Allowance{Extra: 60, Window: total.Window}
+)
+
+const (
+	// step is the time between two steps of a simulation, viewInterval between two views of a
+	// daemon, and graceTime how long a daemon that stops serves on.
+	step         = 100 * time.Millisecond
+	viewInterval = time.Second
+	graceTime    = 8 * time.Second
+)
 
-// deployment simulates daemons that retry as often as their shares allow. All requests fail while
-// failing is set.
+// deployment simulates daemons that retry as often as their shares allow, and the table of their
+// rows. All requests fail while failing is set.
 type deployment struct {
+	allowance Allowance
+
 	now     time.Time
+	random  *rand.Rand
 	daemons []*simDaemon
-	members Members
 	failing bool
-	// requests and retries are the times of all of them, over all daemons.
+	// rows are the versions of the daemons' rows. refused is until when none can be written, away
+	// until when the table can't be read either.
+	rows          map[string]uint64
+	version       uint64
+	refused, away time.Time
+	// requests and retries are the times of all of them, over all daemons; retries are those of
+	// arrival.
 	requests, retries []time.Time
 }
 
-// simDaemon is a daemon of a simulated deployment. It isn't running if window is nil, and counts
-// among the daemons while it is listed.
+// simDaemon is a daemon of a simulated deployment. It isn't running if window is nil.
 type simDaemon struct {
+	name   string
 	window *Window
 	share  *Share
-	listed bool
+	// perSecond is the rate of its requests.
+	perSecond float64
+	due       float64
+	// cut is until when it gets no views, frozen until when it stands still, and ends when it ends
+	// after a stop.
+	cut, frozen, ends time.Time
+	// polled is when it asked for the view that it gets next, and view what that shows.
+	polled time.Time
+	view   map[string]uint64
 }
 
 func newDeployment(daemons int) *deployment {
-	d := &deployment{now: noon, failing: true}
-	d.members.Observe(daemons, d.now)
+	d := &deployment{allowance: total, now: noon, failing: true, rows: map[string]uint64{}, random: rand.New(rand.NewPCG(1, 1))}
 	for range daemons {
-		d.daemons = append(d.daemons, &simDaemon{window: NewWindow(total.Window), share: NewShare(noon, true), listed: true})
+		d.add()
 	}
 	return d
 }
 
-// start starts a daemon, which has run before.
+func (d *deployment) add() {
+	s := &simDaemon{name: string(rune('a' + len(d.daemons))), perSecond: 10}
+	d.daemons = append(d.daemons, s)
+	d.start(s)
+}
+
+// start starts a daemon, whether or not it has run before.
 func (d *deployment) start(s *simDaemon) {
 	s.window = NewWindow(total.Window)
-	s.share = NewShare(d.now, false)
-	s.listed = true
-	d.members.Observe(d.listed(), d.now)
+	s.share = NewShare(s.name, total.Window)
+	s.polled, s.view = time.Time{}, nil
+	s.ends = time.Time{}
 }
 
 // kill ends a daemon, whose row stays.
 func (d *deployment) kill(s *simDaemon) { s.window = nil }
 
-// stop ends a daemon, which deletes its row.
+// stop makes a daemon delete its row and end after its grace time.
 func (d *deployment) stop(s *simDaemon) {
-	s.window = nil
-	s.listed = false
-	d.members.Observe(d.listed(), d.now)
+	if !d.now.Before(d.away) {
+		delete(d.rows, s.name)
+	}
+	s.ends = d.now.Add(graceTime)
 }
 
-func (d *deployment) listed() int {
-	n := 0
-	for _, s := range d.daemons {
-		if s.listed {
-			n++
+// run lets time pass.
+func (d *deployment) run(t time.Duration) {
+	for until := d.now.Add(t); d.now.Before(until); d.now = d.now.Add(step) {
+		for _, s := range d.daemons {
+			d.runDaemon(s)
 		}
 	}
-	return max(n, 1)
 }
 
-// run lets time pass while each running daemon gets requests at a constant rate.
-func (d *deployment) run(t time.Duration, perSecond int) {
-	step := time.Second / time.Duration(perSecond)
-	for until := d.now.Add(t); d.now.Before(until); d.now = d.now.Add(step) {
-		for _, s := range d.daemons {
-			d.requests = append(d.requests, d.now)
-			if s.window != nil {
-				d.serve(s)
-			}
+// runDaemon lets a daemon do what is due. Clients send to it also while it isn't running.
+func (d *deployment) runDaemon(s *simDaemon) {
+	if s.window != nil && !s.ends.IsZero() && d.now.After(s.ends) {
+		s.window = nil
+	}
+	up := s.window != nil && !d.now.Before(s.frozen)
+	if up {
+		d.poll(s)
+		if s.ends.IsZero() && s.view != nil && s.view[s.name] == 0 && !d.now.Before(d.refused) && !d.now.Before(d.away) && d.rows[s.name] == 0 {
+			d.version++
+			d.rows[s.name] = d.version
 		}
 	}
+	for s.due += s.perSecond * step.Seconds(); s.due >= 1; s.due-- {
+		d.requests = append(d.requests, d.now)
+		if up {
+			d.serve(s)
+		}
+	}
+}
+
+// poll passes a daemon the view that it asked for, and asks for the next one.
+func (d *deployment) poll(s *simDaemon) {
+	if d.now.Before(s.cut) || d.now.Before(d.away) {
+		s.polled = time.Time{}
+		return
+	}
+	if !s.polled.IsZero() && d.now.Sub(s.polled) < viewInterval {
+		return
+	}
+	if !s.polled.IsZero() {
+		s.share.Learn(quota.View{Rows: s.view, Evidence: s.polled}, d.now)
+	}
+	s.polled, s.view = d.now, maps.Clone(d.rows)
 }
 
-// serve handles a request at a daemon, and retries it if requests fail.
+// serve handles a request at a daemon, and retries it as often as possible if requests fail.
 func (d *deployment) serve(s *simDaemon) {
 	s.window.Request(d.now)
-	if d.failing && s.window.Spend(d.now, s.share.Of(total, d.members.Count(d.now, total.Window), d.now)) {
-		d.retries = append(d.retries, d.now)
+	for d.failing && s.window.Spend(d.now, s.share.Of(d.allowance, d.now).Allowance) {
+		d.retries = append(d.retries, d.now.Add(time.Duration(d.random.Int64N(int64(SendDelay)))))
 	}
 }
 
+// settle lets the daemons run for as long as it takes until they share the extra.
+func (d *deployment) settle() {
+	d.run(2*MaxViewAge + 2*total.Window)
+}
+
 // excess returns by how much the retries within any window exceed those allowed for the requests
 // of that window, of the one before it or of the one half a window earlier; 0 if they never do.
 func (d *deployment) excess() float64 {
+	slices.SortFunc(d.retries, time.Time.Compare)
 	worst := 0.0
 	for _, from := range d.retries {
 		requests := 0
 		for _, earlier := range []time.Duration{0, total.Window / 2, total.Window} {
 			requests = max(requests, within(d.requests, from.Add(-earlier)))
 		}
-		allowed := total.Ratio*float64(requests) + total.Extra
+		allowed := d.allowance.Ratio*float64(requests) + d.allowance.Extra
 		worst = max(worst, float64(within(d.retries, from))-allowed)
 	}
 	return worst
@@ -115,25 +181,49 @@
 	return last - first
 }
 
+// mostRetries returns the most retries within any window.
+func (d *deployment) mostRetries() int {
+	most := 0
+	for _, from := range d.retries {
+		most = max(most, within(d.retries, from))
+	}
+	return most
+}
+
+// TestShare_UsesTheAllowance guards against shares that add up to far less than the allowance in
+// normal operation: half of the ratio, and the whole extra.
+func TestShare_UsesTheAllowance(t *testing.T) {
+	for _, daemons := range []int{1, 3, 9} {
+		d := newDeployment(daemons)
+		d.failing = false
+		d.settle()
+		d.failing = true
+		d.run(3 * total.Window)
+		must.EqOp(t, 0, d.excess())
+		requests := 10 * float64(daemons) * total.Window.Seconds()
+		must.Greater(t, int(0.85*(0.5*total.Ratio*requests+total.Extra))-daemons, d.mostRetries(), must.Sprint(daemons, " daemons"))
+	}
+}
+
 // TestShare_RestartsKeepWithinTheAllowance guards against daemons that forget at a restart which
 // retries their previous runs made, and so make the whole extra once per run.
 func TestShare_RestartsKeepWithinTheAllowance(t *testing.T) {
 	for _, restarts := range []int{1, 2, 5} {
 		d := newDeployment(4)
 		d.failing = false
-		d.run(10*time.Second, 10)
+		d.settle()
 		d.failing = true
 		for range restarts {
-			d.run(1500*time.Millisecond, 10)
+			d.run(1500 * time.Millisecond)
 			for _, s := range d.daemons {
 				d.kill(s)
 			}
-			d.run(200*time.Millisecond, 10)
+			d.run(200 * time.Millisecond)
 			for _, s := range d.daemons {
 				d.start(s)
 			}
 		}
-		d.run(20*time.Second, 10)
+		d.settle()
 		must.EqOp(t, 0, d.excess(), must.Sprint("restarts: ", restarts))
 		must.Positive(t, len(d.retries))
 	}
@@ -143,57 +233,109 @@
 // that stop, though the retries of these still count.
 func TestShare_StoppedDaemonsKeepTheirPart(t *testing.T) {
 	d := newDeployment(8)
-	for len(d.daemons) > 1 {
-		d.run(time.Second, 10)
-		d.stop(d.daemons[0])
-		d.daemons = d.daemons[1:]
+	d.failing = false
+	d.settle()
+	d.failing = true
+	for _, s := range d.daemons[:7] {
+		d.run(time.Second)
+		d.stop(s)
 	}
-	d.run(20*time.Second, 10)
+	d.settle()
 	must.EqOp(t, 0, d.excess())
 	must.Positive(t, len(d.retries))
 }
 
-// TestWindow_CoversItsWholeLength guards against retries that leave the window before its length
-// has passed, by any moment of the first and the last retry.
-func TestWindow_CoversItsWholeLength(t *testing.T) {
-	a := Allowance{Extra: 1, Window: total.Window}
-	for offset := time.Duration(0); offset < a.Window; offset += 10 * time.Millisecond {
-		w := NewWindow(a.Window)
-		must.True(t, w.Spend(noon.Add(offset), a))
-		must.False(t, w.Spend(noon.Add(offset+a.Window-time.Millisecond), a), must.Sprint("offset: ", offset))
+// TestShare_UnlistedDaemonsHaveNoPart guards against daemons that use parts of the extra while the
+// others don't count them: they can't write their rows, or their rows are lost.
+func TestShare_UnlistedDaemonsHaveNoPart(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		d := newDeployment(4)
+		d.failing = false
+		d.settle()
+		d.failing = true
+		d.refused = d.now.Add(time.Hour)
+		for _, s := range d.daemons[1:] {
+			if lost {
+				delete(d.rows, s.name)
+				continue
+			}
+			d.stop(s)
+			d.run(time.Second)
+			d.start(s)
+		}
+		d.settle()
+		must.EqOp(t, 0, d.excess(), must.Sprint("lost: ", lost))
+		for _, s := range d.daemons[1:] {
+			must.EqOp(t, 0, s.share.Of(total, d.now).Extra)
+		}
+		must.EqOp(t, total.Extra, d.daemons[0].share.Of(total, d.now).Extra, must.Sprint("the listed one has what the others don't use"))
 	}
 }
 
 // TestShare_Histories checks that all daemons together keep within the allowance whatever
-// daemons restart, stop and start, and whenever requests fail.
+// daemons are killed, stopped, started, frozen or added, whatever becomes of their rows and of
+// the table, wherever clients go, and whenever requests fail.
 func TestShare_Histories(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		d := newDeployment(2 + random.IntN(6))
-		d.failing = false
-		d.run(total.Window, 10)
-		for range 30 {
-			d.failing = random.IntN(3) > 0
-			s := d.daemons[random.IntN(len(d.daemons))]
-			switch {
-			case random.IntN(8) == 0:
-				for _, s := range d.daemons {
-					d.kill(s)
-				}
-			case s.window == nil:
-				d.start(s)
-			case random.IntN(2) == 0:
-				d.kill(s)
-			default:
-				d.stop(s)
+	for _, a := range []Allowance{total, ratioOnly, extraOnly} {
+		rapid.Check(t, func(t *rapid.T) {
+			random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+			d := newDeployment(2 + random.IntN(6))
+			d.allowance = a
+			d.random = random
+			d.failing = false
+			if random.IntN(3) > 0 {
+				d.settle()
 			}
-			d.run(time.Duration(random.IntN(2000))*time.Millisecond, 10)
-			for _, s := range d.daemons {
-				if s.window == nil && random.IntN(2) == 0 {
-					d.start(s)
+			copies := []map[string]uint64{maps.Clone(d.rows)}
+			pace := time.Duration(500+random.IntN(8000)) * time.Millisecond
+			for range 40 {
+				d.failing = random.IntN(2) > 0
+				d.change(random, &copies)
+				d.run(time.Duration(random.Int64N(int64(pace))))
+				for _, s := range d.daemons {
+					if s.window == nil && random.IntN(2) == 0 {
+						d.start(s)
+					}
 				}
 			}
+			must.EqOp(t, 0, d.excess())
+		})
+	}
+}
+
+// change makes one random change. Copies are earlier contents of the table.
+func (d *deployment) change(random *rand.Rand, copies *[]map[string]uint64) {
+	s := d.daemons[random.IntN(len(d.daemons))]
+	span := time.Duration(random.IntN(12_000)) * time.Millisecond
+	switch random.IntN(12) {
+	case 0:
+		for _, s := range d.daemons {
+			d.kill(s)
 		}
-		must.EqOp(t, 0, d.excess())
-	})
+	case 1:
+		d.kill(s)
+	case 2, 3:
+		if s.window != nil {
+			d.stop(s)
+		}
+	case 4:
+		s.frozen = d.now.Add(span)
+	case 5:
+		s.cut = d.now.Add(span)
+	case 6:
+		d.refused = d.now.Add(span)
+	case 7:
+		d.away = d.now.Add(span)
+	case 8:
+		delete(d.rows, s.name)
+	case 9:
+		d.rows = maps.Clone((*copies)[random.IntN(len(*copies))])
+	case 10:
+		if len(d.daemons) < 12 {
+			d.add()
+		}
+	case 11: // clients go elsewhere
+		s.perSecond = float64(random.IntN(4) * 20)
+	}
+	*copies = append(*copies, maps.Clone(d.rows))
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -6,8 +6,14 @@
 	"time"
 )
 
-// windowSlots is the number of slots in which the requests of a window are counted.
-const windowSlots = 20
+const (
+	// windowSlots is the number of slots in which the requests of a window are counted.
+	windowSlots = 20
+	// SendDelay is how long after it was counted a retry may reach a worker. Retries count for so
+	// much longer than the window and requests for so much shorter, so that the allowance also
+	// holds by the times of arrival.
+	SendDelay = 500 * time.Millisecond
+)
 
 // Allowance limits the retries within a sliding window to a ratio of the requests in it plus a
 // constant.
@@ -23,7 +29,7 @@
 type Window struct {
 	mu     sync.Mutex
 	length time.Duration
-	// slots count the requests, up to one slot less than those of the window.
+	// slots count the requests.
 	slots [windowSlots]windowSlot
 	// retries are the times of the retries, which the allowance keeps few.
 	retries []time.Time
@@ -111,18 +117,21 @@
 // dropOldRetries drops the retries that have left the window. The caller holds the lock.
 func (w *Window) dropOldRetries(now time.Time) {
 	old := 0
-	for old < len(w.retries) && now.Sub(w.retries[old]) >= w.length {
+	for old < len(w.retries) && now.Sub(w.retries[old]) >= w.length+SendDelay {
 		old++
 	}
 	w.retries = slices.Delete(w.retries, 0, old)
 }
 
-// requests returns the number of requests within the window. The caller holds the lock.
+// requests returns the number of requests within the window less SendDelay. The caller holds the
+// lock.
 func (w *Window) requests(now time.Time) int {
 	current := w.slot(now)
+	slot := w.length / windowSlots
+	counted := windowSlots - int64((SendDelay+slot-1)/slot)
 	n := 0
 	for _, s := range w.slots {
-		if current.number-s.number < windowSlots {
+		if current.number-s.number < counted {
 			n += s.requests
 		}
 	}
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -52,6 +52,18 @@
 	})
 }
 
+// TestWindow_CoversItsWholeLength guards against retries that leave the window before its length
+// has passed, by any moment of the first and the last retry. They count for as long as one may
+// arrive later than another.
+func TestWindow_CoversItsWholeLength(t *testing.T) {
+	a := Allowance{Extra: 1, Window: total.Window}
+	for offset := time.Duration(0); offset < a.Window; offset += 10 * time.Millisecond {
+		w := NewWindow(a.Window)
+		must.True(t, w.Spend(noon.Add(offset), a))
+		must.False(t, w.Spend(noon.Add(offset+a.Window+SendDelay-time.Millisecond), a), must.Sprint("offset: ", offset))
+	}
+}
+
 // TestWindow_KeepsRetriesWhenItsLengthChanges guards against free retries after a change of the
 // window's length, whether by dropped retries or by requests from before the change.
 func TestWindow_KeepsRetriesWhenItsLengthChanges(t *testing.T) {
@@ -67,8 +79,8 @@
 	now = now.Add(time.Second)
 	a.Window = 4 * time.Second
 	must.False(t, w.Spend(now, a))
-	must.False(t, w.Room(now.Add(3*time.Second), a))
-	must.True(t, w.Room(now.Add(4*time.Second), a))
+	must.False(t, w.Room(now.Add(4*time.Second), a))
+	must.True(t, w.Room(now.Add(4*time.Second+SendDelay), a))
 	now = now.Add(5 * time.Second)
 	for range 2 {
 		must.True(t, w.Spend(now, a))
@@ -76,7 +88,7 @@
 	a.Window = 20 * time.Second
 	now = now.Add(time.Second)
 	must.False(t, w.Spend(now, a))
-	must.True(t, w.Room(now.Add(20*time.Second), a), must.Sprint("no retry counts for longer than the window"))
+	must.True(t, w.Room(now.Add(20*time.Second+SendDelay), a), must.Sprint("no retry counts for longer than the window and its way to the worker"))
 }
 
 func since(times []time.Time, from time.Time) int {
--- a/testbed/standin/budget_series_test.go
+++ b/testbed/standin/budget_series_test.go
@@ -16,7 +16,7 @@
 var (
 	budgetSeed     = flag.Uint64("budget.seed", 1, "the first seed of TestBudget_Series")
 	budgetSeeds    = flag.Uint64("budget.seeds", 2, "how many seeds TestBudget_Series runs")
-	budgetDuration = flag.Duration("budget.duration", 30*time.Second, "how long a series of TestBudget_Series lasts")
+	budgetDuration = flag.Duration("budget.duration", 45*time.Second, "how long a series of TestBudget_Series lasts")
 )
 
 // budgetSeries is the state of one random series.
@@ -56,11 +56,15 @@
 		s.startAs(Setup{FirstStart: i == 0 || recurs, RetryExtra: budgetExtra, Frontend: p.frontends[i]})
 	}
 	s.awaitGroups(2)
+	if random.IntN(4) > 0 {
+		s.awaitShares()
+	}
 	s.setFaults(DropsResponses, "a0", "a1", "a2")
 	s.setFaults(CutsStream, "m0", "m1", "m2", "m3")
 	interval := time.Duration(30+random.IntN(120)) * time.Millisecond
 	stopPlain := s.startSteadyCallers("/get/x", interval)
 	stopStreams := s.startSteadyCallers("/ask/q", 2*interval)
+	rest := time.Duration(1 + random.IntN(6))
 	p.until = time.Now().Add(*budgetDuration)
 	var running sync.WaitGroup
 	for _, series := range []func(r *rand.Rand){p.changeDaemons, p.changeStore, p.changeRows} {
@@ -68,7 +72,7 @@
 		running.Go(func() {
 			for time.Now().Before(p.until) {
 				series(r)
-				time.Sleep(upTo4s(r))
+				time.Sleep(rest * upTo4s(r))
 			}
 		})
 	}
--- a/testbed/standin/budget_test.go
+++ b/testbed/standin/budget_test.go
@@ -78,9 +78,7 @@
 	t.Parallel()
 	const daemons = 3
 	s := newBudgetCluster(t, daemons, func(i int) bool { return i == 0 })
-	for _, d := range s.daemons {
-		eventually(t, "a daemon counts the others", func() bool { return d.countsDaemons(daemons) })
-	}
+	s.awaitShares()
 	defer s.startSteadyCallers("/get/x", 50*time.Millisecond)()
 	s.store.RefuseWrites(nodeRows)
 	s.stopAndStart(syscall.SIGTERM, s.daemons[1:]...)
@@ -93,6 +91,7 @@
 func TestBudget_FirstStartThatRecurs(t *testing.T) {
 	t.Parallel()
 	s := newBudgetCluster(t, 3, func(int) bool { return true })
+	s.awaitShares()
 	defer s.startSteadyCallers("/get/x", 50*time.Millisecond)()
 	for range 6 {
 		time.Sleep(4 * time.Second)
--- a/testbed/standin/endless_test.go
+++ b/testbed/standin/endless_test.go
@@ -68,6 +68,7 @@
 	} {
 		for _, faulty := range []int{1, 2} {
 			t.Run(fmt.Sprint(name, "/", faulty), func(t *testing.T) {
+				t.Parallel()
 				s := newTestCluster(t, 0)
 				for i := range 2 {
 					s.addWorker(fmt.Sprint("b", i), "app", "")
@@ -75,7 +76,7 @@
 				for range 2 {
 					s.start(true)
 				}
-				s.awaitShares()
+				s.awaitSharesAlone()
 				for _, id := range []string{"a0", "b0"}[:faulty] {
 					s.workers[id].SetSpoil(spoil)
 				}
@@ -121,11 +122,12 @@
 	} {
 		for _, faulty := range []int{1, 2} {
 			t.Run(fmt.Sprint(name, "/", faulty), func(t *testing.T) {
+				t.Parallel()
 				s := newTestCluster(t, 8)
 				d := s.start(true)
 				s.awaitGroups(4)
 				eventually(t, "a stream is served", func() bool { return d.Send(t.Context(), s.newStreamRequest()).Status == http.StatusOK })
-				s.awaitShares()
+				s.awaitSharesAlone()
 				for _, w := range s.openGroupHeads()[:faulty] {
 					w.SetSpoil(spoil)
 				}
@@ -180,6 +182,7 @@
 func TestEndless_ForwardedAnswers(t *testing.T) {
 	for name, spoil := range map[string]Spoil{"head": EndlessHead, "body": EndlessBody, "chunks": EndlessChunks, "lines": EndlessLines, "comments": EndlessComments} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newTestCluster(t, 8)
 			for i := range 2 {
 				s.addWorker(fmt.Sprint("b", i), "app", "")
@@ -192,7 +195,7 @@
 			}
 			s.awaitGroups(4)
 			s.awaitServed(s.daemons...)
-			s.awaitShares()
+			s.awaitSharesAlone()
 			links.Cut()
 			eventually(t, "requests are forwarded", func() bool { return s.servedFraction(cutOff) == 1 && strings.Contains(cutOff.Log(), "forwarded_to") })
 			faulty := s.workers["a0"]
--- a/testbed/standin/kept_test.go
+++ b/testbed/standin/kept_test.go
@@ -71,14 +71,26 @@
 	must.GreaterEq(t, len(ids)*95/100, answered, must.Sprint("new connections lose nothing"))
 }
 
-// awaitShares waits until the daemons know how many share the retries; their shares are small before.
+// awaitShares waits until the daemons share the extra retries.
 func (s *testCluster) awaitShares() {
 	s.t.Helper()
 	for _, d := range s.daemons {
-		eventually(s.t, "a daemon counts the others", func() bool { return d.countsDaemons(len(s.daemons)) })
+		s.eventuallyWithin(2*waitTimeout, "a daemon counts the others", func() bool { return d.countsDaemons(len(s.daemons)) })
 	}
 }
 
+// alone serializes the tests that wait beside each other until their daemons share the extra retries.
+var alone sync.Mutex
+
+// awaitSharesAlone is awaitShares for tests that run beside each other until then, and one by one from then
+// on.
+func (s *testCluster) awaitSharesAlone() {
+	s.t.Helper()
+	s.awaitShares()
+	alone.Lock()
+	s.t.Cleanup(alone.Unlock)
+}
+
 // sendings returns what the daemons count as sent to workers.
 func (s *testCluster) sendings() []string {
 	var lines []string
--- a/testbed/standin/retries_test.go
+++ b/testbed/standin/retries_test.go
@@ -19,6 +19,7 @@
 	for i := range daemons {
 		s.start(i == 0)
 	}
+	s.awaitShares()
 	s.setFaults(DropsResponses, "a0", "a1")
 	started := time.Now()
 	for run := range runs {
@@ -26,7 +27,6 @@
 			s.restartAll()
 		}
 		for _, d := range s.daemons {
-			eventually(t, "a daemon counts the others", func() bool { return d.countsDaemons(daemons) })
 			for range requestsPerRun {
 				d.Send(t.Context(), s.newRequest(http.MethodGet, "/get/x"))
 			}
@@ -37,8 +37,7 @@
 	t.Log("retries: ", s.store.Checker().Retries("app"), " in ", time.Since(started))
 }
 
-// countsDaemons reports whether the daemon divides the retries by a number of daemons.
+// countsDaemons reports whether the daemon shares the extra retries among a number of daemons.
 func (d *Daemon) countsDaemons(n int) bool {
-	d.Metrics() // computes the share
-	return strings.Contains(d.Log(), fmt.Sprintf(`"daemons":%d}`, n))
+	return strings.Contains(d.Metrics(), fmt.Sprintf("pointpass_retry_daemons %d\n", n))
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -45,7 +45,7 @@
 // New returns the throttle of the daemon named self, which applies the constraints in
 // tracker.
 func New(self string, tracker *Tracker) *Throttle {
-	return &Throttle{tracker: tracker, roster: quota.NewRoster(self, rosterMargin), ledger: quota.NewLedger(maxInterval)}
+	return &Throttle{tracker: tracker, roster: quota.NewRoster(self, rosterMargin, quota.MaxEvidenceAge), ledger: quota.NewLedger(maxInterval)}
 }
 
 // LearnDaemons updates the set of daemons that share the limits.
