serving: Don't call a peer unreachable for a request that a worker has rejected

What callers saw: nothing; workers got more arrivals of a request than its retries allow (BUDGET).

Cause: a peer that is cut off after a worker had rejected a forwarded request answered that it is unreachable. The daemon that forwards takes that for no sending, and forwards again without a retry. Class: a message that says less than its receiver relies on.

Evidence: TestServeForwarded_RejectedRequestIsNotUnreachable failed before the fix. No run of real processes showed it.

Change: unreachable only if no worker got the request. Else the peer's refusal is final: its caller may come again.

--- a/serving/forward.go
+++ b/serving/forward.go
@@ -193,7 +193,7 @@
 		return f
 	}
 	if f := e.run(ctx); f != nil {
-		if !e.mayHaveRun && s.opts.Reach.Cut(e.service.Name) {
+		if e.sent == 0 && s.opts.Reach.Cut(e.service.Name) { // the next peer sends it as one that no worker got
 			e.w.Header().Set(UnreachableHeader, "1")
 		}
 		return f
