replica, platform: Form groups also where reports don't count orders

What callers saw: no model was served any more.

Class: a condition that can't be had and has no other way.

Change: a report without the count allows a join without a condition. If an unanswered join may have brought the worker into a group, it is ordered to leave that first, and joins only once that is answered. A report that can't be parsed still allows nothing.

--- a/replica/controller.go
+++ b/replica/controller.go
@@ -294,7 +294,7 @@
 // deliver sends an order to its worker, if its guard allows that and the lease hasn't ended.
 func (c *Controller) deliver(ctx context.Context, term uint64, o Order) (Outcome, error) {
 	if o.Guarded {
-		if outcome, err := c.guard(ctx, &o); outcome != Started {
+		if outcome, err := c.guard(ctx, term, &o); outcome != Started {
 			return outcome, err
 		}
 	}
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -97,7 +97,8 @@
 		return false
 	}
 	f.joinAttempts[w.ID]++
-	o := Order{Worker: w, Op: Join, Group: f.id, Model: f.model.Name, Members: f.members, Guarded: r.mayJoinUnseen(r.record(w.ID))}
+	rec := r.record(w.ID)
+	o := Order{Worker: w, Op: Join, Group: f.id, Model: f.model.Name, Members: f.members, Guarded: r.mayJoinUnseen(rec), Earlier: rec.unansweredJoin}
 	if f.joinAttempts[w.ID] > 1 {
 		r.repeatLoad(o)
 	} else if preparationOf(w, f.model.Name) == fromStore {
--- a/replica/guard_test.go
+++ b/replica/guard_test.go
@@ -30,11 +30,17 @@
 	return *next, nil
 }
 
-// sentOrders accepts all orders and records them.
-type sentOrders struct{ orders []Order }
+// sentOrders accepts all orders and records them. leave is the outcome of orders to leave.
+type sentOrders struct {
+	orders []Order
+	leave  Outcome
+}
 
 func (o *sentOrders) Send(_ context.Context, order Order) (Outcome, error) {
 	o.orders = append(o.orders, order)
+	if order.Op == Leave {
+		return o.leave, nil
+	}
 	return Started, nil
 }
 
@@ -52,10 +58,12 @@
 		orders  int64
 	}{
 		{"unguarded", false, []*Report{nil}, Started, true, 0},
-		{"in no group", true, []*Report{{Orders: 7}}, Started, true, 7},
-		{"in the group that it is to join", true, []*Report{{Orders: 8, Group: own}}, Started, true, 8},
-		{"in another group", true, []*Report{{Orders: 7, Group: other}}, WrongState, false, 0},
-		{"in another group until now", true, []*Report{{Orders: 7, Group: other}, {Orders: 8}}, Started, true, 8},
+		{"in no group", true, []*Report{{Counted: true, Orders: 7}}, Started, true, 7},
+		{"in the group that it is to join", true, []*Report{{Counted: true, Orders: 8, Group: own}}, Started, true, 8},
+		{"in another group", true, []*Report{{Counted: true, Orders: 7, Group: other}}, WrongState, false, 0},
+		{"in another group until now", true, []*Report{{Counted: true, Orders: 7, Group: other}, {Counted: true, Orders: 8}}, Started, true, 8},
+		{"not counted", true, []*Report{{}}, Started, true, 0},
+		{"not counted, in another group", true, []*Report{{Group: other}}, WrongState, false, 0},
 		{"no report", true, []*Report{nil}, NotDelivered, false, 0},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -66,11 +74,38 @@
 			must.EqOp(t, c.sent, len(sent.orders) == 1, must.Sprint(c.name))
 			if c.sent {
 				must.EqOp(t, c.orders, sent.orders[0].Condition, must.Sprint(c.name))
+				must.EqOp(t, c.orders > 0, sent.orders[0].Conditional, must.Sprint(c.name))
 			}
 		})
 	}
 }
 
+// TestController_LeavesBeforeAnUncheckedJoin guards against a join, to a worker that can't check a condition,
+// that takes it out of a group which a late order brought it into: it is ordered to leave that group first, and
+// not to join while the answer to that is missing.
+func TestController_LeavesBeforeAnUncheckedJoin(t *testing.T) {
+	own, earlier := workers.NewGroupID("m", 2), workers.NewGroupID("m", 1)
+	for _, c := range []struct {
+		left Outcome
+		ops  []Op
+	}{
+		{Satisfied, []Op{Leave, Join}},
+		{WrongState, []Op{Leave, Join}},
+		{Unanswered, []Op{Leave}},
+		{Outdated, []Op{Leave}},
+	} {
+		sent := &sentOrders{leave: c.left}
+		ctrl, term := newGuardingController(t, sent, &reports{list: []*Report{{}}})
+		ctrl.deliver(t.Context(), term, Order{Op: Join, Group: own, Guarded: true, Earlier: earlier})
+		var ops []Op
+		for _, o := range sent.orders {
+			ops = append(ops, o.Op)
+		}
+		must.Eq(t, c.ops, ops, must.Sprint(c.left))
+		must.EqOp(t, earlier, sent.orders[0].Group)
+	}
+}
+
 // newGuardingController returns a controller that holds the lease, and its term.
 func newGuardingController(t *testing.T, orders Orders, reporter Reporter) (*Controller, uint64) {
 	_, leases := newLeases(1)
--- a/replica/late_test.go
+++ b/replica/late_test.go
@@ -125,15 +125,21 @@
 
 // TestPlanner_HistoriesOfLateOrders checks the same for random sets of late orders, silent members,
 // group sizes, delays and lags of the entries, and that all groups serve in the end.
-func TestPlanner_HistoriesOfLateOrders(t *testing.T) { historiesOfLateOrders(t, 1) }
+func TestPlanner_HistoriesOfLateOrders(t *testing.T) { historiesOfLateOrders(t, 1, true) }
 
 // TestPlanner_HistoriesOfLateEntries checks the same with entries that are up to 0.5 s late.
-func TestPlanner_HistoriesOfLateEntries(t *testing.T) { historiesOfLateOrders(t, 5) }
+func TestPlanner_HistoriesOfLateEntries(t *testing.T) { historiesOfLateOrders(t, 5, true) }
 
-// historiesOfLateOrders runs histories whose entries are late by a number of ticks at most.
-func historiesOfLateOrders(t *testing.T, maxLag int) {
+// TestPlanner_HistoriesWithoutCounts checks the same with workers that don't count their orders and report no
+// group.
+func TestPlanner_HistoriesWithoutCounts(t *testing.T) { historiesOfLateOrders(t, 1, false) }
+
+// historiesOfLateOrders runs histories whose entries are late by a number of ticks at most. Workers report their
+// state if reporting is set.
+func historiesOfLateOrders(t *testing.T, maxLag int, reporting bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(1, rapid.IntRange(4, 8).Draw(t, "workers"))
+		w.reporting = reporting
 		h := &holder{planner: NewPlanner(1, testCeiling)}
 		var late []Order
 		h.fate = func(o Order) fate {
--- a/replica/order.go
+++ b/replica/order.go
@@ -35,10 +35,12 @@
 	Members []string
 	// Guarded is set for a join of a worker that an earlier order may still bring into another group. It
 	// is sent only if the worker reports to be in none, and under the condition that it has taken no
-	// order since.
+	// order since. Earlier is that group, if it is known.
 	Guarded bool
-	// Condition is the number of orders that the worker must have taken so far, if Guarded is set.
-	Condition int64
+	Earlier workers.GroupID
+	// Condition is the number of orders that the worker must have taken so far, if Conditional is set.
+	Conditional bool
+	Condition   int64
 	// Fence is the fencing token: the term of the lease under which the order is sent. Workers
 	// that check it reject orders of earlier terms. Where workers don't check it, it is 0 and
 	// isn't sent.
@@ -97,8 +99,10 @@
 
 // Report is the state of a worker by its own account, all of one moment.
 type Report struct {
-	// Orders is the number of orders that the worker has taken.
-	Orders int64
+	// Orders is the number of orders that the worker has taken, if Counted is set. Not every worker
+	// counts them.
+	Orders  int64
+	Counted bool
 	// Group is the group that it is in, its name "" if it is in none.
 	Group workers.GroupID
 }
--- a/replica/world_test.go
+++ b/replica/world_test.go
@@ -61,6 +61,7 @@
 // world simulates workers, their rows, and orders that are lost, late or duplicated.
 type world struct {
 	now           time.Time
+	reporting     bool // workers report their groups and count their orders
 	service       *catalog.Service
 	engines       map[string]*engine
 	next          int
@@ -84,7 +85,8 @@
 // newWorld returns a world of empty workers.
 func newWorld(domains, perDomain int) *world {
 	w := &world{
-		now: time.Unix(1000, 0),
+		now:       time.Unix(1000, 0),
+		reporting: true,
 		service: &catalog.Service{Name: "llm", Runtime: &catalog.Runtime{
 			Slots: 26, LoadsPerSecond: 4, LoadsAtOnce: 6, Form: worldForm,
 			Models: []catalog.Model{
@@ -158,7 +160,11 @@
 	w.now = w.now.Add(worldTick)
 	for _, id := range w.ids() {
 		e := w.engines[id]
-		e.reports = append(e.reports, Report{Orders: e.orders, Group: e.worker.Membership.Group})
+		report := Report{}
+		if w.reporting {
+			report = Report{Counted: true, Orders: e.orders, Group: e.worker.Membership.Group}
+		}
+		e.reports = append(e.reports, report)
 		e.reports = e.reports[max(len(e.reports)-worldReportTicks, 0):]
 		w.advance(e)
 	}
@@ -273,7 +279,10 @@
 		if report.Group.Name != "" && report.Group != o.Group {
 			return WrongState
 		}
-		o.Condition = report.Orders
+		if !report.Counted && o.Earlier.Name != "" && o.Earlier != o.Group {
+			w.execute(Order{Worker: o.Worker, Op: Leave, Group: o.Earlier})
+		}
+		o.Conditional, o.Condition = report.Counted, report.Orders
 	}
 	switch f {
 	case fateLost:
@@ -326,7 +335,7 @@
 	if !ok || !e.dead.IsZero() {
 		return Unanswered
 	}
-	if o.Guarded && o.Condition != e.orders {
+	if o.Conditional && o.Condition != e.orders {
 		return WrongState
 	}
 	outcome := w.apply(e, o)
--- a/testbed/standin/groups_test.go
+++ b/testbed/standin/groups_test.go
@@ -167,8 +167,9 @@
 	s.awaitGroups(2)
 	s.killHolder()
 	for _, head := range s.openGroupHeads() {
-		s.workers[head.ID()].Kill()
+		head.Kill()
 		s.store.Put("servers", head.ID(), nil)
+		delete(s.workers, head.ID())
 	}
 	s.awaitGroups(1)
 }
