serving: Cancel no attempt before the next one has what it needs

What callers saw: streams that ended in the middle while a worker was silent for some time, though it was sound (LOST); a request ended with 502 since others reported its group dead, though it couldn't be sent elsewhere.

Cause: each watch checked that there was room for a retry, canceled its attempt, and only then took the room; of several that were canceled together some found none. And with room, the other group may reject the request, fail, lose the answer or not be reached, when the first one is gone already. Class: check, then act; and giving up what one has for what one may get.

Change: an answer of which the caller has got a part moves by a second attempt beside the first: it takes attempt, retry and place in one step, and the first is canceled only when the second has sent the next event. If the first goes on meanwhile, the second is canceled; if the second fails, the first stays. An attempt without an event leaves its target only once the next one's retry and place are taken; else it waits. The silence is reported as soon as a move begins, as before.

--- a/serving/events.go
+++ b/serving/events.go
@@ -41,6 +41,8 @@
 	padding int
 	current block
 	err     error
+	// held is set if next has to return the current block once more.
+	held bool
 }
 
 // newEventReader returns a reader of the events that follow the one with the id last, "" for none.
@@ -56,6 +58,10 @@
 	if r.err != nil {
 		return false
 	}
+	if r.held {
+		r.held = false
+		return true
+	}
 	if !r.scanner.Scan() {
 		r.err = r.scanner.Err()
 		return false
@@ -79,6 +85,9 @@
 	return r.err == nil
 }
 
+// hold makes the next call of next return the current block once more.
+func (r *eventReader) hold() { r.held = true }
+
 // block returns the current block, which is valid until the next call of next.
 func (r *eventReader) block() []byte { return r.scanner.Bytes() }
 
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -70,7 +70,12 @@
 	// forwarded it here, "" if none did.
 	forwardedTo, forwardedBy string
 	// attempts limits the workers that a forwarded request may be sent to, 0 if it isn't one.
-	attempts   int
+	attempts int
+	// ctx ends with the request. reserved is what the next attempt uses, nil if it has to take that itself;
+	// next is the attempt by which a started answer goes on, nil if there is none yet.
+	ctx      context.Context
+	reserved *reservation
+	next     *move
 	firstEvent time.Time
 	lastEvent  string
 	resumed    int
@@ -118,13 +123,15 @@
 func (e *exchange) run(ctx context.Context) *fault {
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline.Add(-deadlineMargin), context.DeadlineExceeded)
 	defer cancel()
+	e.ctx = ctx
+	defer e.dropReserved()
 	for {
 		if e.server.opts.Reach.Silenced(e.service.Name) {
 			if done, f := e.forwardSilenced(ctx); done {
 				return f
 			}
 		}
-		target, f := e.choose(ctx)
+		target, f := e.nextTarget(ctx)
 		if f != nil {
 			if done, forwarded := e.forwardRefused(ctx); done {
 				return forwarded
@@ -132,6 +139,9 @@
 			return e.giveUp(f)
 		}
 		retryable, f := e.attempt(ctx, target)
+		for retryable && e.next != nil {
+			retryable, f = e.continueAt(e.next)
+		}
 		if !retryable {
 			return f
 		}
@@ -144,12 +154,41 @@
 		if !e.awaitVerdict(ctx) {
 			return e.expired(ctx)
 		}
-		if e.sent > 0 && !e.spendRetry() {
+		if e.sent > 0 && e.reserved == nil && !e.spendRetry() {
 			return e.giveUp(f)
 		}
 	}
 }
 
+// context returns the context that ends with the request.
+func (e *exchange) context() context.Context {
+	if e.ctx == nil {
+		return context.Background()
+	}
+	return e.ctx
+}
+
+// nextTarget returns the target that is reserved, or else chooses one.
+func (e *exchange) nextTarget(ctx context.Context) (Target, *fault) {
+	r := e.reserved
+	if r == nil {
+		return e.choose(ctx)
+	}
+	if f := e.checkHold(); f != nil {
+		return Target{}, f
+	}
+	e.reserved = nil
+	return r.target, nil
+}
+
+// dropReserved gives back what was reserved and not used.
+func (e *exchange) dropReserved() {
+	if e.reserved != nil {
+		e.server.opts.Balancer.Done(e.reserved.target.Key)
+		e.reserved = nil
+	}
+}
+
 // maxAttempts returns how many workers the request may be sent to.
 func (e *exchange) maxAttempts() int {
 	if e.attempts > 0 {
@@ -162,8 +201,7 @@
 // room for it.
 func (e *exchange) spendRetry() bool {
 	s, now := e.server, e.server.opts.Now()
-	if s.spendRetry(e.service.Name, now) {
-		s.opts.Counters.retried(e.service.Name)
+	if e.spendRetryAt(now) {
 		return true
 	}
 	usage := s.budget(e.service.Name).Usage(now, s.opts.Allowance())
@@ -172,6 +210,15 @@
 	return false
 }
 
+// spendRetryAt is spendRetry for an attempt that the request doesn't depend on.
+func (e *exchange) spendRetryAt(now time.Time) bool {
+	spent := e.server.spendRetry(e.service.Name, now)
+	if spent {
+		e.server.opts.Counters.retried(e.service.Name)
+	}
+	return spent
+}
+
 // giveUp returns the final response to a request, or nil if it wrote a worker's error answer.
 // It reports the request as refused only if it certainly never ran.
 func (e *exchange) giveUp(f *fault) *fault {
@@ -210,14 +257,23 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	sent := s.opts.Now()
-	e.recordSent(sent, target)
+	e.recordSent(s.opts.Now(), target)
 	e.stage = e.initialStage()
 	e.fingerprint()
 	e.partFingerprints()
 	watch := e.watch(target.Key, cancel)
 	defer watch.stop()
-	reply, err := s.opts.Upstream.Send(ctx, e.newAttempt(target, left))
+	retryable, f = e.send(ctx, cancel, target, left, watch)
+	e.next = watch.takeMove(retryable)
+	e.absorb(watch)
+	return retryable, f
+}
+
+// send implements attempt.
+func (e *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, target Target, left time.Duration, watch *watch) (retryable bool, f *fault) {
+	s := e.server
+	sent := s.opts.Now()
+	reply, err := s.opts.Upstream.Send(ctx, e.newAttempt(target, left, e.lastEvent, e.lostOnKept))
 	e.lostOnKept = false
 	if err != nil {
 		e.countSending(err)
@@ -247,15 +303,16 @@
 	return e.relayBuffered(ctx, cancel, target, reply)
 }
 
-func (e *exchange) newAttempt(target Target, left time.Duration) Attempt {
+// newAttempt returns an attempt that goes on after an event, on a new connection if fresh is set.
+func (e *exchange) newAttempt(target Target, left time.Duration, lastEvent string, fresh bool) Attempt {
 	a := Attempt{
 		Request:   e.req,
 		Worker:    target.Worker,
 		Priority:  e.route.Priority,
 		Timeout:   left,
-		LastEvent: e.lastEvent,
+		LastEvent: lastEvent,
 		Once:      !e.route.IsRepeatable(),
-		Fresh:     e.lostOnKept,
+		Fresh:     fresh,
 	}
 	if e.customer != nil {
 		a.Customer = e.customer.Name
@@ -291,9 +348,10 @@
 			return false, f
 		}
 	}
-	if warned := errors.Is(context.Cause(ctx), errWarned); !warned && !held { // already reported by others
+	silent, warned := errors.Is(context.Cause(ctx), errSilent), errors.Is(context.Cause(ctx), errWarned)
+	if !silent && !warned && !held { // already reported, here or by others
 		failure := AnswerLost
-		if notSent != nil || errors.Is(context.Cause(ctx), errSilent) {
+		if notSent != nil {
 			failure = Unresponsive
 		}
 		e.recordFailure(target, failure)
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -90,7 +90,7 @@
 		if left < minAttemptTime {
 			return true, e.expired(ctx)
 		}
-		a := e.newAttempt(Target{}, left)
+		a := e.newAttempt(Target{}, left, e.lastEvent, e.lostOnKept)
 		reply, err := s.opts.Forwarder.Forward(ctx, p, service, Forward{Attempt: a, Attempts: e.maxAttempts() - e.sent, ConfigVersion: e.inForce.Catalog.Version()})
 		var notSent *NotSentError
 		switch {
--- a/serving/record.go
+++ b/serving/record.go
@@ -84,6 +84,11 @@
 	c.set.GetOrCreateCounter(`pointpass_attempts_canceled_total{cause="` + name + `"}`).Inc()
 }
 
+// moved counts a move of a stream by its outcome.
+func (c *Counters) moved(outcome string) {
+	c.set.GetOrCreateCounter(`pointpass_stream_moves_total{outcome="` + outcome + `"}`).Inc()
+}
+
 // barred counts a request that was refused because placement allowed no target.
 func (c *Counters) barred(reason placement.Reason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`pointpass_refused_placement_total{reason=%q}`, string(reason))).Inc()
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -12,7 +12,10 @@
 // relayStream relays the events of one worker. If the stream breaks, it reports whether
 // another target may resume it.
 func (e *exchange) relayStream(ctx context.Context, target Target, reply *Reply, watch *watch) (retryable bool, f *fault) {
-	events := newEventReader(reply.Body, e.lastEvent)
+	return e.relayEvents(ctx, target, reply, newEventReader(reply.Body, e.lastEvent), watch)
+}
+
+func (e *exchange) relayEvents(ctx context.Context, target Target, reply *Reply, events *eventReader, watch *watch) (retryable bool, f *fault) {
 	relay := e.newRelay(reply)
 	for events.next() {
 		e.server.opts.Reach.Answered(target.Worker)
@@ -26,6 +29,9 @@
 		if err := relay.write(events); err != nil {
 			return e.handleStreamError(ctx, target, err)
 		}
+		if events.isEvent() {
+			watch.recordRelayed(e.lastEvent)
+		}
 	}
 	if events.err != nil {
 		return e.handleStreamError(ctx, target, events.err)
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -49,23 +49,38 @@
 	resuming bool
 	attempts int
 	tried    []string
-	// print and parts identify the request and the parts of its prompt.
-	print quarantine.Fingerprint
-	parts []quarantine.Fingerprint
+	// print and parts identify the request and the parts of its prompt. hasPrint is set if they are known.
+	print    quarantine.Fingerprint
+	hasPrint bool
+	parts    []quarantine.Fingerprint
 
 	mu    sync.Mutex
 	timer *time.Timer
 	due   time.Time // when the timer fires
 	last  time.Time // of the last event, zero before the first
-	// warned is set if others reported the target dead since its last event.
-	warned bool
+	// relayed is the id of the last event that the caller has got.
+	relayed string
+	// warned is set if others reported the target dead since its last event, reported if this daemon has
+	// reported its silence.
+	warned, reported bool
+	// move is the move under way or the one that has succeeded, nil if there is none. sent and rejections
+	// count the workers that moves were sent to.
+	move             *move
+	sent, rejections int
+	// maxRejections is how many rejections of moves aren't counted in sent.
+	maxRejections int
+	// reserved is what the next attempt uses if this one was canceled before its first event.
+	reserved *reservation
+	// ended is set once the attempt has ended and no move is wanted any more, awaited once it has ended.
+	ended, awaited bool
 }
 
 // watch starts watching an attempt. Answers that can't be resumed elsewhere have no timeout
 // but the deadline.
 func (e *exchange) watch(key string, cancel context.CancelCauseFunc) *watch {
 	now := e.server.opts.Now()
-	w := &watch{exchange: e, key: key, cancel: cancel, started: now, resuming: e.answerStarted, attempts: e.sent + 1, tried: slices.Clone(e.tried), print: e.print, parts: e.partPrints}
+	w := &watch{exchange: e, key: key, cancel: cancel, started: now, resuming: e.answerStarted, attempts: e.sent + 1, tried: slices.Clone(e.tried),
+		print: e.print, hasPrint: e.hasFingerprint, parts: e.partPrints, relayed: e.lastEvent, maxRejections: maxMidAnswerRejections - e.midAnswerRejections}
 	if !e.route.Resumable {
 		return w
 	}
@@ -78,6 +93,15 @@
 	return w
 }
 
+// watchMoved starts watching the attempt of a move, which is among those counted already.
+func (e *exchange) watchMoved(m *move) *watch {
+	w := e.watch(m.target.Key, m.cancel)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.attempts--
+	return w
+}
+
 func (w *watch) stop() {
 	w.mu.Lock()
 	timer := w.timer
@@ -106,6 +130,10 @@
 	}
 	w.last = now
 	w.warned = false
+	w.reported = false
+	if w.move != nil && w.move.events == nil {
+		w.move.cancel(errNotNeeded)
+	}
 	balancer := w.exchange.server.opts.Balancer
 	balancer.RecordActivity(w.key, now, now.Sub(since), first)
 	if first {
@@ -117,9 +145,15 @@
 	}
 }
 
-// warn handles a report that the target is dead. An attempt that waits for its first event is
-// canceled at once, unless it resumes an answer that can't move elsewhere; a stream is
-// canceled once it has got no event for warnedEventTimeout, if it can move.
+// recordRelayed records that the caller has got an event.
+func (w *watch) recordRelayed(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relayed = id
+}
+
+// warn handles a report that the target is dead. An attempt that waits for its first event moves at
+// once; a stream moves once it has got no event for warnedEventTimeout.
 func (w *watch) warn(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -127,32 +161,56 @@
 	case !w.last.IsZero():
 		w.warned = true
 		w.arm(now, max(warnedEventTimeout-now.Sub(w.last), 0))
-	case w.resuming && !w.canMove(now):
+	case !w.giveUp(errWarned, now):
 		w.warned = true
-	default:
-		w.end(errWarned, now)
 	}
 }
 
-// end cancels the attempt. Its log line shows whether there was a retry for the next one.
+// giveUp starts to move the attempt elsewhere, and reports whether it could. It ends nothing before what the
+// next attempt needs is taken: an answer that the caller has got a part of goes on until the other target
+// has sent something, a request without one leaves its target for another that is reserved. The caller holds
+// the lock.
+func (w *watch) giveUp(cause error, now time.Time) bool {
+	if w.move != nil {
+		return true
+	}
+	if w.resuming || !w.last.IsZero() {
+		if !w.canMove(now) {
+			return false
+		}
+		w.startMove(cause)
+		return true
+	}
+	r, ok := w.reserve(now)
+	if !ok {
+		return false
+	}
+	w.reserved = r
+	w.end(cause, now)
+	return true
+}
+
+// end cancels the attempt. Its log line names the target that is reserved for the next one.
 func (w *watch) end(cause error, now time.Time) {
 	e := w.exchange
-	e.server.opts.Counters.canceled(cause)
-	entry := e.server.opts.Log.Info().Str("event", "attempt_canceled").Str("target", w.key).Dur("running", now.Sub(w.started)).
-		Bool("begun", !w.last.IsZero()).Bool("resuming", w.resuming).Err(cause)
-	if e.req != nil && e.service != nil {
-		entry = entry.Str("id", e.req.ID).Bool("retry_left", e.server.hasRetry(e.service.Name, now))
+	next := ""
+	switch {
+	case w.reserved != nil:
+		next = w.reserved.target.Key
+	case w.move != nil:
+		next = w.move.target.Key
 	}
-	entry.Msg("")
+	e.server.opts.Counters.canceled(cause)
+	e.server.opts.Log.Info().Str("event", "attempt_canceled").Str("id", e.req.ID).Str("target", w.key).Dur("running", now.Sub(w.started)).
+		Bool("begun", !w.last.IsZero()).Bool("resuming", w.resuming).Str("next", next).Err(cause).Msg("")
 	w.cancel(cause)
 }
 
 // cancelHeld cancels the attempt if it waits for its first event and its request is held back.
 func (w *watch) cancelHeld() {
 	w.mu.Lock()
-	waits := w.last.IsZero()
-	w.mu.Unlock()
-	if !waits {
+	defer w.mu.Unlock()
+	if !w.last.IsZero() {
 		return
 	}
 	guard := w.exchange.server.opts.Guard
@@ -165,11 +223,14 @@
 	}
 }
 
-// check runs when this request got no event for a while. It cancels the attempt if the target
-// sends nothing to any request, or if this stream has got no event for too long.
+// check runs when this request got no event for a while. It moves the attempt if the target sends
+// nothing to any request, or if this stream has got no event for too long.
 func (w *watch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.ended || w.move != nil {
+		return
+	}
 	balancer := w.exchange.server.opts.Balancer
 	now := w.exchange.server.opts.Now()
 	if now.Sub(w.due) > stallThreshold {
@@ -177,12 +238,10 @@
 		return
 	}
 	limit, nextEventTimeout := w.exchange.server.timeouts(w.key)
-	if (w.resuming || !w.last.IsZero()) && !w.canMove(now) {
-		w.arm(now, nextEventTimeout) // canceling would only lose the rest of the answer
-		return
-	}
 	if w.warned {
-		w.end(errWarned, now)
+		if !w.giveUp(errWarned, now) {
+			w.arm(now, nextEventTimeout)
+		}
 		return
 	}
 	streamSilence := time.Duration(0)
@@ -191,17 +250,19 @@
 		streamSilence = now.Sub(w.last)
 	}
 	silence := balancer.Silence(w.key, w.started, now)
-	if silence >= limit || streamSilence >= maxStreamSilence {
-		w.end(w.stallCause(), now)
+	if silence < limit && streamSilence < maxStreamSilence {
+		w.arm(now, limit-silence)
 		return
 	}
-	w.arm(now, limit-silence)
+	if !w.giveUp(w.stallCause(), now) {
+		w.arm(now, nextEventTimeout)
+	}
 }
 
-// canMove reports whether the stream may be resumed at another target.
+// canMove reports whether the request may be sent to another target.
 func (w *watch) canMove(now time.Time) bool {
 	e := w.exchange
-	if w.attempts >= e.maxAttempts() || !e.server.hasRetry(e.service.Name, now) {
+	if w.attempts+w.sent >= e.maxAttempts() || !e.server.hasRetry(e.service.Name, now) {
 		return false
 	}
 	targets, _ := e.allowedTargets()
