serving: Count a retry again that is sent late

What callers saw: nothing; workers got more repeats within a window than allowed (BUDGET).

Cause: a retry counts when its attempt is decided. A process that stands still before it is sent makes it arrive in a later window, in which it doesn't count. Class: a decision that is older than its use.

Evidence: TestBudget_RetriesOfAFrozenProcess failed before the fix. No run of real processes showed it: TestBudget_Series freezes daemons, but few retries are between both at that moment.

Change: a retry that was counted more than 0.1 s before it is sent counts again, or isn't sent.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -76,6 +76,8 @@
 	ctx      context.Context
 	reserved *reservation
 	next     *move
+	// spentAt is when the last retry was counted.
+	spentAt    time.Time
 	firstEvent time.Time
 	lastEvent  string
 	resumed    int
@@ -100,6 +102,10 @@
 	minAttemptTime = 30 * time.Millisecond
 )
 
+// maxSpendAge is how long before it is sent a retry may have been counted. One of a process that stood still
+// meanwhile counts again, as it arrives in another window.
+const maxSpendAge = 100 * time.Millisecond
+
 // errStalled is the cancellation cause of an attempt whose target sends nothing.
 var errStalled = errors.New("target sent nothing within the timeout")
 
@@ -178,6 +184,7 @@
 		return Target{}, f
 	}
 	e.reserved = nil
+	e.spentAt = r.spent
 	return r.target, nil
 }
 
@@ -202,6 +209,7 @@
 func (e *exchange) spendRetry() bool {
 	s, now := e.server, e.server.opts.Now()
 	if e.spendRetryAt(now) {
+		e.spentAt = now
 		return true
 	}
 	usage := s.budget(e.service.Name).Usage(now, s.opts.Allowance())
@@ -255,6 +263,9 @@
 	if left < minAttemptTime {
 		return false, e.expired(ctx)
 	}
+	if e.sent > 0 && s.opts.Now().Sub(e.spentAt) > maxSpendAge && !e.spendRetry() {
+		return false, e.giveUp(&fault{status: http.StatusBadGateway, reason: "the answer of the worker is lost", aborted: e.answerStarted})
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	e.recordSent(s.opts.Now(), target)
