serving: Report a group's silence also where its request can't move

A request without an event that can't be sent elsewhere now waits, and its group's silence was reported only when it was canceled, so that other daemons would learn of it late. TestWatch_SilenceIsReportedWithoutARetry hangs until its deadline without the change.

--- a/serving/move.go
+++ b/serving/move.go
@@ -83,9 +83,8 @@
 	m := &move{cause: cause, after: w.relayed, done: make(chan struct{})}
 	m.ctx, m.cancel = context.WithCancelCause(w.exchange.context())
 	w.move = m
-	if errors.Is(cause, errSilent) && !w.reported {
-		w.reported = true
-		w.exchange.recordFailure(Target{Key: w.key}, Unresponsive)
+	if errors.Is(cause, errSilent) {
+		w.reportSilence(Unresponsive)
 	}
 	go w.runMove(m)
 }
--- a/serving/silence_test.go
+++ b/serving/silence_test.go
@@ -112,6 +112,30 @@
 	}
 }
 
+// TestWatch_SilenceIsReportedWithoutARetry guards against a silent group that others don't learn of, since the
+// request that waits there can't be sent elsewhere.
+func TestWatch_SilenceIsReportedWithoutARetry(t *testing.T) {
+	s := newStreamServer(t, nil)
+	suspected := make(chan string, 1)
+	s.opts.Suspect = func(group string, _ Failure) {
+		select {
+		case suspected <- group:
+		default:
+		}
+	}
+	s.opts.Upstream = upstreamFunc(func(ctx context.Context, a Attempt) (*Reply, error) {
+		select {
+		case group := <-suspected:
+			must.EqOp(t, a.Worker.Membership.Group.Name, group)
+		case <-ctx.Done():
+			t.Error("the attempt was canceled")
+		}
+		return events(wholeStream), nil
+	})
+	s.opts.Allowance = func() retry.Allowance { return retry.Allowance{Window: time.Minute} }
+	must.Eq(t, []string{wholeStream}, serveStreams(s, 1))
+}
+
 // TestWarn_KeepsAttemptsWithoutARetry guards against requests that are ended since others report their group
 // dead, though they can't be sent to another one: a silent group may be sound.
 func TestWarn_KeepsAttemptsWithoutARetry(t *testing.T) {
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -254,8 +254,20 @@
 		w.arm(now, limit-silence)
 		return
 	}
-	if !w.giveUp(w.stallCause(), now) {
-		w.arm(now, nextEventTimeout)
+	if w.giveUp(w.stallCause(), now) {
+		return
+	}
+	if w.last.IsZero() {
+		w.reportSilence(AnswerLost)
+	}
+	w.arm(now, nextEventTimeout)
+}
+
+// reportSilence records that the target sends nothing, once until its next event. The caller holds the lock.
+func (w *watch) reportSilence(failure Failure) {
+	if !w.reported {
+		w.reported = true
+		w.exchange.recordFailure(Target{Key: w.key}, failure)
 	}
 }
 
