platform: Name the time that is left when a request is written

What callers saw: nothing; workers could get up to 0.5 s more than remains of the caller's time (BUDGET).

Cause: the time was written into a request before it waited for its connection. Class: a value that is older than its use, as with late retries.

Evidence: TestUpstream_TimeLeftAsOfTheWriting failed before the fix, for workers and for forwarded requests. No run of real processes showed it.

Change: the header is set when the connection is there, right before the request is written.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -321,6 +321,7 @@
 		Worker:    target.Worker,
 		Priority:  e.route.Priority,
 		Timeout:   left,
+		Left:      func() time.Duration { return e.deadline.Sub(e.server.opts.Now()) },
 		LastEvent: lastEvent,
 		Once:      !e.route.IsRepeatable(),
 		Fresh:     fresh,
--- a/serving/request.go
+++ b/serving/request.go
@@ -49,8 +49,10 @@
 	Worker   workers.Worker
 	Customer string
 	Priority int
-	// Timeout is how long the worker may take.
+	// Timeout is how long the worker may take, and Left what is left of that when the request is
+	// written, nil if it doesn't change.
 	Timeout time.Duration
+	Left    func() time.Duration
 	// LastEvent is the id of the event after which a stream resumes.
 	LastEvent string
 	// Once is set if the request may not run twice. It is sent on a new connection that is closed
