serving: Reserve once for an attempt that is given up twice

What callers saw: nothing yet; found by rereading the diff. A second warning about a group took another retry and another place for the same attempt, and the first place was never given back, so that its target seemed busy. TestWarn_ReservesOnce failed before.

--- a/serving/silence_test.go
+++ b/serving/silence_test.go
@@ -99,6 +99,7 @@
 			for i, text := range serveStreams(s, 40) {
 				must.EqOp(t, wholeStream, text, must.Sprint("stream ", i))
 			}
+			must.SliceEmpty(t, s.opts.Balancer.InFlight())
 			must.LessEq(t, int(c.retries), upstream.resumed)
 		})
 	}
@@ -136,6 +137,28 @@
 	must.Eq(t, []string{wholeStream}, serveStreams(s, 1))
 }
 
+// TestWarn_ReservesOnce guards against a place at a target that is never given back, since an attempt is given up
+// twice.
+func TestWarn_ReservesOnce(t *testing.T) {
+	s := newStreamServer(t, nil)
+	first := true
+	s.opts.Upstream = upstreamFunc(func(ctx context.Context, a Attempt) (*Reply, error) {
+		if !first {
+			return events(wholeStream), nil
+		}
+		first = false
+		for range 3 {
+			for _, w := range s.watches.list() {
+				w.warn(time.Now())
+			}
+		}
+		return nil, &LostError{Err: ctx.Err()}
+	})
+	must.Eq(t, []string{wholeStream}, serveStreams(s, 1))
+	must.SliceEmpty(t, s.opts.Balancer.InFlight())
+	must.EqOp(t, 1, s.budget("llm").Usage(time.Now(), s.opts.Allowance()).Retries)
+}
+
 // TestWarn_KeepsAttemptsWithoutARetry guards against requests that are ended since others report their group
 // dead, though they can't be sent to another one: a silent group may be sound.
 func TestWarn_KeepsAttemptsWithoutARetry(t *testing.T) {
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -171,7 +171,7 @@
 // has sent something, a request without one leaves its target for another that is reserved. The caller holds
 // the lock.
 func (w *watch) giveUp(cause error, now time.Time) bool {
-	if w.move != nil {
+	if w.ended || w.move != nil || w.reserved != nil {
 		return true
 	}
 	if w.resuming || !w.last.IsZero() {
