--- a/testbed/standin/kept_test.go
+++ b/testbed/standin/kept_test.go
@@ -71,11 +71,15 @@
 	must.GreaterEq(t, len(ids)*95/100, answered, must.Sprint("new connections lose nothing"))
 }
 
+// shareTimeout bounds the wait until daemons share the extra retries. They wait for 20 s at least, and begin
+// again whenever they have stood still for some seconds.
+const shareTimeout = 3 * time.Minute
+
 // awaitShares waits until the daemons share the extra retries.
 func (s *testCluster) awaitShares() {
 	s.t.Helper()
 	for _, d := range s.daemons {
-		s.eventuallyWithin(2*waitTimeout, "a daemon counts the others", func() bool { return d.countsDaemons(len(s.daemons)) })
+		s.eventuallyWithin(shareTimeout, "a daemon counts the others", func() bool { return d.countsDaemons(len(s.daemons)) })
 	}
 }
 
