--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -5,8 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/pointpass/pointpass/admission"
@@ -85,12 +83,6 @@
 	failure *bufferedAnswer
 }
 
-// bufferedAnswer is an answer that was read to its end.
-type bufferedAnswer struct {
-	reply *Reply
-	body  *answerBody
-}
-
 // maxMidAnswerRejections bounds how many workers may reject a request after its answer has
 // started.
 const maxMidAnswerRejections = 2
@@ -344,173 +336,6 @@
 	}
 }
 
-// handleSendError handles an attempt that got no answer, or lost it midway. If anything was sent, it is
-// counted already.
-func (e *exchange) handleSendError(ctx context.Context, target Target, err error) (retryable bool, f *fault) {
-	cancelled := errors.Is(context.Cause(ctx), errStalled) || errors.Is(context.Cause(ctx), errEvicted)
-	var notSent *NotSentError
-	errors.As(err, &notSent)
-	if ctx.Err() != nil && !cancelled {
-		return false, e.expired(ctx)
-	}
-	held := errors.Is(context.Cause(ctx), errHeld)
-	if held {
-		e.logFailedAttempt(target, errHeld)
-		if f := e.checkHold(); f != nil {
-			return false, f
-		}
-	}
-	silent, warned := errors.Is(context.Cause(ctx), errSilent), errors.Is(context.Cause(ctx), errWarned)
-	if !silent && !warned && !held { // already reported, here or by others
-		failure := AnswerLost
-		if notSent != nil {
-			failure = Unresponsive
-		}
-		e.recordFailure(target, failure)
-	}
-	e.logFailedAttempt(target, err)
-	if notSent != nil || timedOut(err) {
-		e.server.opts.Reach.Failed(target.Worker)
-	}
-	if notSent == nil {
-		e.reportLost(ctx, target)
-	}
-	if notSent != nil {
-		return true, &fault{status: http.StatusServiceUnavailable, reason: "the worker can't be reached", retryAfter: unavailableRetryDelay}
-	}
-	return e.route.IsRepeatable(), &fault{status: http.StatusBadGateway, reason: "the answer of the worker is lost", aborted: e.answerStarted}
-}
-
-// timedOut reports whether a connection failed since sent data remained unacknowledged.
-func timedOut(err error) bool { return errors.Is(err, syscall.ETIMEDOUT) }
-
-// Failure is the way in which a target failed a request.
-type Failure int
-
-const (
-	// AnswerLost means that a single answer was lost.
-	AnswerLost Failure = iota
-	// Unresponsive means that a stream got no further events, or that the target can't be
-	// reached.
-	Unresponsive
-)
-
-// recordFailure records that a target failed in a way that a healthy one doesn't.
-func (e *exchange) recordFailure(target Target, failure Failure) {
-	e.server.opts.Balancer.RecordFailure(target.Key, e.server.opts.Now())
-	if e.service.Runtime != nil {
-		e.server.opts.Suspect(target.Key, failure)
-	}
-}
-
-// handleRejection handles an attempt that the worker rejected without running the request.
-func (e *exchange) handleRejection(target Target, reply *Reply) (retryable bool, f *fault) {
-	e.server.opts.Counters.rejected.Inc()
-	e.server.opts.Balancer.RecordRefusal(target.Key, e.server.opts.Now())
-	e.logFailedAttempt(target, &rejectedError{status: reply.Status})
-	if reply.WrongWorker {
-		e.recordFailure(target, AnswerLost)
-	}
-	return true, &fault{status: http.StatusServiceUnavailable, reason: "the worker has no room", retryAfter: busyRetryDelay}
-}
-
-type rejectedError struct{ status int }
-
-func (r *rejectedError) Error() string { return "rejected with status " + strconv.Itoa(r.status) }
-
-// relayBuffered relays an answer that isn't streamed, once it was read to its end.
-func (e *exchange) relayBuffered(ctx context.Context, cancel context.CancelCauseFunc, target Target, reply *Reply) (retryable bool, f *fault) {
-	answer, err := e.readAnswer(reply, cancel)
-	if err != nil {
-		return e.handleSendError(ctx, target, &LostError{Err: err})
-	}
-	kept := false
-	defer func() {
-		if !kept {
-			answer.body.release()
-		}
-	}()
-	failed := reply.Status >= http.StatusInternalServerError
-	e.recordAnswer(target, failed)
-	if reply.Status == http.StatusOK {
-		e.recordOutput()
-	}
-	if failed && e.route.IsRepeatable() && e.sent < e.maxAttempts() {
-		e.logFailedAttempt(target, &failedError{status: reply.Status})
-		if relayableStatus(reply.Status) {
-			e.dropFailure()
-			e.failure, kept = answer, true
-		}
-		return true, &fault{status: http.StatusBadGateway, reason: "the worker failed", aborted: e.answerStarted}
-	}
-	if e.answerStarted { // a stream can't continue with an error answer
-		return true, &fault{status: http.StatusBadGateway, reason: "the stream can't be resumed", aborted: true}
-	}
-	if !relayableStatus(reply.Status) {
-		return false, &fault{status: http.StatusBadGateway, reason: "the worker failed with status " + strconv.Itoa(reply.Status)}
-	}
-	e.writeBuffered(answer)
-	return false, nil
-}
-
-// readAnswer reads an answer to its end. The body must be released.
-func (e *exchange) readAnswer(reply *Reply, cancel context.CancelCauseFunc) (*bufferedAnswer, error) {
-	body, err := e.server.answers.read(reply, cancel)
-	if errors.Is(err, errTooLong) || errors.Is(err, errEvicted) {
-		e.server.opts.Counters.tooLong.Inc()
-	}
-	return &bufferedAnswer{reply: reply, body: body}, err
-}
-
-// dropFailure drops the error answer that was kept, if any.
-func (e *exchange) dropFailure() {
-	if e.failure != nil {
-		e.failure.body.release()
-		e.failure = nil
-	}
-}
-
-// Consecutive error answers that make a target suspect. Groups don't return errors in normal
-// operation; plain services have errors of their own.
-const (
-	groupErrorThreshold = 1
-	plainErrorThreshold = 3
-)
-
-// recordAnswer records whether a target's answer was an error.
-func (e *exchange) recordAnswer(target Target, failed bool) {
-	switch {
-	case !failed:
-		e.server.opts.Balancer.RecordSuccess(target.Key)
-	case e.service.Runtime != nil:
-		e.server.opts.Balancer.RecordErrorAnswer(target.Key, groupErrorThreshold, e.server.opts.Now())
-	default:
-		e.server.opts.Balancer.RecordErrorAnswer(target.Key, plainErrorThreshold, e.server.opts.Now())
-	}
-}
-
-// writeBuffered writes a buffered answer to the caller.
-func (e *exchange) writeBuffered(a *bufferedAnswer) {
-	e.startAnswer(a.reply)
-	e.w.Header().Set("Content-Length", strconv.FormatInt(a.body.size, 10))
-	e.w.WriteHeader(a.reply.Status)
-	a.body.writeTo(e.w)
-}
-
-// relayableStatus reports whether a worker's status may be relayed unchanged. Statuses that
-// imply that the request didn't run may not, since the worker didn't declare that.
-func relayableStatus(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return false
-	}
-	return true
-}
-
-type failedError struct{ status int }
-
-func (r *failedError) Error() string { return "failed with status " + strconv.Itoa(r.status) }
-
 // startAnswer sets the header of a worker's answer on the response.
 func (e *exchange) startAnswer(reply *Reply) {
 	header := e.w.Header()
