--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -81,7 +81,7 @@
 		return
 	}
 	if w.shouldCrash(run) {
-		w.crash(rw)
+		w.runCrash(rw, grouped)
 	}
 	if !grouped {
 		fmt.Fprintf(rw, "answer to %s of %s", id, w.id)
@@ -97,24 +97,6 @@
 	return w.deadly != nil && w.deadly(*run)
 }
 
-// crash ends the worker shortly after the header of a response has been sent.
-func (w *Worker) crash(rw http.ResponseWriter) {
-	rw.Header().Set("Content-Type", "text/event-stream")
-	rw.WriteHeader(http.StatusOK)
-	http.NewResponseController(rw).Flush()
-	time.Sleep(eventInterval)
-	w.mu.Lock()
-	first := !w.crashed
-	w.crashed = true
-	onCrash := w.onCrash
-	w.mu.Unlock()
-	if first {
-		go w.Kill() // asynchronous: Kill waits for all requests in flight, including this one
-		onCrash()
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // startRun records a request as running.
 func (w *Worker) startRun(r *http.Request) *Run {
 	body := make([]byte, r.ContentLength+1)
--- /dev/null
+++ b/testbed/standin/crash_moments_test.go
@@ -0,0 +1,118 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Requests that crash workers come from so many senders, each so long after its last answer.
+const (
+	deadlySenders  = 4
+	deadlyPause    = 150 * time.Millisecond
+	deadlyDuration = 4 * time.Second
+)
+
+// sendSteadily sends requests that crash workers at a steady pace until ctx ends.
+func (c *crashingWorkers) sendSteadily(ctx context.Context) {
+	var mu sync.Mutex
+	var senders sync.WaitGroup
+	for i := range deadlySenders {
+		senders.Go(func() {
+			for n := i; ctx.Err() == nil; n++ {
+				mu.Lock()
+				r := c.newDeadly()
+				mu.Unlock()
+				c.s.daemons[n%len(c.s.daemons)].Send(ctx, r)
+				select {
+				case <-time.After(deadlyPause):
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	senders.Wait()
+}
+
+// checkHeldBack sends requests that crash workers until they are to be held back, and longer. It checks
+// that no more than allowed reach workers later, and that others are served at the first attempt at least
+// half as often as before.
+func (c *crashingWorkers) checkHeldBack(others *backgroundCallers, crashes int) {
+	t := c.s.t
+	const span, least = 2 * time.Second, 20
+	begunBefore, before := others.firstAttempts(span)
+	ctx, cancel := context.WithCancel(t.Context())
+	var sending sync.WaitGroup
+	sending.Go(func() { c.sendSteadily(ctx) })
+	defer sending.Wait()
+	defer cancel()
+	eventually(t, fmt.Sprint(crashes, " workers have crashed"), func() bool { return c.crashed() >= crashes })
+	propagated := time.Now().Add(holdPropagation)
+	time.Sleep(2 * holdPropagation)
+	begun, first := others.firstAttempts(span)
+	late := c.arrivalsSince(propagated)
+	t.Logf("%d workers crashed, %d requests came late; others at the first attempt: %d of %d before, %d of %d while it is held", c.crashed(), late, before, begunBefore, first, begun)
+	must.LessEq(t, maxHeldArrivals, late, must.Sprint("requests that crash workers went on to reach them"))
+	must.GreaterEq(t, least, begunBefore)
+	must.GreaterEq(t, least, begun)
+	must.GreaterEq(t, float64(before)/float64(begunBefore)/2, float64(first)/float64(begun), must.Sprint("others weren't served"))
+}
+
+// crashed returns the number of workers that have crashed.
+func (c *crashingWorkers) crashed() int {
+	n := 0
+	for _, w := range c.all() {
+		if w.Crashed() {
+			n++
+		}
+	}
+	return n
+}
+
+// crashKinds are the moments of a crash with a port that refuses connections at once, and the other ways
+// in which a worker that crashes before its answer is no longer there.
+var crashKinds = map[string]Crash{
+	"waiting":           {Moment: CrashWaiting},
+	"before_the_head":   {Moment: CrashBeforeHead},
+	"after_the_head":    {Moment: CrashAfterHead},
+	"in_the_first":      {Moment: CrashInFirstEvent},
+	"after_the_first":   {Moment: CrashAfterFirstEvent},
+	"after_many":        {Moment: CrashAfterManyEvents},
+	"refuses_late":      {Moment: CrashAfterHead, End: EndRefusesLate},
+	"resets":            {Moment: CrashAfterHead, End: EndResets},
+	"silent":            {Moment: CrashAfterHead, End: EndSilent},
+	"before_and_silent": {Moment: CrashBeforeHead, End: EndSilent},
+}
+
+// TestCrash_PartAtAnyMoment guards against a part of prompts that isn't held back since its workers crash
+// at another moment of the answer, or don't refuse connections after it.
+func TestCrash_PartAtAnyMoment(t *testing.T) {
+	for name, crash := range crashKinds {
+		t.Run(name, func(t *testing.T) {
+			s, c := newDeadlyPartClusterOf(t, crash)
+			others := startPartCallers(s)
+			s.awaitServed(s.daemons...)
+			c.checkHeldBack(others, maxPartCrashes)
+		})
+	}
+}
+
+// TestCrash_RequestAtAnyMoment guards against the same for a single request.
+func TestCrash_RequestAtAnyMoment(t *testing.T) {
+	for _, name := range []string{"waiting", "before_the_head", "in_the_first", "after_the_first", "after_many", "refuses_late"} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestCluster(t, 0)
+			c := newCrashingWorkers(s, "it crashes workers")
+			c.crash = crashKinds[name]
+			c.start()
+			others := startCallersWith(s, 3, func(string, int) http.Header { return streamHeader() })
+			s.awaitServed(s.daemons...)
+			c.checkHeldBack(others, maxCrashes)
+		})
+	}
+}
--- a/testbed/standin/crash_parts_test.go
+++ b/testbed/standin/crash_parts_test.go
@@ -46,8 +46,13 @@
 // newDeadlyPartCluster is newCrashCluster for requests of which no two are alike and that share
 // the deadly part.
 func newDeadlyPartCluster(t *testing.T) (*testCluster, *crashingWorkers) {
+	return newDeadlyPartClusterOf(t, Crash{})
+}
+
+// newDeadlyPartClusterOf is newDeadlyPartCluster for workers that crash in a given way.
+func newDeadlyPartClusterOf(t *testing.T, crash Crash) (*testCluster, *crashingWorkers) {
 	s := newTestCluster(t, 0)
-	c := &crashingWorkers{s: s, deadly: hasDeadlyPart}
+	c := &crashingWorkers{s: s, deadly: hasDeadlyPart, crash: crash}
 	sent := 0
 	c.newDeadly = func() Request {
 		sent++
--- a/testbed/standin/crashing_workers_test.go
+++ b/testbed/standin/crashing_workers_test.go
@@ -17,6 +17,8 @@
 	// deadly selects the requests that crash workers, and newDeadly returns the next one.
 	deadly    func(Run) bool
 	newDeadly func() Request
+	// crash is how the workers crash.
+	crash Crash
 
 	mu      sync.Mutex
 	workers []*Worker
@@ -43,6 +45,7 @@
 	c.ids++
 	w, kill := NewWorker(c.s.store, fmt.Sprint("c", c.ids), "llm", "d1")
 	c.s.t.Cleanup(kill)
+	w.SetCrashKind(c.crash)
 	c.armWorker(w)
 	c.workers = append(c.workers, w)
 }
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -105,6 +105,7 @@
 	hall    string
 	store   *Store
 	server  *httptest.Server
+	port    *port
 
 	mu       sync.Mutex
 	fault    Fault
@@ -133,6 +134,7 @@
 	// deadly selects the requests at which the worker crashes, nil for none. onCrash is called then.
 	deadly  func(Run) bool
 	onCrash func()
+	crash   Crash
 	crashed bool
 	// spoil is how the worker spoils its answers. endless are the answers without end that have ended,
 	// and endlessOpen counts those that haven't.
@@ -158,6 +160,8 @@
 	mux.HandleFunc("GET /report", w.serveReport)
 	mux.HandleFunc("/", w.serve)
 	w.server = httptest.NewUnstartedServer(mux)
+	w.port = &port{Listener: w.server.Listener}
+	w.server.Listener = w.port
 	w.server.Config.ConnContext = withRequestCount
 	w.server.Start()
 	w.publish()
