serving: Give an answer one writer while it moves

Cause: a move succeeded under the lock with the next event in hand, while the attempt that it replaces had read the same event from its own worker and relayed it before its cancellation took effect. The event in hand was then not the next one and ended the answer. Check, then act: recordEvent, the write and recordRelayed were three steps, a move decided between them. Change: the attempt takes the lock once for "I relay this block", before it writes; a move succeeds or that does, never both. An attempt whose answer has gone on elsewhere relays nothing more. Why it holds: relayed is set and the move canceled in the same critical section in which runMove compares it.

--- a/serving/forward.go
+++ b/serving/forward.go
@@ -152,13 +152,11 @@
 	events := newEventReader(reply.Body, e.lastEvent)
 	relay := e.newRelay(reply)
 	for events.next() {
-		err := relay.write(events)
-		var gone *callerError
-		if errors.As(err, &gone) {
-			return &fault{status: http.StatusBadGateway, reason: gone.Error(), aborted: true}
+		if !e.isNext(events) {
+			return e.forwardLost(ctx, p, errEventGap)
 		}
-		if err != nil {
-			return e.forwardLost(ctx, p, err)
+		if err := relay.write(events); err != nil {
+			return &fault{status: http.StatusBadGateway, reason: err.Error(), aborted: true}
 		}
 	}
 	if events.err != nil {
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -19,8 +19,13 @@
 	relay := e.newRelay(reply)
 	for events.next() {
 		e.server.opts.Reach.Answered(target.Worker)
+		if !e.isNext(events) {
+			return e.handleStreamError(ctx, target, errEventGap)
+		}
+		if !watch.relays(events) {
+			return e.handleStreamError(ctx, target, context.Cause(ctx))
+		}
 		if events.isEvent() {
-			watch.recordEvent()
 			if e.stage != quarantine.Producing {
 				e.stage = quarantine.Producing
 				e.recordOutput()
@@ -29,9 +34,6 @@
 		if err := relay.write(events); err != nil {
 			return e.handleStreamError(ctx, target, err)
 		}
-		if events.isEvent() {
-			watch.recordRelayed(e.lastEvent)
-		}
 	}
 	if events.err != nil {
 		return e.handleStreamError(ctx, target, events.err)
@@ -43,6 +45,11 @@
 	return false, nil
 }
 
+// isNext reports whether the current block may be relayed: an event must be the next of the answer.
+func (e *exchange) isNext(events *eventReader) bool {
+	return events.id() == "" || isNextEvent(e.lastEvent, events.id())
+}
+
 // relay passes the blocks of one stream on to the caller.
 type relay struct {
 	exchange *exchange
@@ -65,9 +72,6 @@
 		return nil
 	}
 	if id := events.id(); id != "" {
-		if !isNextEvent(e.lastEvent, id) {
-			return errEventGap
-		}
 		e.lastEvent = id
 	}
 	text := events.block()
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -58,7 +58,7 @@
 	timer *time.Timer
 	due   time.Time // when the timer fires
 	last  time.Time // of the last event, zero before the first
-	// relayed is the id of the last event that the caller has got.
+	// relayed is the id of the last event that the caller gets from this attempt or an earlier one.
 	relayed string
 	// warned is set if others reported the target dead since its last event, reported if this daemon has
 	// reported its silence.
@@ -118,11 +118,29 @@
 	w.timer.Reset(d)
 }
 
-// recordEvent records that the target sent an event.
-func (w *watch) recordEvent() {
+// relays reports whether the attempt relays its current block, and records it if it is an event: no move
+// succeeds after that. It reports false once the answer goes on elsewhere.
+func (w *watch) relays(events *eventReader) bool {
 	now := w.exchange.server.opts.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.move != nil && w.move.events != nil {
+		return false
+	}
+	if events.isEvent() {
+		w.recordEvent(events.id(), now)
+	}
+	return true
+}
+
+// recordEvent records an event that is relayed. The caller holds the lock.
+func (w *watch) recordEvent(id string, now time.Time) {
+	if w.move != nil {
+		w.move.cancel(errNotNeeded)
+	}
+	if id != "" {
+		w.relayed = id
+	}
 	first := w.last.IsZero()
 	since := w.last
 	if first {
@@ -131,9 +149,6 @@
 	w.last = now
 	w.warned = false
 	w.reported = false
-	if w.move != nil && w.move.events == nil {
-		w.move.cancel(errNotNeeded)
-	}
 	balancer := w.exchange.server.opts.Balancer
 	balancer.RecordActivity(w.key, now, now.Sub(since), first)
 	if first {
@@ -145,13 +160,6 @@
 	}
 }
 
-// recordRelayed records that the caller has got an event.
-func (w *watch) recordRelayed(id string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.relayed = id
-}
-
 // warn handles a report that the target is dead. An attempt that waits for its first event moves at
 // once; a stream moves once it has got no event for warnedEventTimeout.
 func (w *watch) warn(now time.Time) {
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -187,7 +187,7 @@
 			e.service, _ = s.opts.Catalogs.Current().Catalog.Service("llm")
 			w := e.watch("m.1", cancel)
 			defer w.stop()
-			w.recordEvent()
+			w.relays(sentEvent(t))
 			w.last = w.last.Add(-time.Minute)
 			w.started = w.last
 			s.opts.Balancer.states["m.1"].lastActivity = w.last
@@ -320,3 +320,10 @@
 		must.EqOp(t, len(upstream.calls), len(slices.Compact(slices.Sorted(slices.Values(upstream.calls)))), must.Sprint("each attempt must go to another group"))
 	}
 }
+
+// sentEvent returns a reader at an event without an id.
+func sentEvent(t *testing.T) *eventReader {
+	events := newEventReader(strings.NewReader("data: x\n\n"), "")
+	must.True(t, events.next())
+	return events
+}
