serving: Move no stream whose request is held back

Cause: a move chooses its target by itself and didn't ask whether the request is held back, so that a silent group's stream with a held part reached one more worker. Found by reading, with the class of the incident: a path that sends and doesn't look. TestMove_HeldRequestStays, red before (one sent).

--- a/serving/move_race_test.go
+++ b/serving/move_race_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/pointpass/pointpass/quarantine"
 	"github.com/pointpass/pointpass/retry"
 )
 
@@ -72,3 +73,19 @@
 		must.SliceEmpty(t, s.opts.Balancer.InFlight())
 	}
 }
+
+// TestMove_HeldRequestStays guards against a request that is held back and reaches another worker since its
+// stream moves there.
+func TestMove_HeldRequestStays(t *testing.T) {
+	upstream := &pausingUpstream{pause: 2 * maxStreamSilence, resume: finishStream}
+	s := newStreamServer(t, nil)
+	s.opts.Guard.SetKey(quarantine.Key{1})
+	s.opts.Upstream = upstreamFunc(func(ctx context.Context, a Attempt) (*Reply, error) {
+		for _, w := range s.watches.list() {
+			s.opts.Guard.ApplyRows([]quarantine.Hold{{Fingerprint: w.print, Version: 5}})
+		}
+		return upstream.Send(ctx, a)
+	})
+	must.Eq(t, []string{wholeStream}, serveStreams(s, 1))
+	must.EqOp(t, 0, upstream.resumed)
+}
--- a/serving/watch.go
+++ b/serving/watch.go
@@ -218,17 +218,22 @@
 func (w *watch) cancelHeld() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.last.IsZero() {
-		return
+	if w.last.IsZero() && w.isHeld() {
+		w.end(errHeld, w.exchange.server.opts.Now())
 	}
+}
+
+// isHeld reports whether the request is held back.
+func (w *watch) isHeld() bool {
 	guard := w.exchange.server.opts.Guard
-	_, held := guard.Held(w.print)
-	if !held {
-		_, held = guard.HeldParts(w.parts)
+	if !guard.Active() {
+		return false
 	}
-	if held {
-		w.end(errHeld, w.exchange.server.opts.Now())
+	if _, held := guard.Held(w.print); held {
+		return true
 	}
+	_, held := guard.HeldParts(w.parts)
+	return held
 }
 
 // check runs when this request got no event for a while. It moves the attempt if the target sends
@@ -282,7 +287,7 @@
 // canMove reports whether the request may be sent to another target.
 func (w *watch) canMove(now time.Time) bool {
 	e := w.exchange
-	if w.attempts+w.sent >= e.maxAttempts() || !e.server.hasRetry(e.service.Name, now) {
+	if w.attempts+w.sent >= e.maxAttempts() || !e.server.hasRetry(e.service.Name, now) || w.isHeld() {
 		return false
 	}
 	targets, _ := e.allowedTargets()
