deps: Log each check of a worker whose answers broke off

The record of the incident can't tell a crash that wasn't noticed from one that didn't count. worker_checked names the worker, whether it has ended, when that was known, and the stages of the requests that were lost there.

--- a/deps/crashreporter.go
+++ b/deps/crashreporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -132,6 +133,7 @@
 		c.add(observation{at: at, crash: crash, outputs: c.opts.Guard.Outputs(crash.Parts())})
 	}
 	c.mu.Unlock()
+	c.logCheck(w, at, ended, runs)
 	if !ended {
 		c.alive.Add(len(runs))
 		return
@@ -140,6 +142,20 @@
 	c.kick()
 }
 
+// logCheck logs whether a worker has ended, and how far the requests were that were lost there.
+func (c *crashReporter) logCheck(w workers.Worker, at time.Time, ended bool, lost []quarantine.LostRequest) {
+	stages := map[quarantine.Stage]int{}
+	for _, r := range lost {
+		stages[r.Stage]++
+	}
+	entry := c.opts.Log.Info().Str("event", "worker_checked").Str("worker", w.ID).Str("group", w.Membership.Group.Name).
+		Bool("ended", ended).Dur("age", clock.Since(at)).Int("requests", len(lost))
+	for _, stage := range slices.Sorted(maps.Keys(stages)) {
+		entry = entry.Int(stage.String(), stages[stage])
+	}
+	entry.Msg("")
+}
+
 // clear reports that a request which is held back has finished normally here.
 func (c *crashReporter) clear(f quarantine.Fingerprint) {
 	c.mu.Lock()
