quarantine: Count crashes at any moment of an answer

What callers saw: a part of prompts that crashes workers is held back only if they crash between the head of an answer and its first event. Cause: evidence that rests on the order in which bytes arrive. Crashes counted against the parts of requests with a head and no output, though no protocol says that a worker sends a head before it crashes; and the first event of an attempt took back all crashes, also where the same attempt broke off a moment later. Change: a crash counts against the parts of all requests that were lost. What tells a part from others is how far other requests with it get: settled, 150 ms of output, or completed. Where many workers end, a crash weighs by how probable it is that a request is lost by chance. The part with the highest charge is held first, and its crashes then count against no other; parts with nearly the same charge together. Only a completed request clears a hold. Single requests count half for each crash at any stage: six in all, three after the third. Why it holds: requests with a deadly part never get past the moment at which it crashes workers, whatever that is; sound ones do at once, anywhere. TestBoard_HoldsNoQueuedOrProducingRequest asked that a request which is lost at eleven crashes and never completed isn't held back. That contradicts the bound of three retries; in its place: held at the sixth, and not if it completes. TestServe_ReportsPartsOfBegunRequests asked for no parts of others; now for all.

--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -242,7 +242,7 @@
 		for _, parts := range q.board.Output(o) {
 			f := parts.Fingerprint()
 			q.scheduleRemoval(f, now)
-			q.edge.Log.Warn().Str("event", "parts_cleared").Str("fingerprint", f.String()).Str("reporter", r.Reporter).Msg("a worker produced output on the parts at the reporter")
+			q.edge.Log.Warn().Str("event", "parts_cleared").Str("fingerprint", f.String()).Str("reporter", r.Reporter).Msg("requests with the parts were completed at the reporter")
 		}
 	}
 	for _, f := range r.Finished {
@@ -283,6 +283,7 @@
 	}
 	now := clock.Now()
 	q.mu.Lock()
+	q.board.SetWorkers(len(q.edge.Workers.View().Groups()))
 	verdicts := q.board.Evaluate(now)
 	parts := q.board.EvaluateParts(now)
 	keyMissing := q.keyMissing
--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -14,9 +15,12 @@
 	// tiedHoldCharge is the charge at which a request is held back even if another request of
 	// the crash has the same charge. A client that retries once causes four sends.
 	tiedHoldCharge = 5
-	// bystanderCharge is what a crash counts against a request that was queued at the worker or
-	// already producing output. Four sends add up to one whole crash.
-	bystanderCharge = 0.25
+	// unknownStageCharge is what a crash counts against a request whatever the worker had done with it:
+	// no protocol says what a worker has sent when it crashes. A request that is lost at three workers
+	// and at three more may reach no other.
+	unknownStageCharge = 0.5
+	// stormCharge is the same during a crash storm. Four sends add up to one whole crash.
+	stormCharge = 0.25
 	// resendDiscount is subtracted, during a crash storm, for a crash under a request that was
 	// resent from another worker in the same try: requests lost with one worker are often
 	// resent to the same worker and lost together again. Without it, 47 of 2,160,000 harmless
@@ -142,7 +146,7 @@
 	if c.attributed {
 		return
 	}
-	for f := range c.requests {
+	for _, f := range slices.SortedFunc(maps.Keys(c.requests), compare) {
 		if b.held[f] {
 			c.attributed = true
 			c.attributedTo = f
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -21,23 +21,23 @@
 	attributedParts PartSet
 }
 
-// begunWith reports whether the worker had begun a request whose prompt has all parts of a set.
-func (c *crash) begunWith(s PartSet) bool {
+// lostWith reports whether a request whose prompt has all parts of a set was lost.
+func (c *crash) lostWith(s PartSet) bool {
 	for _, r := range c.requests {
-		if r.Stage == Begun && s.In(r.Parts) {
+		if s.In(r.Parts) {
 			return true
 		}
 	}
 	return false
 }
 
-// suspectedRuns returns the lost requests whose parts the crash counts against: those that had
-// begun, or the held request or those with the held parts that the crash is attributed to.
+// suspectedRuns returns the lost requests whose parts the crash counts against: all of them, or the held
+// request or those with the held parts that the crash is attributed to.
 func (c *crash) suspectedRuns() []LostRequest {
 	var runs []LostRequest
 	for _, r := range c.requests {
 		switch {
-		case r.Stage != Begun || len(r.Parts) == 0:
+		case len(r.Parts) == 0:
 		case c.attributedParts != nil && !c.attributedParts.In(r.Parts):
 		case c.attributedParts == nil && c.attributed && r.Fingerprint != c.attributedTo:
 		default:
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -46,18 +46,18 @@
 	finished, finishedBefore map[Fingerprint]time.Time
 	// sets are the holds of two parts or more.
 	sets []Hold
-	// outputs is when this daemon last saw output on parts, outputsBefore that of the previous
+	// outputs is how far requests with parts got at this daemon, outputsBefore that of the previous
 	// generation.
-	outputs, outputsBefore map[Fingerprint]time.Time
+	outputs, outputsBefore map[Fingerprint]progress
 	// watched are the parts whose output is reported, and until when.
 	watched map[Fingerprint]time.Time
 	// reported is when output on them was last reported.
-	reported map[Fingerprint]time.Time
+	reported map[outputKind]time.Time
 }
 
 // NewGuard returns a guard without a key and without holds.
 func NewGuard(now func() time.Time) *Guard {
-	return &Guard{now: now, held: map[Fingerprint]Hold{}, finished: map[Fingerprint]time.Time{}, outputs: map[Fingerprint]time.Time{}, watched: map[Fingerprint]time.Time{}, reported: map[Fingerprint]time.Time{}}
+	return &Guard{now: now, held: map[Fingerprint]Hold{}, finished: map[Fingerprint]time.Time{}, outputs: map[Fingerprint]progress{}, watched: map[Fingerprint]time.Time{}, reported: map[outputKind]time.Time{}}
 }
 
 // SetKey sets the key that all daemons share.
--- a/quarantine/guard_parts.go
+++ b/quarantine/guard_parts.go
@@ -57,37 +57,64 @@
 	return n
 }
 
-// MarkOutput records that a worker produced output on the parts of a prompt. It returns the
-// output to report: that on parts that are watched or held back.
-func (g *Guard) MarkOutput(parts []Fingerprint) (report []Output) {
+// MarkOutput records that a request with the parts of a prompt was settled. It returns the output to
+// report: that on parts that are watched or held back.
+func (g *Guard) MarkOutput(parts []Fingerprint) (report []Output) { return g.markParts(parts, false) }
+
+// MarkPartsCompleted is MarkOutput for a request that was completed.
+func (g *Guard) MarkPartsCompleted(parts []Fingerprint) (report []Output) {
+	return g.markParts(parts, true)
+}
+
+func (g *Guard) markParts(parts []Fingerprint, completed bool) (report []Output) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
 	if len(g.outputs) >= maxFinished {
 		g.outputsBefore = g.outputs
-		g.outputs = make(map[Fingerprint]time.Time, maxFinished)
+		g.outputs = make(map[Fingerprint]progress, maxFinished)
 	}
 	for _, f := range parts {
-		g.outputs[f] = now
+		p := g.progressLocked(f)
+		p.settled = now
+		if completed {
+			p.completed = now
+		}
+		g.outputs[f] = p
 		if now.Before(g.watched[f]) || g.isHeldPartLocked(f) {
-			report = append(report, Output{Part: f, At: now})
+			report = append(report, Output{Part: f, At: now, Completed: completed})
 		}
 	}
 	return g.limitReportsLocked(report, now)
 }
 
+// progressLocked returns how far requests with a part got here. The caller holds the lock.
+func (g *Guard) progressLocked(f Fingerprint) progress {
+	p, found := g.outputs[f]
+	if !found {
+		p = g.outputsBefore[f]
+	}
+	return p
+}
+
+// outputKind is what is limited in its number of reports.
+type outputKind struct {
+	part      Fingerprint
+	completed bool
+}
+
 // limitReportsLocked returns the output on parts that was not reported within outputReportInterval,
 // and records that it is reported now. The caller holds the lock.
 func (g *Guard) limitReportsLocked(report []Output, now time.Time) []Output {
 	report = slices.DeleteFunc(report, func(o Output) bool {
-		at, found := g.reported[o.Part]
+		at, found := g.reported[outputKind{o.Part, o.Completed}]
 		return found && now.Sub(at) < outputReportInterval
 	})
 	if len(g.reported) > maxWatched {
 		clear(g.reported)
 	}
 	for _, o := range report {
-		g.reported[o.Part] = now
+		g.reported[outputKind{o.Part, o.Completed}] = now
 	}
 	return report
 }
@@ -107,12 +134,16 @@
 	return g.outputsLocked(parts)
 }
 
-// Watched reports whether daemons were asked lately about a part of a prompt.
-func (g *Guard) Watched(parts []Fingerprint) bool {
+// Suspected reports whether daemons were asked lately about a part of a prompt and no request with it has been
+// completed here since.
+func (g *Guard) Suspected(parts []Fingerprint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	return slices.ContainsFunc(parts, func(f Fingerprint) bool { return now.Before(g.watched[f]) })
+	return slices.ContainsFunc(parts, func(f Fingerprint) bool {
+		until := g.watched[f]
+		return now.Before(until) && !g.progressLocked(f).completed.After(until.Add(-WatchDuration))
+	})
 }
 
 // isHeldPartLocked reports whether a part is held back, alone or with others. The caller holds
@@ -136,12 +167,12 @@
 func (g *Guard) outputsLocked(parts []Fingerprint) []Output {
 	var list []Output
 	for _, f := range parts {
-		at, found := g.outputs[f]
-		if !found {
-			at, found = g.outputsBefore[f]
+		p := g.progressLocked(f)
+		if !p.completed.IsZero() {
+			list = append(list, Output{Part: f, At: p.completed, Completed: true})
 		}
-		if found {
-			list = append(list, Output{Part: f, At: at})
+		if p.settled.After(p.completed) {
+			list = append(list, Output{Part: f, At: p.settled})
 		}
 	}
 	return list
--- /dev/null
+++ b/quarantine/part_tally.go
@@ -0,0 +1,203 @@
+package quarantine
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Weights of a crash under a part. Where workers end at a high rate, requests are lost by chance: a
+// crash then counts by how improbable that is.
+const (
+	// usualSettlingTime and usualAnswerTime are how long a request usually takes until it is settled, and until
+	// it is completed.
+	usualSettlingTime = 400 * time.Millisecond
+	usualAnswerTime   = 2 * time.Second
+	// fullWeightChance is the chance to be lost at which a crash still counts in full.
+	fullWeightChance = 0.02
+	// earlyWeight is what a crash counts at most under a request that wasn't settled, and anyWeight under one
+	// at any stage: many more requests are at a worker than it begins at a time.
+	earlyWeight = 0.85
+	anyWeight   = 1
+	// usualRestartTime is how long a worker that has crashed is away.
+	usualRestartTime = 3 * time.Second
+	// crashRateSpan is a short time over which the rate of crashes is measured, beside stormWindow.
+	crashRateSpan = time.Second
+)
+
+// partTallies returns the charges of all parts.
+func (b *Board) partTallies(now time.Time) map[Fingerprint]*partTally {
+	tallies := map[Fingerprint]*partTally{}
+	recent := b.recentCrashes(now)
+	for _, c := range b.crashes {
+		for _, r := range c.suspectedRuns() {
+			for _, f := range r.Parts {
+				if c.attributedParts != nil && !slices.Contains(c.attributedParts, f) {
+					continue
+				}
+				if tallies[f] == nil {
+					tallies[f] = &partTally{progress: b.parts.outputs[f]}
+				}
+				tallies[f].add(c, r)
+			}
+		}
+	}
+	for _, t := range tallies {
+		t.weigh(recent, b.parts.workers, now)
+	}
+	return tallies
+}
+
+// recentCrashes are the numbers of crashes within crashRateSpan, usualRestartTime and stormWindow.
+type recentCrashes struct{ span, restarting, window int }
+
+// recentCrashes counts the recent crashes.
+func (b *Board) recentCrashes(now time.Time) recentCrashes {
+	var n recentCrashes
+	for _, c := range b.crashes {
+		n.add(c, now)
+	}
+	return n
+}
+
+func (n *recentCrashes) add(c *crash, now time.Time) {
+	age := now.Sub(c.at)
+	if age < crashRateSpan {
+		n.span++
+	}
+	if age < usualRestartTime {
+		n.restarting++
+	}
+	if age < stormWindow {
+		n.window++
+	}
+}
+
+// partTally accumulates the crashes under one part. They count in three ways, of which the highest charge
+// holds. A part may crash workers right after the head of an answer: then hardly any other request is lost
+// at this stage. Or at any time before a request is settled: then none with the part ever is. Or later: then
+// none is ever completed.
+type partTally struct {
+	progress          progress
+	begun, early, any crashTally
+	crashes           []*crash
+	charge            float64
+	workers           []string
+	// waits is set if the charge will justify a hold later.
+	waits bool
+}
+
+// add counts a crash under a request with the part. The requests of one crash are added one after another.
+func (t *partTally) add(c *crash, r LostRequest) {
+	if len(t.crashes) == 0 || t.crashes[len(t.crashes)-1] != c {
+		t.crashes = append(t.crashes, c)
+	}
+	if c.at.After(t.progress.settled) {
+		if r.Stage == Begun {
+			t.begun.add(c, r.Fingerprint)
+		}
+		if r.Stage != Settled {
+			t.early.add(c, r.Fingerprint)
+		}
+	}
+	if c.at.After(t.progress.completed) {
+		t.any.add(c, r.Fingerprint)
+	}
+}
+
+// weigh sets the charge. The crashes of workers that had no request with the part tell how probable it is
+// that a request is lost by chance.
+func (t *partTally) weigh(recent recentCrashes, workers int, now time.Time) {
+	var own recentCrashes
+	for _, c := range t.crashes {
+		own.add(c, now)
+	}
+	rate := 0.0 // crashes of a worker per second
+	if workers > 0 {
+		running := max(workers-recent.restarting, workers/4, 1)
+		rate = max(float64(recent.span-own.span)/crashRateSpan.Seconds(), float64(recent.window-own.window)/stormWindow.Seconds()) / float64(running)
+	}
+	t.setCharge(&t.begun, 1, 0, now)
+	t.setCharge(&t.early, earlyWeight*crashWeight(rate, usualSettlingTime), usualSettlingTime, now)
+	t.setCharge(&t.any, anyWeight*crashWeight(rate, usualAnswerTime), usualAnswerTime, now)
+}
+
+// setCharge sets the charge to that of a way of counting, if it is higher. It justifies a hold only once
+// requests that were under way at the first crash have had time to get further.
+func (t *partTally) setCharge(by *crashTally, weight float64, usual time.Duration, now time.Time) {
+	charge := weight * by.charge
+	if charge >= partHoldCharge && now.Sub(by.first) < usual {
+		charge = askCharge
+		t.waits = true
+	}
+	if charge > t.charge {
+		t.charge, t.workers = charge, by.workers
+	}
+}
+
+// crashWeight returns what a crash counts if workers end at a rate and a request is at one for d.
+func crashWeight(rate float64, d time.Duration) float64 {
+	chance := 1 - math.Exp(-rate*d.Seconds())
+	if chance <= fullWeightChance {
+		return 1
+	}
+	return math.Log(chance) / math.Log(fullWeightChance)
+}
+
+// crashTally accumulates crashes that count in one way.
+type crashTally struct {
+	charge  float64
+	first   time.Time // of the first crash that counts
+	crashes []*crash  // those that count
+	// requests is how many crashes each request was lost in, and before the most that a request of
+	// the last crash was lost in earlier.
+	requests map[Fingerprint]int
+	before   int
+	workers  []string
+}
+
+// add counts a crash under a request. One that was lost in earlier crashes explains this one, also if
+// others were lost beside it.
+func (t *crashTally) add(c *crash, request Fingerprint) {
+	if t.requests == nil {
+		t.requests = map[Fingerprint]int{}
+	}
+	if !t.isLast(c) {
+		if slices.ContainsFunc(t.crashes, func(o *crash) bool { return o.at.Sub(c.at).Abs() < simultaneousCrashes }) {
+			t.requests[request] = max(t.requests[request], 1)
+			return
+		}
+		if len(t.crashes) == 0 || c.at.Before(t.first) {
+			t.first = c.at
+		}
+		t.crashes = append(t.crashes, c)
+		t.before = 0
+		t.charge += crashCharge(0)
+		if len(t.workers) < maxWorkers {
+			t.workers = append(t.workers, c.worker)
+		}
+	}
+	before := t.requests[request]
+	t.requests[request]++
+	if before > t.before {
+		t.charge += crashCharge(before) - crashCharge(t.before)
+		t.before = before
+	}
+}
+
+// isLast reports whether the last crash that counts is c.
+func (t *crashTally) isLast(c *crash) bool {
+	return len(t.crashes) > 0 && t.crashes[len(t.crashes)-1] == c
+}
+
+// crashCharge returns what a crash counts under a request that was lost in a number of crashes
+// before.
+func crashCharge(before int) float64 {
+	switch before {
+	case 0:
+		return 1
+	case 1:
+		return secondCrashCharge
+	}
+	return 0
+}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -7,16 +7,18 @@
 	"time"
 )
 
-// Charges of parts. A part is charged for the requests that a crashed worker had begun, if no
-// worker has produced output on the part since.
+// Charges of parts. A part is charged for the requests that were lost with a worker, if no request with
+// the part has got further since. See partTally.
 const (
 	// secondCrashCharge is what a second crash under the same request counts; further ones count
 	// nothing. A request that crashes workers by itself must not have its parts held back.
-	secondCrashCharge = 0.5
+	secondCrashCharge = 0.75
 	// askCharge is the charge at which daemons are asked for output on a part, and partHoldCharge
 	// the one at which it is held back.
 	askCharge      = 1.5
 	partHoldCharge = 2.5
+	// nearlyTied is the difference of charges up to which parts aren't told apart.
+	nearlyTied = 0.5
 	// simultaneousCrashes is the time within which crashes count once, as when a rack fails.
 	// A part crashes workers one after another.
 	simultaneousCrashes = 100 * time.Millisecond
@@ -33,15 +35,25 @@
 	maxOutputs = 8192
 )
 
-// Output is the last time at which a worker produced output on a part.
+// Output is the last time at which a request with a part got as far as a stage and its worker lived on.
 type Output struct {
 	Part Fingerprint
 	At   time.Time
+	// Completed is set if the request was completed, else its stage was Settled.
+	Completed bool
+}
+
+// progress is how far requests with a part got.
+type progress struct {
+	// settled is when one was last seen to be settled or completed, completed when one was completed.
+	settled, completed time.Time
 }
 
 // partBoard is the part of a board that covers parts of prompts.
 type partBoard struct {
-	outputs map[Fingerprint]time.Time
+	outputs map[Fingerprint]progress
+	// workers is the number of targets that run requests: workers, or groups of them. 0 means unknown.
+	workers int
 	held    map[Fingerprint]heldSet
 	// asked is when the daemons were asked about a suspected part.
 	asked map[Fingerprint]time.Time
@@ -56,7 +68,7 @@
 }
 
 func newPartBoard() partBoard {
-	return partBoard{outputs: map[Fingerprint]time.Time{}, held: map[Fingerprint]heldSet{}, asked: map[Fingerprint]time.Time{}}
+	return partBoard{outputs: map[Fingerprint]progress{}, held: map[Fingerprint]heldSet{}, asked: map[Fingerprint]time.Time{}}
 }
 
 // SuspectSet is a set of parts with the same charge.
@@ -74,28 +86,50 @@
 	Hold []SuspectSet
 }
 
-// Output records output on a part and returns the held sets that it clears: of each of their
-// parts there was output after the last crash under the set.
+// SetWorkers sets the number of targets that run requests, by which the rate of crashes is judged.
+func (b *Board) SetWorkers(n int) { b.parts.workers = n }
+
+// Output records output on a part and returns the held sets that it clears: a request with each of
+// their parts was completed after the last crash under the set.
 func (b *Board) Output(o Output) (cleared []PartSet) {
-	if !o.At.After(b.parts.outputs[o.Part]) {
+	p := b.parts.outputs[o.Part]
+	if !o.At.After(p.completed) || !o.Completed && !o.At.After(p.settled) {
 		return nil
 	}
 	if len(b.parts.outputs) >= maxOutputs {
 		clear(b.parts.outputs)
 	}
-	b.parts.outputs[o.Part] = o.At
+	p.settled = laterOf(p.settled, o.At)
+	if o.Completed {
+		p.completed = o.At
+	}
+	b.parts.outputs[o.Part] = p
+	if !o.Completed {
+		return nil
+	}
 	for f, h := range b.parts.held {
-		if slices.Contains(h.parts, o.Part) && b.producesAfter(h) {
+		if slices.Contains(h.parts, o.Part) && b.completesAfter(h) {
 			delete(b.parts.held, f)
+			b.withdrawAttribution(h.parts)
 			cleared = append(cleared, h.parts)
 		}
 	}
 	return cleared
 }
 
-// producesAfter reports whether there was output on all parts of a held set after its last crash.
-func (b *Board) producesAfter(h heldSet) bool {
-	return !slices.ContainsFunc(h.parts, func(f Fingerprint) bool { return !b.parts.outputs[f].After(h.last) })
+// completesAfter reports whether requests with all parts of a held set were completed after its last crash.
+func (b *Board) completesAfter(h heldSet) bool {
+	return !slices.ContainsFunc(h.parts, func(f Fingerprint) bool { return !b.parts.outputs[f].completed.After(h.last) })
+}
+
+// withdrawAttribution makes the crashes that were attributed to a set count against others again.
+func (b *Board) withdrawAttribution(s PartSet) {
+	for _, c := range b.crashes {
+		if slices.Equal(c.attributedParts, s) {
+			c.attributedParts = nil
+			b.attributeToParts(c)
+		}
+	}
 }
 
 // HoldParts records that a set is held back. The crashes of its requests count against no other
@@ -114,16 +148,15 @@
 // releaseParts records that a set is no longer held back. Its parts start without a charge.
 func (b *Board) releaseParts(f Fingerprint, now time.Time) {
 	for _, part := range b.parts.held[f].parts {
-		b.parts.outputs[part] = now
+		b.parts.outputs[part] = progress{settled: now, completed: now}
 	}
 	delete(b.parts.held, f)
 }
 
-// attributeToParts attributes a crash to a held set of parts, if a request with them had begun at
-// the worker.
+// attributeToParts attributes a crash to a held set of parts, if a request with them was lost.
 func (b *Board) attributeToParts(c *crash) {
-	for f, h := range b.parts.held {
-		if c.begunWith(h.parts) {
+	for _, f := range slices.SortedFunc(maps.Keys(b.parts.held), compare) {
+		if h := b.parts.held[f]; c.lostWith(h.parts) {
 			c.attributedParts = h.parts
 			h.last = laterOf(h.last, c.at)
 			b.parts.held[f] = h
@@ -143,20 +176,43 @@
 // only once all daemons have had time to report output on its parts.
 func (b *Board) EvaluateParts(now time.Time) PartVerdict {
 	b.dropExpired(now)
-	tallies := b.partTallies()
+	tallies := b.partTallies(now)
 	v := PartVerdict{Ask: b.toAsk(tallies, now)}
-	b.parts.pending = false
+	b.parts.pending = anyWaits(tallies)
+	for {
+		s, found := b.nextToHold(tallies, now)
+		if !found {
+			return v
+		}
+		b.HoldParts(s.Parts, now)
+		v.Hold = append(v.Hold, s)
+		tallies = b.partTallies(now) // the crashes under the set count against no other part any more
+	}
+}
+
+// anyWaits reports whether the charge of a part will justify a hold later.
+func anyWaits(tallies map[Fingerprint]*partTally) bool {
+	for _, t := range tallies {
+		if t.waits {
+			return true
+		}
+	}
+	return false
+}
+
+// nextToHold returns the set to hold back next, false if there is none. It records whether sets wait for
+// answers of daemons.
+func (b *Board) nextToHold(tallies map[Fingerprint]*partTally, now time.Time) (SuspectSet, bool) {
 	for _, s := range b.suspectSets(tallies) {
 		switch {
 		case b.isCovered(s.Parts):
 		case !b.isAsked(s.Parts, now):
 			b.parts.pending = true
 		default:
-			b.HoldParts(s.Parts, now)
-			v.Hold = append(v.Hold, s)
+			return s, true
 		}
 	}
-	return v
+	return SuspectSet{}, false
 }
 
 // toAsk returns the parts to ask about, none if there are no new ones: a question replaces the one
@@ -192,10 +248,13 @@
 	})
 }
 
-// suspectSets returns the sets of parts whose charge justifies a hold: smaller sets first, as they
-// cover larger ones, and then by charge.
+// suspectSets returns the sets of parts whose charge justifies a hold, in the order in which they are to be
+// held back: by charge, as the part that crashes workers explains more crashes than others. Where charges are
+// nearly the same, larger sets come first, which hold back fewer prompts: a part that most prompts share is
+// lost at nearly every crash.
 func (b *Board) suspectSets(tallies map[Fingerprint]*partTally) []SuspectSet {
 	sets := map[Fingerprint]SuspectSet{}
+	top := 0.0
 	for _, c := range b.crashes {
 		if !c.judged || c.attributedParts != nil {
 			continue
@@ -203,12 +262,19 @@
 		for _, r := range c.suspectedRuns() {
 			if s := worstParts(r.Parts, tallies); len(s.Parts) > 0 {
 				sets[s.Parts.Fingerprint()] = s
+				top = max(top, s.Charge)
 			}
 		}
 	}
+	tied := func(s SuspectSet) int {
+		if s.Charge >= top-nearlyTied {
+			return len(s.Parts)
+		}
+		return 0
+	}
 	list := slices.Collect(maps.Values(sets))
 	slices.SortFunc(list, func(a, b SuspectSet) int {
-		return cmp.Or(cmp.Compare(len(a.Parts), len(b.Parts)), cmp.Compare(b.Charge, a.Charge), compare(a.Parts.Fingerprint(), b.Parts.Fingerprint()))
+		return cmp.Or(cmp.Compare(tied(b), tied(a)), cmp.Compare(b.Charge, a.Charge), compare(a.Parts.Fingerprint(), b.Parts.Fingerprint()))
 	})
 	return list
 }
@@ -223,90 +289,23 @@
 	return false
 }
 
-// worstParts returns the parts of a prompt with the highest charge, empty if it justifies no hold.
+// worstParts returns the parts of a prompt with nearly the highest charge, empty if that justifies no hold.
 func worstParts(parts []Fingerprint, tallies map[Fingerprint]*partTally) SuspectSet {
-	s := SuspectSet{Charge: partHoldCharge}
+	var s SuspectSet
 	for _, f := range parts {
-		t := tallies[f]
-		if t == nil || t.charge < s.Charge {
-			continue
+		if t := tallies[f]; t != nil && t.charge > s.Charge {
+			s.Charge = t.charge
+			s.Workers = t.workers
 		}
-		if t.charge > s.Charge {
-			s = SuspectSet{Charge: t.charge}
-		}
-		s.Parts = append(s.Parts, f)
-		s.Workers = t.workers
 	}
-	s.Parts = NewPartSet(s.Parts...)
-	return s
-}
-
-// partTallies returns the charges of all parts, from the crashes after the last output on each.
-func (b *Board) partTallies() map[Fingerprint]*partTally {
-	tallies := map[Fingerprint]*partTally{}
-	for _, c := range b.crashes {
-		for _, r := range c.suspectedRuns() {
-			for _, f := range r.Parts {
-				if !c.at.After(b.parts.outputs[f]) || c.attributedParts != nil && !slices.Contains(c.attributedParts, f) {
-					continue
-				}
-				if tallies[f] == nil {
-					tallies[f] = &partTally{requests: map[Fingerprint]int{}}
-				}
-				tallies[f].add(c, r.Fingerprint)
-			}
-		}
+	if s.Charge < partHoldCharge {
+		return SuspectSet{}
 	}
-	return tallies
-}
-
-// partTally accumulates the crashes under one part.
-type partTally struct {
-	charge  float64
-	crashes []*crash // those that count
-	// requests is how many crashes each request was lost in, and before the most that a request of
-	// the last crash was lost in earlier.
-	requests map[Fingerprint]int
-	before   int
-	workers  []string
-}
-
-// add counts a crash under a request with the part. The requests of one crash are added one after
-// another. One that was lost in earlier crashes explains this one, also if others were lost beside
-// it.
-func (t *partTally) add(c *crash, request Fingerprint) {
-	if !t.isLast(c) {
-		if slices.ContainsFunc(t.crashes, func(o *crash) bool { return o.at.Sub(c.at).Abs() < simultaneousCrashes }) {
-			return
-		}
-		t.crashes = append(t.crashes, c)
-		t.before = 0
-		t.charge += crashCharge(0)
-		if len(t.workers) < maxWorkers {
-			t.workers = append(t.workers, c.worker)
+	for _, f := range parts {
+		if t := tallies[f]; t != nil && t.charge >= s.Charge-nearlyTied {
+			s.Parts = append(s.Parts, f)
 		}
 	}
-	before := t.requests[request]
-	t.requests[request]++
-	if before > t.before {
-		t.charge += crashCharge(before) - crashCharge(t.before)
-		t.before = before
-	}
-}
-
-// isLast reports whether the last crash that counts is c.
-func (t *partTally) isLast(c *crash) bool {
-	return len(t.crashes) > 0 && t.crashes[len(t.crashes)-1] == c
-}
-
-// crashCharge returns what a crash counts under a request that was lost in a number of crashes
-// before.
-func crashCharge(before int) float64 {
-	switch before {
-	case 0:
-		return 1
-	case 1:
-		return secondCrashCharge
-	}
-	return 0
+	s.Parts = NewPartSet(s.Parts...)
+	return s
 }
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -12,11 +12,17 @@
 	Begun
 	// Producing means that parts of the answer have arrived.
 	Producing
+	// Settled means that the worker has gone on for SettleTime after the first part of the answer.
+	Settled
 )
 
+// SettleTime is how long a worker lives on after the first output of a request if that output isn't the
+// last thing before a crash: a few events.
+const SettleTime = 150 * time.Millisecond
+
 // String returns the stage's name in logs.
 func (s Stage) String() string {
-	names := [...]string{"queued", "begun", "producing"}
+	names := [...]string{"queued", "begun", "producing", "settled"}
 	if s < 0 || int(s) >= len(names) {
 		return "unknown"
 	}
@@ -39,7 +45,7 @@
 	if r.Stage == Begun {
 		return 1
 	}
-	return bystanderCharge
+	return unknownStageCharge
 }
 
 // Crash is the end of a worker as one daemon observed it.
--- a/quarantine/tally.go
+++ b/quarantine/tally.go
@@ -1,8 +1,11 @@
 package quarantine
 
-// tally accumulates the crashes under one request.
+// tally accumulates the crashes under one request. They count in two ways, of which the higher charge
+// holds: a request that crashes workers as they begin it is in that stage at each crash, and one that
+// crashes them at any other moment is lost at each crash all the same.
 type tally struct {
-	charge  float64
+	begun   float64
+	crashes int
 	workers []string
 	// resent is how many of the crashes came after the request was resent from another worker,
 	// recent how many were within stormWindow.
@@ -11,12 +14,15 @@
 
 // add counts a crash.
 func (t *tally) add(worker string, r LostRequest, recent bool) {
-	t.charge += r.charge()
+	t.crashes++
 	if recent {
 		t.recent++
 	}
-	if r.Stage == Begun && r.Resent {
-		t.resent++
+	if r.Stage == Begun {
+		t.begun++
+		if r.Resent {
+			t.resent++
+		}
 	}
 	if len(t.workers) < maxWorkers {
 		t.workers = append(t.workers, worker)
@@ -26,9 +32,10 @@
 // suspect returns the request with its charge. Crashes is the number of workers that ended
 // within stormWindow.
 func (t *tally) suspect(f Fingerprint, crashes int) Suspect {
-	s := Suspect{Fingerprint: f, Charge: t.charge, Workers: t.workers}
+	begun, perCrash := t.begun, unknownStageCharge
 	if crashes-t.recent >= stormCrashes {
-		s.Charge -= resendDiscount * float64(t.resent)
+		begun -= resendDiscount * float64(t.resent)
+		perCrash = stormCharge
 	}
-	return s
+	return Suspect{Fingerprint: f, Charge: max(begun, perCrash*float64(t.crashes)), Workers: t.workers}
 }
--- a/relay/crashes.go
+++ b/relay/crashes.go
@@ -38,7 +38,7 @@
 	report.Finished = fingerprints(m.Finished)
 	for _, o := range m.Outputs {
 		if f, ok := quarantine.FromBytes(o.Part); ok {
-			report.Outputs = append(report.Outputs, quarantine.Output{Part: f, At: now.Add(-time.Duration(o.AgeUs) * time.Microsecond)})
+			report.Outputs = append(report.Outputs, quarantine.Output{Part: f, At: now.Add(-time.Duration(o.AgeUs) * time.Microsecond), Completed: o.Completed})
 		}
 	}
 	s.handler.Crashes(report)
@@ -80,7 +80,7 @@
 	}
 	m.Finished = encode(r.Finished)
 	for _, o := range r.Outputs {
-		m.Outputs = append(m.Outputs, &rpc.PartOutput{Part: o.Part[:], AgeUs: now.Sub(o.At).Microseconds()})
+		m.Outputs = append(m.Outputs, &rpc.PartOutput{Part: o.Part[:], AgeUs: now.Sub(o.At).Microseconds(), Completed: o.Completed})
 	}
 	if _, err := c.stub(addr).Crashes(ctx, m); err != nil {
 		return &CallError{Addr: addr, Err: err}
@@ -94,6 +94,8 @@
 		return quarantine.Begun
 	case rpc.RunStage_PRODUCING:
 		return quarantine.Producing
+	case rpc.RunStage_SETTLED:
+		return quarantine.Settled
 	}
 	return quarantine.Queued
 }
@@ -104,6 +106,8 @@
 		return rpc.RunStage_RUN_BEGUN
 	case quarantine.Producing:
 		return rpc.RunStage_PRODUCING
+	case quarantine.Settled:
+		return rpc.RunStage_SETTLED
 	}
 	return rpc.RunStage_QUEUED
 }
--- a/serving/buffered.go
+++ b/serving/buffered.go
@@ -27,9 +27,6 @@
 	}()
 	failed := reply.Status >= http.StatusInternalServerError
 	e.recordAnswer(target, failed)
-	if reply.Status == http.StatusOK {
-		e.recordOutput()
-	}
 	if failed && e.route.IsRepeatable() && e.sent < e.maxAttempts() {
 		e.logFailedAttempt(target, &failedError{status: reply.Status})
 		if relayableStatus(reply.Status) {
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -41,10 +41,10 @@
 	return e.partPrints
 }
 
-// initialStage returns the stage of a request that was just sent. Plain services don't report
-// when they start a request, so theirs count as started at once.
+// initialStage returns the stage of a request that was just sent. Workers of plain services have no
+// queue that shows, so theirs count as started at once.
 func (e *exchange) initialStage() quarantine.Stage {
-	if e.service.Runtime == nil || e.route.Kind != catalog.Stream {
+	if e.service.Runtime == nil {
 		return quarantine.Begun
 	}
 	return quarantine.Queued
@@ -101,12 +101,9 @@
 	if !known {
 		return
 	}
-	lost := quarantine.LostRequest{Fingerprint: f, Stage: e.stage, Resent: len(e.tried) > 1}
-	if lost.Stage == quarantine.Begun {
-		lost.Parts = e.partFingerprints()
-	}
+	lost := quarantine.LostRequest{Fingerprint: f, Stage: e.stage, Resent: len(e.tried) > 1, Parts: e.partFingerprints()}
 	e.server.opts.Crashes.Lost(target.Worker, lost)
-	e.awaitsVerdict = e.server.opts.Guard.Watched(lost.Parts)
+	e.awaitsVerdict = e.server.opts.Guard.Suspected(lost.Parts)
 }
 
 // verdictDelay is how long the deciders take to judge a crash: its reports, the check whether the
@@ -130,20 +127,28 @@
 	}
 }
 
-// recordOutput records that a worker produced output on the parts of the prompt, so that these
-// aren't suspected of the crashes before.
-func (e *exchange) recordOutput() {
-	parts := e.partFingerprints()
-	if len(parts) == 0 {
-		return
+// recordProgress records that the worker has sent an event. Output counts for the parts of the prompt only
+// once the worker has lived on for some time: its first event may be the last thing before a crash.
+func (e *exchange) recordProgress() {
+	switch now := e.server.opts.Now(); {
+	case e.stage < quarantine.Producing:
+		e.stage = quarantine.Producing
+		e.producingAt = now
+	case e.stage == quarantine.Producing && now.Sub(e.producingAt) >= quarantine.SettleTime:
+		e.stage = quarantine.Settled
+		e.reportOutput(e.server.opts.Guard.MarkOutput(e.partFingerprints()))
 	}
-	if outputs := e.server.opts.Guard.MarkOutput(parts); len(outputs) > 0 {
+}
+
+// reportOutput reports output on parts that are suspected or held back.
+func (e *exchange) reportOutput(outputs []quarantine.Output) {
+	if len(outputs) > 0 {
 		e.server.opts.Crashes.Produced(outputs)
 	}
 }
 
-// recordFinished records that a worker finished the request and is alive, so that the
-// request isn't suspected of crashing workers. A stream without an event doesn't show that: if
+// recordFinished records that a worker finished the request and is alive, so that neither the
+// request nor the parts of its prompt are suspected of crashing workers. A stream without an event doesn't show that: if
 // a stream ends with its connection, a crash of the worker looks the same.
 func (e *exchange) recordFinished() {
 	if e.route.Kind == catalog.Stream && e.failure == nil && e.firstEvent.IsZero() {
@@ -152,4 +157,7 @@
 	if f, known := e.fingerprint(); known {
 		e.server.opts.Guard.MarkFinished(f)
 	}
+	if e.status == http.StatusOK && e.forwardedTo == "" {
+		e.reportOutput(e.server.opts.Guard.MarkPartsCompleted(e.partFingerprints()))
+	}
 }
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -38,8 +38,9 @@
 	awaitsVerdict bool
 	// hold is the hold that the request is under, nil if there is none.
 	hold *quarantine.Hold
-	// stage is how far the worker got in the current attempt.
-	stage quarantine.Stage
+	// stage is how far the worker got in the current attempt, producingAt when it sent the first event.
+	stage       quarantine.Stage
+	producingAt time.Time
 	// sent counts the workers that got the request; tried lists the targets of all attempts.
 	sent  int
 	tried []string
--- a/serving/move.go
+++ b/serving/move.go
@@ -230,10 +230,7 @@
 	if m.ctx.Err() != nil || !w.hasPrint {
 		return
 	}
-	lost := quarantine.LostRequest{Fingerprint: w.print, Stage: stage, Resent: true}
-	if stage == quarantine.Begun {
-		lost.Parts = w.parts
-	}
+	lost := quarantine.LostRequest{Fingerprint: w.print, Stage: stage, Resent: true, Parts: w.parts}
 	w.exchange.server.opts.Crashes.Lost(m.target.Worker, lost)
 }
 
--- a/serving/stream.go
+++ b/serving/stream.go
@@ -26,10 +26,7 @@
 			return e.handleStreamError(ctx, target, context.Cause(ctx))
 		}
 		if events.isEvent() {
-			if e.stage != quarantine.Producing {
-				e.stage = quarantine.Producing
-				e.recordOutput()
-			}
+			e.recordProgress()
 		}
 		if err := relay.write(events); err != nil {
 			return e.handleStreamError(ctx, target, err)
@@ -38,7 +35,7 @@
 	if events.err != nil {
 		return e.handleStreamError(ctx, target, events.err)
 	}
-	if reply.EndsWithConnection && e.stage != quarantine.Producing {
+	if reply.EndsWithConnection && e.stage < quarantine.Producing {
 		return e.handleStreamError(ctx, target, errNoEvents)
 	}
 	relay.end()
