deps: Notice the end of a worker whose port doesn't refuse at once

Cause: whether a worker has ended was asked once, by a connection that is refused. Change: a worker that answers is asked again 0.2 and 0.7 s later. The head of a group that answers no probe of its report, twice, has ended, unless this daemon can't reach other workers either; so has a group of which another member refuses connections. worker_checked names what was seen. Why it holds: a worker that lives answers a probe within 0.3 s, one of two, and its port goes on to accept; a daemon that is cut off reports nothing.

--- a/deps/crashreporter.go
+++ b/deps/crashreporter.go
@@ -19,9 +19,6 @@
 )
 
 const (
-	// lossDebounce is how long broken responses of a worker accumulate before it is checked.
-	// All requests that a crash breaks are lost within 10 ms.
-	lossDebounce = 30 * time.Millisecond
 	// maxCheckedWorkers limits how many workers are checked at a time, maxLostPerWorker how
 	// many lost requests are kept for one. A worker runs up to 34 requests at the known sites
 	// and queues as many.
@@ -40,10 +37,9 @@
 	crashReportRetryDelay = 200 * time.Millisecond
 )
 
-// refusalChecker checks whether a worker has ended.
-type refusalChecker interface {
-	// Refuses reports whether a worker refuses connections.
-	Refuses(ctx context.Context, w workers.Worker) bool
+// workerChecker checks workers whose responses broke off.
+type workerChecker interface {
+	check(ctx context.Context, w workers.Worker) checkOutcome
 }
 
 // crashReporter detects workers that crash while running requests of this daemon, and reports them
@@ -84,7 +80,7 @@
 	// Self returns this daemon's name.
 	Self    func() string
 	Guard   *quarantine.Guard
-	Checker refusalChecker
+	Checker workerChecker
 	// Control returns the last observed state of the other daemons.
 	Control func() replica.Control
 	// Send sends a report to a daemon, which may be this one.
@@ -124,17 +120,17 @@
 
 // checkWorker checks whether a worker has ended whose responses broke off.
 func (c *crashReporter) checkWorker(w workers.Worker, at time.Time) {
-	ended := c.opts.Checker.Refuses(context.Background(), w)
+	outcome := c.opts.Checker.check(context.Background(), w)
 	c.mu.Lock()
 	runs := c.lost[w.ID]
 	delete(c.lost, w.ID)
-	if ended {
+	if outcome.ended() {
 		crash := &quarantine.Crash{Worker: w.ID, Reporter: c.opts.Self(), At: at, LostRequests: runs}
 		c.add(observation{at: at, crash: crash, outputs: c.opts.Guard.Outputs(crash.Parts())})
 	}
 	c.mu.Unlock()
-	c.logCheck(w, at, ended, runs)
-	if !ended {
+	c.logCheck(w, at, outcome, runs)
+	if !outcome.ended() {
 		c.alive.Add(len(runs))
 		return
 	}
@@ -142,14 +138,14 @@
 	c.kick()
 }
 
-// logCheck logs whether a worker has ended, and how far the requests were that were lost there.
-func (c *crashReporter) logCheck(w workers.Worker, at time.Time, ended bool, lost []quarantine.LostRequest) {
+// logCheck logs what the checks of a worker showed, and how far the requests were that were lost there.
+func (c *crashReporter) logCheck(w workers.Worker, at time.Time, outcome checkOutcome, lost []quarantine.LostRequest) {
 	stages := map[quarantine.Stage]int{}
 	for _, r := range lost {
 		stages[r.Stage]++
 	}
 	entry := c.opts.Log.Info().Str("event", "worker_checked").Str("worker", w.ID).Str("group", w.Membership.Group.Name).
-		Bool("ended", ended).Dur("age", clock.Since(at)).Int("requests", len(lost))
+		Str("outcome", string(outcome)).Dur("age", clock.Since(at)).Int("requests", len(lost))
 	for _, stage := range slices.Sorted(maps.Keys(stages)) {
 		entry = entry.Int(stage.String(), stages[stage])
 	}
--- a/deps/crashreporter_test.go
+++ b/deps/crashreporter_test.go
@@ -27,13 +27,18 @@
 	reports     map[string][]relay.CrashReport
 	// failures counts the reports to unreachable daemons.
 	failures int
-	// ended are the workers that refuse connections.
+	// ended are the workers that have ended.
 	ended map[string]bool
 }
 
 var errUnreachable = errors.New("daemon is unreachable")
 
-func (d *deciders) Refuses(_ context.Context, w workers.Worker) bool { return d.ended[w.ID] }
+func (d *deciders) check(_ context.Context, w workers.Worker) checkOutcome {
+	if d.ended[w.ID] {
+		return workerRefuses
+	}
+	return workerAlive
+}
 
 func (d *deciders) send(_ context.Context, to replica.Node, r relay.CrashReport) error {
 	d.mu.Lock()
--- a/deps/edge.go
+++ b/deps/edge.go
@@ -127,7 +127,7 @@
 	e.reporter = newReporter(e, peers)
 	e.loads = newLoadReporter(e, peers)
 	e.retries = newRetryShare(e)
-	e.quarantine = newCrashQuarantine(e, peers, upstream)
+	e.quarantine = newCrashQuarantine(e, peers, prober{upstream, orders})
 	e.wireServing(upstream)
 	e.wireControl(orders)
 	e.registerGauges()
--- a/deps/quarantine.go
+++ b/deps/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/pointpass/pointpass/relay"
 	"github.com/pointpass/pointpass/replica"
 	"github.com/pointpass/pointpass/store"
+	"github.com/pointpass/pointpass/workers"
 )
 
 const (
@@ -60,7 +61,7 @@
 	due  time.Time
 }
 
-func newCrashQuarantine(e *Edge, peers *relay.Client, checker refusalChecker) *crashQuarantine {
+func newCrashQuarantine(e *Edge, peers *relay.Client, prober workerProber) *crashQuarantine {
 	q := &crashQuarantine{
 		edge:            e,
 		peers:           peers,
@@ -72,7 +73,7 @@
 	q.crashReporter = newCrashReporter(crashReporterOptions{
 		Self:    q.self,
 		Guard:   e.Guard,
-		Checker: checker,
+		Checker: &crashChecker{prober: prober, others: q.otherMembers, cut: e.reach.Cut},
 		Control: func() replica.Control { return e.followers.control.Load().Control },
 		Send:    q.sendReport,
 		Metrics: e.Metrics,
@@ -87,6 +88,17 @@
 	return q
 }
 
+// otherMembers returns the other workers of the group that a worker is the head of.
+func (q *crashQuarantine) otherMembers(w workers.Worker) []workers.Worker {
+	for _, g := range q.edge.Workers.View().Groups() {
+		if g.ID == w.Membership.Group {
+			members := append(slices.Clone(g.Members), g.Lost...)
+			return slices.DeleteFunc(members, func(m workers.Worker) bool { return m.ID == w.ID })
+		}
+	}
+	return nil
+}
+
 func (q *crashQuarantine) self() string { return q.edge.settings.Current().Name() }
 
 // sendReport sends a crash report to a daemon, which may be this one.
