quarantine: Judge parts by crashes that all daemons have reported

Cause: a crash counted as soon as the first daemon had reported it. Change: only crashes count that all daemons have had time to report; daemons are still asked at once. TestParts_CrashThatIsHalfReportedCountsLater, red before.

--- a/quarantine/part_tally.go
+++ b/quarantine/part_tally.go
@@ -25,11 +25,15 @@
 	crashRateSpan = time.Second
 )
 
-// partTallies returns the charges of all parts.
-func (b *Board) partTallies(now time.Time) map[Fingerprint]*partTally {
+// partTallies returns the charges of all parts, from the crashes that all daemons have had time to report or
+// from all. A crash that only some have reported lacks requests that others had there.
+func (b *Board) partTallies(now time.Time, judgedOnly bool) map[Fingerprint]*partTally {
 	tallies := map[Fingerprint]*partTally{}
 	recent := b.recentCrashes(now)
 	for _, c := range b.crashes {
+		if judgedOnly && !c.judged {
+			continue
+		}
 		for _, r := range c.suspectedRuns() {
 			for _, f := range r.Parts {
 				if c.attributedParts != nil && !slices.Contains(c.attributedParts, f) {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -176,8 +176,8 @@
 // only once all daemons have had time to report output on its parts.
 func (b *Board) EvaluateParts(now time.Time) PartVerdict {
 	b.dropExpired(now)
-	tallies := b.partTallies(now)
-	v := PartVerdict{Ask: b.toAsk(tallies, now)}
+	v := PartVerdict{Ask: b.toAsk(b.partTallies(now, false), now)}
+	tallies := b.partTallies(now, true)
 	b.parts.pending = anyWaits(tallies)
 	for {
 		s, found := b.nextToHold(tallies, now)
@@ -186,7 +186,7 @@
 		}
 		b.HoldParts(s.Parts, now)
 		v.Hold = append(v.Hold, s)
-		tallies = b.partTallies(now) // the crashes under the set count against no other part any more
+		tallies = b.partTallies(now, true) // the crashes under the set count against no other part any more
 	}
 }
 
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -163,6 +163,24 @@
 	must.SliceLen(t, 1, s.crashWith(lostAt(Settled, 3, shared)))
 }
 
+// TestParts_CrashThatIsHalfReportedCountsLater guards against holding back a part that most prompts share, since a
+// daemon that had no request with the deadly part there is the first to report a crash.
+func TestParts_CrashThatIsHalfReportedCountsLater(t *testing.T) {
+	s := newTestBoard()
+	for n := range 2 {
+		must.SliceEmpty(t, s.crashWith(lostWith(n, shared, deadly), lostWith(10+n, shared)))
+	}
+	s.now = s.now.Add(time.Second)
+	s.board.Report(Crash{Worker: "w9", Reporter: "e2", At: s.now, LostRequests: []LostRequest{lostWith(12, shared)}}, s.now)
+	must.SliceEmpty(t, s.board.EvaluateParts(s.now).Hold)
+	s.board.Report(Crash{Worker: "w9", Reporter: "e1", At: s.now, LostRequests: []LostRequest{lostWith(2, shared, deadly)}}, s.now)
+	s.now = s.now.Add(judgeDelay)
+	s.board.Evaluate(s.now)
+	v := s.board.EvaluateParts(s.now)
+	must.SliceLen(t, 1, v.Hold)
+	must.Eq(t, partSet(shared, deadly), v.Hold[0].Parts)
+}
+
 // TestParts_TiedPartsAreHeldTogether guards against holding back a sound part that came with the
 // deadly one each time: only requests with both are held back until one crash tells them apart.
 func TestParts_TiedPartsAreHeldTogether(t *testing.T) {
