quarantine: Count the end of a worker once

Cause: requests that were sent to the silent workers were lost as their ports closed, 1 to 2 s later, and counted as further crashes without the part: these raised the rate of other crashes, so that those with the part weighed less. Evidence: worker_crashed names c2, c4, c8 and others twice; charge 2.50 after nine crashes. TestParts_RequestsSentToACrashedWorkerProveNothing, red before. Change: a crash of a worker within the time that it needs to be back counts for no part and for no rate. Fields of a part's charges are named by their evidence.

--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -75,7 +75,7 @@
 	b.dropExpired(now)
 	c := b.find(r)
 	if c == nil {
-		c = &crash{worker: r.Worker, at: r.At, reported: now, requests: map[Fingerprint]LostRequest{}}
+		c = &crash{worker: r.Worker, at: r.At, reported: now, requests: map[Fingerprint]LostRequest{}, repeated: b.crashedBefore(r)}
 		b.crashes = append(b.crashes, c)
 	}
 	if !slices.Contains(c.reporters, r.Reporter) {
@@ -100,6 +100,13 @@
 	return nil
 }
 
+// crashedBefore reports whether the worker of a report has crashed so recently that it can't be back.
+func (b *Board) crashedBefore(r Crash) bool {
+	return slices.ContainsFunc(b.crashes, func(c *crash) bool {
+		return c.worker == r.Worker && r.At.Sub(c.at).Abs() < usualRestartTime
+	})
+}
+
 // Hold records that a request is held back.
 func (b *Board) Hold(f Fingerprint) {
 	if b.held[f] {
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -14,6 +14,9 @@
 	reporters []string
 	requests  map[Fingerprint]LostRequest
 	judged    bool
+	// repeated is set if the worker had crashed shortly before. Requests that were sent to it meanwhile are
+	// lost when its port is closed; they tell nothing of their parts.
+	repeated bool
 	// attributed reports whether a held request, attributedTo, was among the lost requests.
 	attributed   bool
 	attributedTo Fingerprint
--- a/quarantine/part_tally.go
+++ b/quarantine/part_tally.go
@@ -15,10 +15,11 @@
 	usualAnswerTime   = 2 * time.Second
 	// fullWeightChance is the chance to be lost at which a crash still counts in full.
 	fullWeightChance = 0.02
-	// earlyWeight is what a crash counts at most under a request that wasn't settled, and anyWeight under one
-	// at any stage: many more requests are at a worker than it begins at a time.
-	earlyWeight = 0.85
-	anyWeight   = 1
+	// unsettledWeight is what a crash counts at most under a request that wasn't settled: many more requests wait at
+	// a worker than it begins at a time. uncompletedWeight is the same under a request at any stage, for which the
+	// evidence of those that are completed is awaited longer.
+	unsettledWeight   = 0.85
+	uncompletedWeight = 1
 	// usualRestartTime is how long a worker that has crashed is away.
 	usualRestartTime = 3 * time.Second
 	// crashRateSpan is a short time over which the rate of crashes is measured, beside stormWindow.
@@ -31,7 +32,7 @@
 	tallies := map[Fingerprint]*partTally{}
 	recent := b.recentCrashes(now)
 	for _, c := range b.crashes {
-		if judgedOnly && !c.judged {
+		if c.repeated || judgedOnly && !c.judged {
 			continue
 		}
 		for _, r := range c.suspectedRuns() {
@@ -59,7 +60,9 @@
 func (b *Board) recentCrashes(now time.Time) recentCrashes {
 	var n recentCrashes
 	for _, c := range b.crashes {
-		n.add(c, now)
+		if !c.repeated {
+			n.add(c, now)
+		}
 	}
 	return n
 }
@@ -82,11 +85,11 @@
 // at this stage. Or at any time before a request is settled: then none with the part ever is. Or later: then
 // none is ever completed.
 type partTally struct {
-	progress          progress
-	begun, early, any crashTally
-	crashes           []*crash
-	charge            float64
-	workers           []string
+	progress                      progress
+	begun, unsettled, uncompleted crashTally
+	crashes                       []*crash
+	charge                        float64
+	workers                       []string
 	// waits is set if the charge will justify a hold later.
 	waits bool
 }
@@ -101,11 +104,11 @@
 			t.begun.add(c, r.Fingerprint)
 		}
 		if r.Stage != Settled {
-			t.early.add(c, r.Fingerprint)
+			t.unsettled.add(c, r.Fingerprint)
 		}
 	}
 	if c.at.After(t.progress.completed) {
-		t.any.add(c, r.Fingerprint)
+		t.uncompleted.add(c, r.Fingerprint)
 	}
 }
 
@@ -122,8 +125,8 @@
 		rate = max(float64(recent.span-own.span)/crashRateSpan.Seconds(), float64(recent.window-own.window)/stormWindow.Seconds()) / float64(running)
 	}
 	t.setCharge(&t.begun, 1, 0, now)
-	t.setCharge(&t.early, earlyWeight*crashWeight(rate, usualSettlingTime), usualSettlingTime, now)
-	t.setCharge(&t.any, anyWeight*crashWeight(rate, usualAnswerTime), usualAnswerTime, now)
+	t.setCharge(&t.unsettled, unsettledWeight*crashWeight(rate, usualSettlingTime), usualSettlingTime, now)
+	t.setCharge(&t.uncompleted, uncompletedWeight*crashWeight(rate, usualAnswerTime), usualAnswerTime, now)
 }
 
 // setCharge sets the charge to that of a way of counting, if it is higher. It justifies a hold only once
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -256,7 +256,7 @@
 	sets := map[Fingerprint]SuspectSet{}
 	top := 0.0
 	for _, c := range b.crashes {
-		if !c.judged || c.attributedParts != nil {
+		if !c.judged || c.repeated || c.attributedParts != nil {
 			continue
 		}
 		for _, r := range c.suspectedRuns() {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -181,6 +181,24 @@
 	must.Eq(t, partSet(shared, deadly), v.Hold[0].Parts)
 }
 
+// TestParts_RequestsSentToACrashedWorkerProveNothing guards against sound parts that are charged, and deadly ones that
+// count less, since a crashed worker goes on to accept requests for some time.
+func TestParts_RequestsSentToACrashedWorkerProveNothing(t *testing.T) {
+	s := newTestBoard()
+	s.board.SetWorkers(6)
+	for n := range 3 {
+		worker := fmt.Sprint("w", n)
+		s.board.Report(Crash{Worker: worker, Reporter: "e1", At: s.now, LostRequests: []LostRequest{lostAt(Queued, n, deadly)}}, s.now)
+		s.now = s.now.Add(sameCrashWindow)
+		s.board.Report(Crash{Worker: worker, Reporter: "e1", At: s.now, LostRequests: []LostRequest{lostAt(Queued, 10+n, shared)}}, s.now)
+		s.judge()
+	}
+	s.board.EvaluateParts(s.now)
+	v := s.board.EvaluateParts(s.now.Add(askDelay))
+	must.SliceLen(t, 1, v.Hold)
+	must.Eq(t, partSet(deadly), v.Hold[0].Parts)
+}
+
 // TestParts_TiedPartsAreHeldTogether guards against holding back a sound part that came with the
 // deadly one each time: only requests with both are held back until one crash tells them apart.
 func TestParts_TiedPartsAreHeldTogether(t *testing.T) {
