--- a/testbed/standin/crash_moments_test.go
+++ b/testbed/standin/crash_moments_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,9 +15,10 @@
 
 // Requests that crash workers come from so many senders, each so long after its last answer.
 const (
-	deadlySenders  = 4
-	deadlyPause    = 150 * time.Millisecond
-	deadlyDuration = 4 * time.Second
+	deadlySenders = 4
+	deadlyPause   = 150 * time.Millisecond
+	// clustersAtATime is how many clusters run side by side.
+	clustersAtATime = 3
 )
 
 // sendSteadily sends requests that crash workers at a steady pace until ctx ends.
@@ -89,30 +92,41 @@
 	"before_and_silent": {Moment: CrashBeforeHead, End: EndSilent},
 }
 
+// forEachCrash runs a test for some crashes, a few at a time.
+func forEachCrash(t *testing.T, names []string, test func(t *testing.T, crash Crash)) {
+	for chunk := range slices.Chunk(names, clustersAtATime) {
+		t.Run("group", func(t *testing.T) {
+			for _, name := range chunk {
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					test(t, crashKinds[name])
+				})
+			}
+		})
+	}
+}
+
 // TestCrash_PartAtAnyMoment guards against a part of prompts that isn't held back since its workers crash
 // at another moment of the answer, or don't refuse connections after it.
 func TestCrash_PartAtAnyMoment(t *testing.T) {
-	for name, crash := range crashKinds {
-		t.Run(name, func(t *testing.T) {
-			s, c := newDeadlyPartClusterOf(t, crash)
-			others := startPartCallers(s)
-			s.awaitServed(s.daemons...)
-			c.checkHeldBack(others, maxPartCrashes)
-		})
-	}
+	forEachCrash(t, slices.Sorted(maps.Keys(crashKinds)), func(t *testing.T, crash Crash) {
+		s, c := newDeadlyPartClusterOf(t, crash)
+		others := startPartCallers(s)
+		s.awaitServed(s.daemons...)
+		c.checkHeldBack(others, maxPartCrashes)
+	})
 }
 
 // TestCrash_RequestAtAnyMoment guards against the same for a single request.
 func TestCrash_RequestAtAnyMoment(t *testing.T) {
-	for _, name := range []string{"waiting", "before_the_head", "in_the_first", "after_the_first", "after_many", "refuses_late"} {
-		t.Run(name, func(t *testing.T) {
-			s := newTestCluster(t, 0)
-			c := newCrashingWorkers(s, "it crashes workers")
-			c.crash = crashKinds[name]
-			c.start()
-			others := startCallersWith(s, 3, func(string, int) http.Header { return streamHeader() })
-			s.awaitServed(s.daemons...)
-			c.checkHeldBack(others, maxCrashes)
-		})
-	}
+	names := []string{"waiting", "before_the_head", "in_the_first", "after_the_first", "after_many", "refuses_late"}
+	forEachCrash(t, names, func(t *testing.T, crash Crash) {
+		s := newTestCluster(t, 0)
+		c := newCrashingWorkers(s, "it crashes workers")
+		c.crash = crash
+		c.start()
+		others := startCallersWith(s, 3, func(string, int) http.Header { return streamHeader() })
+		s.awaitServed(s.daemons...)
+		c.checkHeldBack(others, maxCrashes)
+	})
 }
