--- a/serving/forward_test.go
+++ b/serving/forward_test.go
@@ -203,6 +203,21 @@
 	must.SliceEmpty(t, f.demand)
 }
 
+// TestServeForwarded_ReportsLostRequests guards against crashes under forwarded requests that count for nothing: the
+// daemon that runs a request for another reports what becomes of it, and of the parts of its prompt.
+func TestServeForwarded_ReportsLostRequests(t *testing.T) {
+	for _, lost := range []handler{loseAnswer, cutStream} {
+		f, b, _ := newGuardedFleet(catalog.Stream, lost, finishStream)
+		req := &Request{ID: "1", Method: http.MethodPost, Host: "a.example", Path: "/x", Credential: "key", Model: "m", SharedParts: []string{"a1"}, Timeout: time.Minute}
+		f.server.ServeForwarded(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://a.example/x", nil), Forward{Attempt: Attempt{Request: req}, Attempts: 2, From: "other", ConfigVersion: 1})
+		must.SliceLen(t, 1, b.runs)
+		must.SliceLen(t, 1, b.runs[0].Parts)
+		outputs := f.server.opts.Guard.Outputs(b.runs[0].Parts)
+		must.SliceLen(t, 1, outputs)
+		must.True(t, outputs[0].Completed, must.Sprint("it is completed elsewhere"))
+	}
+}
+
 // TestForward_PeersAreChosenByRegions checks that peers are chosen by the regions where both route
 // and customer allow a request.
 func TestForward_PeersAreChosenByRegions(t *testing.T) {
