quarantine: Ask about nearly tied parts, and judge large boards faster

Read in the diff: a part that may be held back with another one wasn't asked about while 256 others were, so that the set would have waited for its answer forever; toAsk's case in TestParts_ManySuspectsDoNotHideTheDeadlyOne.

--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -153,11 +152,10 @@
 	if c.attributed {
 		return
 	}
-	for _, f := range slices.SortedFunc(maps.Keys(c.requests), compare) {
-		if b.held[f] {
+	for f := range b.held {
+		if _, lost := c.requests[f]; lost && (!c.attributed || compare(f, c.attributedTo) < 0) {
 			c.attributed = true
 			c.attributedTo = f
-			return
 		}
 	}
 }
@@ -225,7 +223,12 @@
 // Unjudged reports whether crashes are waiting to be judged, or answers about suspected parts are
 // awaited.
 func (b *Board) Unjudged() bool {
-	return b.parts.pending || slices.ContainsFunc(b.crashes, func(c *crash) bool { return !c.judged })
+	return b.parts.pending || b.anyUnjudged()
+}
+
+// anyUnjudged reports whether crashes are waiting to be judged.
+func (b *Board) anyUnjudged() bool {
+	return slices.ContainsFunc(b.crashes, func(c *crash) bool { return !c.judged })
 }
 
 // charges returns the charge of each request, from the crashes that aren't attributed to a held
--- a/quarantine/part_tally.go
+++ b/quarantine/part_tally.go
@@ -40,10 +40,12 @@
 				if c.attributedParts != nil && !slices.Contains(c.attributedParts, f) {
 					continue
 				}
-				if tallies[f] == nil {
-					tallies[f] = &partTally{progress: b.parts.outputs[f]}
+				t := tallies[f]
+				if t == nil {
+					t = &partTally{progress: b.parts.outputs[f]}
+					tallies[f] = t
 				}
-				tallies[f].add(c, r)
+				t.add(c, r)
 			}
 		}
 	}
@@ -170,7 +172,7 @@
 		t.requests = map[Fingerprint]int{}
 	}
 	if !t.isLast(c) {
-		if slices.ContainsFunc(t.crashes, func(o *crash) bool { return o.at.Sub(c.at).Abs() < simultaneousCrashes }) {
+		if t.countedNear(c) {
 			t.requests[request] = max(t.requests[request], 1)
 			return
 		}
@@ -192,6 +194,21 @@
 	}
 }
 
+// countedNear reports whether a crash at nearly the same time counts already. Crashes are added nearly in the order
+// of their times.
+func (t *crashTally) countedNear(c *crash) bool {
+	for _, o := range slices.Backward(t.crashes) {
+		age := c.at.Sub(o.at)
+		if age.Abs() < simultaneousCrashes {
+			return true
+		}
+		if age > crashRateSpan {
+			return false
+		}
+	}
+	return false
+}
+
 // isLast reports whether the last crash that counts is c.
 func (t *crashTally) isLast(c *crash) bool {
 	return len(t.crashes) > 0 && t.crashes[len(t.crashes)-1] == c
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -29,7 +29,8 @@
 	WatchDuration = time.Minute
 	// askRepeat is how long a question is repeated along with the next ones.
 	askRepeat = 5 * time.Second
-	// maxAsked bounds how many parts are asked about at a time, beside those that would be held back.
+	// maxAsked bounds how many parts are asked about at a time, beside those that would be held back, alone
+	// or with others.
 	maxAsked = 256
 	// maxOutputs bounds how many parts are remembered as having produced output.
 	maxOutputs = 8192
@@ -71,7 +72,7 @@
 	return partBoard{outputs: map[Fingerprint]progress{}, held: map[Fingerprint]heldSet{}, asked: map[Fingerprint]time.Time{}}
 }
 
-// SuspectSet is a set of parts with the same charge.
+// SuspectSet is a set of parts with nearly the same charge.
 type SuspectSet struct {
 	Parts   PartSet
 	Charge  float64
@@ -176,8 +177,12 @@
 // only once all daemons have had time to report output on its parts.
 func (b *Board) EvaluateParts(now time.Time) PartVerdict {
 	b.dropExpired(now)
-	v := PartVerdict{Ask: b.toAsk(b.partTallies(now, false), now)}
 	tallies := b.partTallies(now, true)
+	all := tallies
+	if b.anyUnjudged() {
+		all = b.partTallies(now, false)
+	}
+	v := PartVerdict{Ask: b.toAsk(all, now)}
 	b.parts.pending = anyWaits(tallies)
 	for {
 		s, found := b.nextToHold(tallies, now)
@@ -222,7 +227,7 @@
 	added := false
 	for f, t := range tallies {
 		_, asked := b.parts.asked[f]
-		if asked || t.charge < askCharge || t.charge < partHoldCharge && len(b.parts.asked) >= maxAsked {
+		if asked || t.charge < askCharge || t.charge < partHoldCharge-nearlyTied && len(b.parts.asked) >= maxAsked {
 			continue
 		}
 		b.parts.asked[f] = now
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -356,4 +356,23 @@
 	s.crashWith(lostWith(1, deadly))
 	s.crashWith(lostWith(2, deadly))
 	must.Eq(t, []PartSet{partSet(deadly)}, s.crashWith(lostWith(3, deadly)))
+	nearlyTiedOne := map[Fingerprint]*partTally{print(other): {charge: partHoldCharge - nearlyTied}}
+	must.SliceContains(t, s.board.toAsk(nearlyTiedOne, s.now), print(other), must.Sprint("it may be held back with another one"))
+}
+
+// BenchmarkBoard_EvaluateParts judges as many crashes as a board keeps, each with forty requests.
+func BenchmarkBoard_EvaluateParts(b *testing.B) {
+	s := newTestBoard()
+	for c := range maxCrashes {
+		var lost []LostRequest
+		for r := range 40 {
+			lost = append(lost, lostAt(Settled, 40*c+r, 60_000+r%6, 20_000+(c*7+r)%2000))
+		}
+		s.board.Report(Crash{Worker: fmt.Sprint(c), Reporter: "e1", At: s.now, LostRequests: lost}, s.now)
+		s.now = s.now.Add(time.Second)
+	}
+	s.board.Evaluate(s.now)
+	for b.Loop() {
+		s.board.EvaluateParts(s.now)
+	}
 }
--- a/serving/crash_test.go
+++ b/serving/crash_test.go
@@ -209,11 +209,13 @@
 	parts := f.server.opts.Guard.FingerprintParts("s", "m", []string{"a1"})
 	must.SliceEmpty(t, f.server.opts.Guard.Outputs(parts))
 
-	f, _, _ = newGuardedFleet(catalog.Stream, finishStream)
-	f.askWith("a1")
-	outputs := f.server.opts.Guard.Outputs(parts)
-	must.SliceLen(t, 1, outputs)
-	must.True(t, outputs[0].Completed)
+	for kind, whole := range map[catalog.Kind]handler{catalog.Stream: finishStream, catalog.Repeatable: buffered(http.StatusOK)} {
+		f, _, _ = newGuardedFleet(kind, whole)
+		f.askWith("a1")
+		outputs := f.server.opts.Guard.Outputs(parts)
+		must.SliceLen(t, 1, outputs)
+		must.True(t, outputs[0].Completed)
+	}
 }
 
 // TestServe_OutputIsSettledOnceItsWorkerHasLivedOn checks that a stream that goes on for some time is settled,
