common/conns: Find connections that become idle before a request waits

The race is the test server's: its WaitGroup was waited for while the accepting goroutine, which didn't belong to it, could still add a connection; and the dial that the test blocks went on after the test and left a connection that nobody closes. The hang is the pool's: a request that found no idle connection started to open one before it registered to be given the next idle one. A connection that became idle in between went to the list, and the request waited for the server that accepts none, though a connection to it was idle.

Now the registration takes an idle connection under the same lock, if there is one. The server's accepting goroutine belongs to its group, so that the group is never empty while it can grow, and the blocked dial fails once the test is over. Ruled out: the transport's own pool, as each connection is opened by NewClientConn.

TestPool_AwaitFindsAConnectionThatIsIdleAlready: red before, green after.

--- a/common/conns/pool.go
+++ b/common/conns/pool.go
@@ -190,11 +190,16 @@
 	p.put(d.c)
 }
 
-// await returns a channel that gets the next connection to an address that becomes idle.
+// await returns a channel that gets an idle connection to an address: one that has become idle since the caller
+// looked for one, or the next one.
 func (p *Pool) await(addr string) chan *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := make(chan *conn, 1)
+	if c := p.popLocked(addr); c != nil {
+		idle <- c
+		return idle
+	}
 	p.waiting[addr] = append(p.waiting[addr], idle)
 	return idle
 }
@@ -219,6 +224,11 @@
 func (p *Pool) pop(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.popLocked(addr)
+}
+
+// popLocked is pop for a caller that holds the lock.
+func (p *Pool) popLocked(addr string) *conn {
 	list := p.idle[addr]
 	if len(list) == 0 {
 		return nil
--- a/common/conns/pool_test.go
+++ b/common/conns/pool_test.go
@@ -33,7 +33,7 @@
 	var running sync.WaitGroup
 	t.Cleanup(running.Wait)
 	t.Cleanup(func() { l.Close() })
-	go func() {
+	running.Go(func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
@@ -42,7 +42,7 @@
 			n := int(s.connections.Add(1)) - 1
 			running.Go(func() { s.serve(conn, n, answer) })
 		}
-	}()
+	})
 	return s
 }
 
@@ -217,6 +217,7 @@
 		if s.requests.Load() > 0 {
 			close(blocked)
 			<-t.Context().Done()
+			return nil, t.Context().Err()
 		}
 		return dial(ctx, network, addr)
 	}
@@ -239,6 +240,22 @@
 	must.EqOp(t, 1, s.connections.Load())
 }
 
+// TestPool_AwaitFindsAConnectionThatIsIdleAlready guards against a request that misses a connection which
+// became idle after it had looked for one and before it waited.
+func TestPool_AwaitFindsAConnectionThatIsIdleAlready(t *testing.T) {
+	s := newServer(t, func(int, int) string { return okResponse })
+	p := newPool(t)
+	_, err := ask(t, p, s.addr, http.MethodGet, Sending{})
+	must.NoError(t, err)
+	idle := p.await(s.addr)
+	must.EqOp(t, 1, len(idle))
+	must.Nil(t, p.pop(s.addr))
+	p.stopAwaiting(s.addr, idle)
+	c := p.pop(s.addr)
+	must.NotNil(t, c)
+	c.cc.Close()
+}
+
 // TestLosses_FreshTimeGrows checks how long no connections are kept after losses.
 func TestLosses_FreshTimeGrows(t *testing.T) {
 	l := losses{}
