deps: Probe a worker that may be silent twice at a time

All groups crash within 100 ms, which counts once, and the groups that form meanwhile crash at the same requests, so that each wave waits for all of it.

Change: the second probe starts 0.15 s after the first and doesn't wait for its outcome. The evidence is the same two probes of 0.3 s; a worker that stalls for 0.45 s right after its answers broke off is now counted as ended (before: one that was silent both in the first 0.3 s and from 0.45 to 0.75 s).

--- a/deps/crashcheck.go
+++ b/deps/crashcheck.go
@@ -13,7 +13,7 @@
 	// lossDebounce is how long broken responses of a worker accumulate before it is checked.
 	// All requests that a crash breaks are lost within 10 ms.
 	lossDebounce = 30 * time.Millisecond
-	// silenceRecheckDelay is the delay of a second check of a worker that didn't answer the first one.
+	// silenceRecheckDelay is how long after the first probe a worker that hasn't answered it is probed again.
 	silenceRecheckDelay = 150 * time.Millisecond
 	// probeTimeout is how long a worker may take to answer a probe.
 	probeTimeout = 300 * time.Millisecond
@@ -66,10 +66,6 @@
 // check checks a worker until it is known to have ended, or has been alive for some time.
 func (c *crashChecker) check(ctx context.Context, w workers.Worker) checkOutcome {
 	outcome := c.probe(ctx, w)
-	if outcome == workerSilent {
-		sleep(ctx, silenceRecheckDelay)
-		outcome = c.probe(ctx, w)
-	}
 	for _, delay := range livenessRechecks {
 		if outcome != workerAlive {
 			break
@@ -85,7 +81,7 @@
 	return outcome
 }
 
-// probe checks a worker once. Only members of groups are probed: others may take a probe for a request.
+// probe checks a worker. Only members of groups are probed: others may take a probe for a request.
 func (c *crashChecker) probe(ctx context.Context, w workers.Worker) checkOutcome {
 	if c.prober.Refuses(ctx, w) {
 		return workerRefuses
@@ -93,9 +89,7 @@
 	if w.Membership.Group.Name == "" {
 		return workerAlive
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	if !c.prober.Answers(ctx, w) {
+	if !c.answers(ctx, w) {
 		return workerSilent
 	}
 	for _, other := range c.others(w) {
@@ -105,3 +99,26 @@
 	}
 	return workerAlive
 }
+
+// answers reports whether a worker answers one of two probes. The second one doesn't wait for the outcome of the
+// first, as each probe of a worker that is silent takes probeTimeout.
+func (c *crashChecker) answers(ctx context.Context, w workers.Worker) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	delays := []time.Duration{0, silenceRecheckDelay}
+	answered := make(chan bool, len(delays))
+	for _, delay := range delays {
+		go func() {
+			sleep(ctx, delay)
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			answered <- ctx.Err() == nil && c.prober.Answers(ctx, w)
+		}()
+	}
+	for range delays {
+		if <-answered {
+			return true
+		}
+	}
+	return false
+}
