testbed/standin: Prove plain and forwarded requests that crash workers

What was shown by unit tests alone: a request to plain workers, and prompts that share a part and come by way of a daemon that can't reach the workers. Real processes now: TestCrash_PlainRequestAtAnyMoment (waiting, before and after the head), TestCrash_ForwardedPartAtAnyMoment (before and after the head, after one event), callers beside them at all daemons.

--- a/testbed/standin/crash_moments_test.go
+++ b/testbed/standin/crash_moments_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -21,8 +22,8 @@
 	clustersAtATime = 3
 )
 
-// sendSteadily sends requests that crash workers at a steady pace until ctx ends.
-func (c *crashingWorkers) sendSteadily(ctx context.Context) {
+// sendSteadily sends requests that crash workers to daemons in turn, at a steady pace until ctx ends.
+func (c *crashingWorkers) sendSteadily(ctx context.Context, daemons []*Daemon) {
 	var mu sync.Mutex
 	var senders sync.WaitGroup
 	for i := range deadlySenders {
@@ -31,7 +32,7 @@
 				mu.Lock()
 				r := c.newDeadly()
 				mu.Unlock()
-				c.s.daemons[n%len(c.s.daemons)].Send(ctx, r)
+				daemons[n%len(daemons)].Send(ctx, r)
 				select {
 				case <-time.After(deadlyPause):
 				case <-ctx.Done():
@@ -42,16 +43,16 @@
 	senders.Wait()
 }
 
-// checkHeldBack sends requests that crash workers until they are to be held back, and longer. It checks
+// checkHeldBack sends requests that crash workers, to daemons in turn, until they are to be held back, and longer. It checks
 // that no more than allowed reach workers later, and that others are served at the first attempt at least
 // half as often as before.
-func (c *crashingWorkers) checkHeldBack(others *backgroundCallers, crashes int) {
+func (c *crashingWorkers) checkHeldBack(others *backgroundCallers, crashes int, daemons ...*Daemon) {
 	t := c.s.t
 	const span, least = 2 * time.Second, 20
 	begunBefore, before := others.firstAttempts(span)
 	ctx, cancel := context.WithCancel(t.Context())
 	var sending sync.WaitGroup
-	sending.Go(func() { c.sendSteadily(ctx) })
+	sending.Go(func() { c.sendSteadily(ctx, daemons) })
 	defer sending.Wait()
 	defer cancel()
 	eventually(t, fmt.Sprint(crashes, " workers have crashed"), func() bool { return c.crashed() >= crashes })
@@ -113,7 +114,7 @@
 		s, c := newDeadlyPartClusterOf(t, crash)
 		others := startPartCallers(s)
 		s.awaitServed(s.daemons...)
-		c.checkHeldBack(others, maxPartCrashes)
+		c.checkHeldBack(others, maxPartCrashes, s.daemons...)
 	})
 }
 
@@ -127,6 +128,55 @@
 		c.start()
 		others := startCallersWith(s, 3, func(string, int) http.Header { return streamHeader() })
 		s.awaitServed(s.daemons...)
-		c.checkHeldBack(others, maxCrashes)
+		c.checkHeldBack(others, maxCrashes, s.daemons...)
 	})
 }
+
+// TestCrash_PlainRequestAtAnyMoment guards against the same for a request to plain workers.
+func TestCrash_PlainRequestAtAnyMoment(t *testing.T) {
+	const body = "it crashes workers"
+	forEachCrash(t, []string{"waiting", "before_the_head", "after_the_head"}, func(t *testing.T, crash Crash) {
+		s := newTestCluster(t, 8)
+		c := &crashingWorkers{s: s, service: "app", crash: crash, deadly: func(r Run) bool { return r.Body == body }}
+		c.newDeadly = func() Request {
+			a := s.newRequest(http.MethodPost, "/post/x")
+			a.Body = body
+			return a
+		}
+		for _, id := range []string{"a0", "a1"} {
+			c.adopt(s.workers[id])
+		}
+		c.startServed()
+		others := startCallersOf(s, 3, "/get/x", func(string, int) http.Header { return nil })
+		c.checkHeldBack(others, maxCrashes, s.daemons...)
+	})
+}
+
+// TestCrash_ForwardedPartAtAnyMoment guards against the same for prompts that share a part and come by way of a
+// daemon that can't reach the workers, and forwards them.
+func TestCrash_ForwardedPartAtAnyMoment(t *testing.T) {
+	forEachCrash(t, []string{"before_the_head", "after_the_head", "after_the_first"}, func(t *testing.T, crash Crash) {
+		s := newTestCluster(t, 0)
+		c := newDeadlyPart(s, crash)
+		links, closeLinks := NewLinks()
+		t.Cleanup(closeLinks)
+		cutOff := s.startAs(Setup{FirstStart: true, Frontend: s.store.NewLinkedFrontend(links)})
+		c.startServed()
+		links.Cut()
+		eventually(t, "requests are forwarded", func() bool { return s.servedFraction(cutOff) == 1 && strings.Contains(cutOff.Log(), "forwarded_to") })
+		others := startPartCallers(s)
+		c.checkHeldBack(others, maxPartCrashes, cutOff)
+	})
+}
+
+// startServed starts ten more workers and three more daemons, and waits until all daemons serve requests of each
+// kind.
+func (c *crashingWorkers) startServed() {
+	for range 10 {
+		c.add()
+	}
+	for range 3 {
+		c.s.start(len(c.s.daemons) == 0)
+	}
+	c.s.awaitServed(c.s.daemons...)
+}
--- a/testbed/standin/crash_parts_test.go
+++ b/testbed/standin/crash_parts_test.go
@@ -52,7 +52,14 @@
 // newDeadlyPartClusterOf is newDeadlyPartCluster for workers that crash in a given way.
 func newDeadlyPartClusterOf(t *testing.T, crash Crash) (*testCluster, *crashingWorkers) {
 	s := newTestCluster(t, 0)
-	c := &crashingWorkers{s: s, deadly: hasDeadlyPart, crash: crash}
+	c := newDeadlyPart(s, crash)
+	c.start()
+	return s, c
+}
+
+// newDeadlyPart returns workers that crash in a given way at requests that share the deadly part.
+func newDeadlyPart(s *testCluster, crash Crash) *crashingWorkers {
+	c := &crashingWorkers{s: s, service: "llm", deadly: hasDeadlyPart, crash: crash}
 	sent := 0
 	c.newDeadly = func() Request {
 		sent++
@@ -61,8 +68,7 @@
 		a.Header = promptHeader(fmt.Sprintf("%x", 0xc0000+sent), firstPart, middlePart(sent), deadlyPart)
 		return a
 	}
-	c.start()
-	return s, c
+	return c
 }
 
 // startPartCallers starts callers whose prompts share all parts but the deadly one.
--- a/testbed/standin/crashing_workers_test.go
+++ b/testbed/standin/crashing_workers_test.go
@@ -19,6 +19,8 @@
 	newDeadly func() Request
 	// crash is how the workers crash.
 	crash Crash
+	// service is the workers' service.
+	service string
 
 	mu      sync.Mutex
 	workers []*Worker
@@ -30,7 +32,7 @@
 
 // newCrashingWorkers returns workers that crash at one request, which has the given body.
 func newCrashingWorkers(s *testCluster, body string) *crashingWorkers {
-	c := &crashingWorkers{s: s, deadly: func(r Run) bool { return r.Body == body }}
+	c := &crashingWorkers{s: s, service: "llm", deadly: func(r Run) bool { return r.Body == body }}
 	c.newDeadly = func() Request {
 		a := s.newStreamRequest()
 		a.Body = body
@@ -43,8 +45,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ids++
-	w, kill := NewWorker(c.s.store, fmt.Sprint("c", c.ids), "llm", "d1")
+	w, kill := NewWorker(c.s.store, fmt.Sprint("c", c.ids), c.service, "d1")
 	c.s.t.Cleanup(kill)
+	c.adopt(w)
+}
+
+// adopt makes a worker crash at the requests. The caller holds the lock, or is the only one.
+func (c *crashingWorkers) adopt(w *Worker) {
 	w.SetCrashKind(c.crash)
 	c.armWorker(w)
 	c.workers = append(c.workers, w)
@@ -144,7 +151,8 @@
 	complete, failed atomic.Int64
 	// first counts the requests that were complete at the first attempt, of begun ones.
 	first, begun atomic.Int64
-	// header returns the header of a caller's next request.
+	// path is where requests go, and header returns the header of a caller's next one.
+	path   string
 	header func(caller string, n int) http.Header
 }
 
@@ -159,8 +167,13 @@
 
 // startCallersWith is startBackgroundCallers for requests with headers of their own.
 func startCallersWith(s *testCluster, callers int, header func(caller string, n int) http.Header) *backgroundCallers {
+	return startCallersOf(s, callers, "/ask/q", header)
+}
+
+// startCallersOf is startCallersWith for requests with a path of their own.
+func startCallersOf(s *testCluster, callers int, path string, header func(caller string, n int) http.Header) *backgroundCallers {
 	ctx, cancel := context.WithCancel(s.t.Context())
-	b := &backgroundCallers{cancel: cancel, header: header}
+	b := &backgroundCallers{cancel: cancel, path: path, header: header}
 	s.t.Cleanup(b.stop)
 	for i, d := range s.daemons {
 		for j := range callers {
@@ -172,7 +185,7 @@
 
 func (b *backgroundCallers) call(ctx context.Context, s *testCluster, d *Daemon, caller string) {
 	for n := 0; ctx.Err() == nil; n++ {
-		a := Request{Method: "POST", Host: host, Path: "/ask/q", Key: key, Body: fmt.Sprint("question ", caller, n), Timeout: 5 * time.Second, Header: b.header(caller, n)}
+		a := Request{Method: "POST", Host: host, Path: b.path, Key: key, Body: fmt.Sprint("question ", caller, n), Timeout: 5 * time.Second, Header: b.header(caller, n)}
 		if b.sendUntilComplete(ctx, d, a, fmt.Sprintf("b%s%08x", caller, n)) {
 			b.complete.Add(1)
 		} else if ctx.Err() == nil {
@@ -185,7 +198,7 @@
 	for attempt := range maxBackgroundAttempts {
 		a.ID = fmt.Sprintf("%s%03x", id, attempt)
 		r := d.Send(ctx, a)
-		complete := completeStream(a.ID, r)
+		complete := r.Err == nil && r.Status == http.StatusOK && (a.Path != "/ask/q" || completeStream(a.ID, r))
 		if attempt == 0 && ctx.Err() == nil {
 			b.begun.Add(1)
 		}
