replica: Wait for paused members that accept connections

Cause: a probe that times out doesn't tell a paused process from a machine that is gone.

Change: beside the two probes a connection is opened. A process that is paused has a machine that accepts it; one that is gone accepts nothing, or refuses. Only members that accept are probed on until 1.5 s have passed.

--- a/deps/edge.go
+++ b/deps/edge.go
@@ -127,9 +127,10 @@
 	e.reporter = newReporter(e, peers)
 	e.loads = newLoadReporter(e, peers)
 	e.retries = newRetryShare(e)
-	e.quarantine = newCrashQuarantine(e, peers, prober{upstream, orders})
+	probers := prober{upstream, orders}
+	e.quarantine = newCrashQuarantine(e, peers, probers)
 	e.wireServing(upstream)
-	e.wireControl(orders)
+	e.wireControl(orders, probers)
 	e.registerGauges()
 	return e, func() {
 		closeOrders()
@@ -190,11 +191,11 @@
 	return serving.DefaultAnswerMemory
 }
 
-func (e *Edge) wireControl(orders *platform.Orders) {
+func (e *Edge) wireControl(orders *platform.Orders, probers prober) {
 	e.Controller = replica.NewController(replica.Options{
 		Lease:        e.Lease,
 		Orders:       orders,
-		Prober:       orders,
+		Prober:       probers,
 		Reporter:     orders,
 		Workers:      e.Workers.View,
 		Catalogs:     e.Catalogs,
--- a/replica/controller_test.go
+++ b/replica/controller_test.go
@@ -38,6 +38,8 @@
 
 func (l *joinRecorder) Answers(context.Context, workers.Worker) bool { return true }
 
+func (l *joinRecorder) Accepts(context.Context, workers.Worker) bool { return true }
+
 func (l *joinRecorder) Report(context.Context, workers.Worker) (Report, error) { return Report{}, nil }
 
 // TestController_KeepsPlannerWhenRenewalIsLate lets the lease of a slow holder lapse while its
@@ -117,6 +119,8 @@
 
 func (s fakeProber) Answers(_ context.Context, w workers.Worker) bool { return s[w.ID] }
 
+func (s fakeProber) Accepts(_ context.Context, w workers.Worker) bool { return s[w.ID] }
+
 // TestProbe_ReportsNoneWhenMostAreSilent checks that a prober that most members of a group
 // don't answer reports none of them: a member dies alone or with a few others, so the prober is
 // cut off or slow itself, and must not dissolve the group.
@@ -164,6 +168,9 @@
 	}
 }
 
+// Accepts implements Prober: the machine of a paused worker accepts connections.
+func (p pausingProber) Accepts(context.Context, workers.Worker) bool { return true }
+
 // TestProbe_SilentSecondIsNotDead guards against groups that are dissolved since a sound member was
 // silent for a second, and against requests that wait for it meanwhile.
 func TestProbe_SilentSecondIsNotDead(t *testing.T) {
@@ -200,6 +207,21 @@
 	}
 }
 
+// TestProbe_ClosedPortIsDeadAtOnce checks that a member that accepts no connections is reported without a delay.
+func TestProbe_ClosedPortIsDeadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		c := NewController(Options{
+			Prober: fakeProber{"i1": true, "i2": true}, OnMemberDead: func(string) {},
+			Metrics: metrics.NewSet(), Now: time.Now, Log: &log.Logger{Level: log.PanicLevel},
+		})
+		c.probe(t.Context(), 1, &workers.Group{ID: workers.GroupID{Name: "m.1"}, Members: []workers.Worker{{ID: "i0"}, {ID: "i1"}, {ID: "i2"}}})
+		must.EqOp(t, 1, len(c.probeResults))
+		must.EqOp(t, "i0", (<-c.probeResults).worker.ID)
+		must.EqOp(t, 0, time.Since(started))
+	})
+}
+
 func TestOutranked_IgnoresJoinsAndUnfencedOrders(t *testing.T) {
 	for _, c := range []struct {
 		op      Op
--- a/replica/order.go
+++ b/replica/order.go
@@ -89,6 +89,9 @@
 type Prober interface {
 	// Answers reports whether a worker answers before the context ends.
 	Answers(ctx context.Context, w workers.Worker) bool
+	// Accepts reports whether a worker's machine accepts connections before the context ends, even if the
+	// process is paused.
+	Accepts(ctx context.Context, w workers.Worker) bool
 }
 
 // Reporter asks workers for their state.
