quarantine: Hold no request back for crashes that a part explains

Cause, from a trace of the charges: all six groups crash together, twice, and a sound request was lost at three of these crashes. It was held back as if it had caused them.

Change: a request is not held back for crashes that a part explains which it doesn't have: other requests with the part were lost in each of them, and none with it was settled since the first. From a charge of 5 on it is held back all the same, as where two requests are tied. A request that crashes workers beside sound ones is held back at the third crash as before, since the parts of those are settled meanwhile; plain requests have no parts.

TestParts_SoundRequestBesideADeadlyPartIsNotHeld: red before. TestParts_SettledPartExplainsNoCrash and TestParts_RequestIsHeldWhateverExplainsItsCrashes bound it.

--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -12,7 +12,8 @@
 	// workers to one request.
 	holdCharge = 3
 	// tiedHoldCharge is the charge at which a request is held back even if another request of
-	// the crash has the same charge. A client that retries once causes four sends.
+	// the crash has the same charge, or parts of others explain its crashes. A client that
+	// retries once causes four sends.
 	tiedHoldCharge = 5
 	// unknownStageCharge is what a crash counts against a request whatever the worker had done with it:
 	// no protocol says what a worker has sent when it crashes. A request that is lost at three workers
@@ -200,6 +201,7 @@
 	for _, c := range ready {
 		c.judged = true
 		v := c.verdict(charges)
+		v.Hold = b.withoutExplained(v.Hold)
 		for _, s := range v.Hold {
 			b.Hold(s.Fingerprint)
 			charges = b.charges(now)
@@ -237,7 +239,7 @@
 	tallies := map[Fingerprint]*tally{}
 	recentCrashes := 0
 	for _, c := range b.crashes {
-		if c.attributed || c.attributedParts != nil {
+		if c.isAttributed() {
 			continue
 		}
 		recent := now.Sub(c.at) < stormWindow
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -34,6 +34,10 @@
 	return false
 }
 
+// isAttributed reports whether a held request or held parts explain the crash, so that it counts against no other
+// request.
+func (c *crash) isAttributed() bool { return c.attributed || c.attributedParts != nil }
+
 // suspectedRuns returns the lost requests whose parts the crash counts against: all of them, or the held
 // request or those with the held parts that the crash is attributed to.
 func (c *crash) suspectedRuns() []LostRequest {
@@ -65,7 +69,7 @@
 // verdict returns the result of judging the crash, given the charges of all requests.
 func (c *crash) verdict(charges map[Fingerprint]Suspect) Verdict {
 	v := Verdict{Worker: c.worker, At: c.at, Reporters: c.reporters, LostRequests: len(c.requests)}
-	if c.attributed || c.attributedParts != nil {
+	if c.isAttributed() {
 		return v
 	}
 	suspects := c.suspects(charges)
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -222,6 +222,39 @@
 	must.SliceEmpty(t, s.crashWith(lostWith(1, shared, other), lostWith(3, shared)))
 }
 
+// TestParts_SoundRequestBesideADeadlyPartIsNotHeld guards against holding back a sound request that was lost
+// beside the deadly part at each crash, as where few workers are left: its crashes then counted against the parts
+// that it shares with all others, and no longer against the deadly one.
+func TestParts_SoundRequestBesideADeadlyPartIsNotHeld(t *testing.T) {
+	s := newTestBoard()
+	sound := lostWith(1, shared, other)
+	must.SliceEmpty(t, s.crashWith(sound, lostWith(2, shared, deadly)))
+	must.SliceEmpty(t, s.crashWith(sound, lostWith(3, shared, deadly)))
+	must.Eq(t, []PartSet{partSet(deadly)}, s.crashWith(sound, lostWith(4, shared, deadly)))
+	must.MapEmpty(t, s.board.held)
+}
+
+// TestParts_SettledPartExplainsNoCrash checks that a request that crashes workers is held back after three, though
+// others with a part of their own were lost at each: requests with that part are settled meanwhile.
+func TestParts_SettledPartExplainsNoCrash(t *testing.T) {
+	s := newTestBoard()
+	for n := range 2 {
+		must.SliceEmpty(t, s.crash(lostWith(1, other), lostWith(10+n, shared)))
+		s.settle(shared)
+	}
+	must.Eq(t, []Fingerprint{print(1)}, s.crash(lostWith(1, other), lostWith(12, shared)))
+}
+
+// TestParts_RequestIsHeldWhateverExplainsItsCrashes checks that a request which crashes workers is held back after
+// five at the latest.
+func TestParts_RequestIsHeldWhateverExplainsItsCrashes(t *testing.T) {
+	s := newTestBoard()
+	for n := range 4 {
+		must.SliceEmpty(t, s.crash(begun(1), lostWith(10+n, shared)))
+	}
+	must.Eq(t, []Fingerprint{print(1)}, s.crash(begun(1), lostWith(14, shared)))
+}
+
 // TestParts_SimultaneousCrashesCountOnce: a rack fails with requests that share a part on three of
 // its workers.
 func TestParts_SimultaneousCrashesCountOnce(t *testing.T) {
