quarantine: Count a crash once against a single request

A worker that has crashed accepts connections for up to 2 s; requests sent to it meanwhile are lost when its port is closed. Parts have ignored that second end since; the count of single requests did not, so that a sound request sent to a silent worker was charged 1/2 again, for as many workers as were silent.

Change: such a request counts for nothing where the worker hadn't answered it. One that it had answered counts: then the worker was back.

TestBoard_RequestsSentToACrashedWorkerCauseNothing: red before.

--- a/quarantine/board.go
+++ b/quarantine/board.go
@@ -247,7 +247,7 @@
 			recentCrashes++
 		}
 		for f, run := range c.requests {
-			if b.isInnocent(f, now) {
+			if b.isInnocent(f, now) || c.repeated && run.Stage == Queued {
 				continue
 			}
 			if tallies[f] == nil {
--- a/quarantine/board_test.go
+++ b/quarantine/board_test.go
@@ -271,3 +271,18 @@
 		n++
 	}
 }
+
+// TestBoard_RequestsSentToACrashedWorkerCauseNothing guards against counting a crash twice: a worker that has crashed
+// accepts connections for a while, and the requests sent to it are lost when its port is closed. One that is back
+// within that time has answered.
+func TestBoard_RequestsSentToACrashedWorkerCauseNothing(t *testing.T) {
+	s := newTestBoard()
+	for n := range 4 {
+		worker := fmt.Sprint("c", n)
+		must.SliceEmpty(t, s.crashOf(worker, queued(1)))
+		must.SliceEmpty(t, s.crashOf(worker, queued(1)))
+	}
+	must.SliceEmpty(t, s.crashOf("back", begun(2)))
+	must.SliceEmpty(t, s.crashOf("back", begun(2)))
+	must.Eq(t, []Fingerprint{print(2)}, s.crashOf("back", begun(2)))
+}
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -15,7 +15,7 @@
 	requests  map[Fingerprint]LostRequest
 	judged    bool
 	// repeated is set if the worker had crashed shortly before. Requests that were sent to it meanwhile are
-	// lost when its port is closed; they tell nothing of their parts.
+	// lost when its port is closed: it answered none of them, and they caused nothing.
 	repeated bool
 	// attributed reports whether a held request, attributedTo, was among the lost requests.
 	attributed   bool
