testbed/standin: Wait for the retry shares before a group stalls

Cause: a stream that stalls is moved, and told of, by a retry beyond the ratio, which daemons share only 20 s after they have started. Ruled out: a warning that is lost, as all eight daemons log it within 2 ms.

The test waits until the daemons share their retries, as others that need one do, and then sets the fault. Its check and its limit for the warning are as before, but without the 20 s before.

--- a/testbed/standin/warning_test.go
+++ b/testbed/standin/warning_test.go
@@ -15,6 +15,7 @@
 	s := newTestCluster(t, 4)
 	_, others := startRelaying(t, s)
 	s.awaitGroups(2)
+	s.awaitShares()
 	var idle *Daemon // and not the lease holder, which collects the reports
 	var busy []*Daemon
 	for _, d := range others {
