deps, serving: Report held requests that crash their worker after being canceled

Cause: a hold cancels the deadly requests that wait at workers, and a canceled attempt was reported as nothing. A worker that has begun such a request, or doesn't heed the cancellation, crashes all the same. Its crash then counted only against the sound requests that were lost beside it, so against the part that all prompts share.

Change: the attempt is reported as canceled. If its worker begins to refuse connections within 2 s, the daemon reports the crash with the request, and adds it to the crash if others were lost there. A worker that lives on is not reported, and nobody is blamed.

Why it holds: the crash has a request with the held parts, so it is attributed to them as any other.

--- a/deps/crashcheck.go
+++ b/deps/crashcheck.go
@@ -17,6 +17,12 @@
 	silenceRecheckDelay = 150 * time.Millisecond
 	// probeTimeout is how long a worker may take to answer a probe.
 	probeTimeout = 300 * time.Millisecond
+	// cancellationWatch is how long after a request was canceled at a worker a crash counts against it: a worker
+	// that doesn't heed the cancellation begins the request within that time.
+	cancellationWatch = 2 * time.Second
+	// refusalPollInterval is how often a worker is asked for that time. Others report the crash 30 ms after it, and
+	// it is judged 150 ms later.
+	refusalPollInterval = 100 * time.Millisecond
 )
 
 // livenessRechecks are the delays of further checks of a worker that answers: a process that crashes may accept
@@ -81,6 +87,17 @@
 	return outcome
 }
 
+// awaitRefusal reports whether a worker begins to refuse connections before ctx ends.
+func (c *crashChecker) awaitRefusal(ctx context.Context, w workers.Worker) bool {
+	for ctx.Err() == nil {
+		if c.prober.Refuses(ctx, w) && ctx.Err() == nil {
+			return true
+		}
+		sleep(ctx, refusalPollInterval)
+	}
+	return false
+}
+
 // probe checks a worker. Only members of groups are probed: others may take a probe for a request.
 func (c *crashChecker) probe(ctx context.Context, w workers.Worker) checkOutcome {
 	if c.prober.Refuses(ctx, w) {
--- a/deps/crashcheck_test.go
+++ b/deps/crashcheck_test.go
@@ -85,3 +85,20 @@
 		must.LessEq(t, 500*time.Millisecond, time.Since(e.started)+lossDebounce)
 	})
 }
+
+// TestCrashChecker_AwaitsARefusal checks that a worker which refuses connections some time after a request was
+// canceled there is noticed before its crash is judged, and that one which lives on isn't.
+func TestCrashChecker_AwaitsARefusal(t *testing.T) {
+	for _, ends := range []time.Duration{0, time.Nanosecond, 400 * time.Millisecond, 1500 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			e := endingWorker{started: time.Now(), refusesAfter: ends}
+			checker := &crashChecker{prober: &e}
+			ctx, cancel := context.WithTimeout(t.Context(), cancellationWatch)
+			defer cancel()
+			must.EqOp(t, ends > 0, checker.awaitRefusal(ctx, workers.Worker{ID: "head"}))
+			if ends > 0 {
+				must.LessEq(t, ends+refusalPollInterval, time.Since(e.started))
+			}
+		})
+	}
+}
--- a/deps/crashreporter.go
+++ b/deps/crashreporter.go
@@ -40,6 +40,8 @@
 // workerChecker checks workers whose responses broke off.
 type workerChecker interface {
 	check(ctx context.Context, w workers.Worker) checkOutcome
+	// awaitRefusal reports whether a worker begins to refuse connections before ctx ends.
+	awaitRefusal(ctx context.Context, w workers.Worker) bool
 }
 
 // crashReporter detects workers that crash while running requests of this daemon, and reports them
@@ -52,7 +54,9 @@
 
 	mu sync.Mutex
 	// lost are the requests lost at workers that are yet to be checked.
-	lost         map[string][]quarantine.LostRequest
+	lost map[string][]quarantine.LostRequest
+	// canceled are the requests canceled at workers since they are held back, for cancellationWatch.
+	canceled     map[string][]quarantine.LostRequest
 	observations []observation
 	// term is the term of the lease of the last report.
 	term uint64
@@ -96,6 +100,7 @@
 		confirmed: opts.Metrics.NewCounter(`pointpass_broken_answers_total{worker="ended"}`),
 		alive:     opts.Metrics.NewCounter(`pointpass_broken_answers_total{worker="alive"}`),
 		lost:      map[string][]quarantine.LostRequest{},
+		canceled:  map[string][]quarantine.LostRequest{},
 	}
 }
 
@@ -125,8 +130,8 @@
 	runs := c.lost[w.ID]
 	delete(c.lost, w.ID)
 	if outcome.ended() {
-		crash := &quarantine.Crash{Worker: w.ID, Reporter: c.opts.Self(), At: at, LostRequests: runs}
-		c.add(observation{at: at, crash: crash, outputs: c.opts.Guard.Outputs(crash.Parts())})
+		runs = append(runs, c.canceled[w.ID]...)
+		c.addCrash(w, at, runs)
 	}
 	c.mu.Unlock()
 	c.logCheck(w, at, outcome, runs)
@@ -138,6 +143,51 @@
 	c.kick()
 }
 
+// addCrash stores the observation of a crash. The caller holds the lock.
+func (c *crashReporter) addCrash(w workers.Worker, at time.Time, runs []quarantine.LostRequest) {
+	crash := &quarantine.Crash{Worker: w.ID, Reporter: c.opts.Self(), At: at, LostRequests: runs}
+	c.add(observation{at: at, crash: crash, outputs: c.opts.Guard.Outputs(crash.Parts())})
+}
+
+// Canceled records that a request was canceled at a worker since it is held back. It never blocks. If the worker
+// crashes soon, this request was there as well: without it the crash would count against those beside it.
+func (c *crashReporter) Canceled(w workers.Worker, r quarantine.LostRequest) {
+	if c.opts.Guard.Finished(r.Fingerprint) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs, watched := c.canceled[w.ID]
+	if !watched && len(c.canceled) >= maxCheckedWorkers || len(runs) >= maxLostPerWorker {
+		return
+	}
+	c.canceled[w.ID] = append(runs, r)
+	if !watched {
+		go c.watchCanceled(w)
+	}
+}
+
+// watchCanceled waits for the crash of a worker at which requests were canceled.
+func (c *crashReporter) watchCanceled(w workers.Worker) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancellationWatch)
+	defer cancel()
+	refuses := c.opts.Checker.awaitRefusal(ctx, w)
+	c.mu.Lock()
+	runs := c.canceled[w.ID]
+	if refuses {
+		c.addCrash(w, clock.Now(), runs)
+	}
+	c.mu.Unlock()
+	if refuses {
+		c.logCheck(w, clock.Now(), workerRefuses, runs)
+		c.kick()
+	}
+	<-ctx.Done() // other requests of this daemon may be found lost later
+	c.mu.Lock()
+	delete(c.canceled, w.ID)
+	c.mu.Unlock()
+}
+
 // logCheck logs what the checks of a worker showed, and how far the requests were that were lost there.
 func (c *crashReporter) logCheck(w workers.Worker, at time.Time, outcome checkOutcome, lost []quarantine.LostRequest) {
 	stages := map[quarantine.Stage]int{}
--- a/deps/crashreporter_test.go
+++ b/deps/crashreporter_test.go
@@ -27,19 +27,31 @@
 	reports     map[string][]relay.CrashReport
 	// failures counts the reports to unreachable daemons.
 	failures int
-	// ended are the workers that have ended.
-	ended map[string]bool
+	// ended are the workers that have ended, and endsLate those that end while they are watched.
+	ended, endsLate map[string]bool
 }
 
 var errUnreachable = errors.New("daemon is unreachable")
 
 func (d *deciders) check(_ context.Context, w workers.Worker) checkOutcome {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.ended[w.ID] {
 		return workerRefuses
 	}
 	return workerAlive
 }
 
+func (d *deciders) awaitRefusal(ctx context.Context, w workers.Worker) bool {
+	d.mu.Lock()
+	ends := d.ended[w.ID] || d.endsLate[w.ID]
+	d.mu.Unlock()
+	if !ends {
+		<-ctx.Done()
+	}
+	return ends
+}
+
 func (d *deciders) send(_ context.Context, to replica.Node, r relay.CrashReport) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -64,6 +76,21 @@
 	return all
 }
 
+// reportedRequests returns the requests reported to a daemon as lost with a worker, each once.
+func (d *deciders) reportedRequests(name, worker string) map[quarantine.Fingerprint]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	all := map[quarantine.Fingerprint]bool{}
+	for _, r := range d.reports[name] {
+		for _, c := range r.Crashes {
+			for _, lost := range c.LostRequests {
+				all[lost.Fingerprint] = all[lost.Fingerprint] || c.Worker == worker
+			}
+		}
+	}
+	return all
+}
+
 func (d *deciders) transferLease(holder string, term uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -78,7 +105,7 @@
 }
 
 func newDeciders(t *testing.T) (*deciders, *crashReporter) {
-	d := &deciders{unreachable: map[string]bool{}, reports: map[string][]relay.CrashReport{}, ended: map[string]bool{"w1": true, "w2": true}}
+	d := &deciders{unreachable: map[string]bool{}, reports: map[string][]relay.CrashReport{}, ended: map[string]bool{"w1": true, "w2": true}, endsLate: map[string]bool{"late": true}}
 	for _, name := range []string{"e1", "e2", "e3"} {
 		d.control.Nodes = append(d.control.Nodes, replica.Node{Name: name, Addr: name})
 	}
@@ -180,6 +207,43 @@
 	return d.failures
 }
 
+// TestCrashReporter_CanceledRequestsCountIfTheirWorkerCrashes guards against a crash that counts only against the
+// requests beside the one that caused it, since that one was canceled as a hold arrived and its worker crashed all
+// the same. A worker that lives on isn't reported.
+func TestCrashReporter_CanceledRequestsCountIfTheirWorkerCrashes(t *testing.T) {
+	d, s := newDeciders(t)
+	s.Canceled(workers.Worker{ID: "alive"}, lostRun(1))
+	s.Canceled(workers.Worker{ID: "late"}, lostRun(2))
+	for _, name := range []string{"e1", "e2"} {
+		eventually(t, "the crash is reported without another lost request", func() bool { return len(d.reportedWorkers(name)) > 0 })
+		must.Eq(t, []string{"late"}, d.reportedWorkers(name))
+		must.Eq(t, []quarantine.LostRequest{lostRun(2)}, d.reports[name][0].Crashes[0].LostRequests)
+	}
+
+	d, s = newDeciders(t)
+	s.Canceled(workers.Worker{ID: "w1"}, lostRun(1))
+	s.Lost(workers.Worker{ID: "w1"}, lostRun(2))
+	eventually(t, "both requests are reported", func() bool { return len(d.reportedRequests("e1", "w1")) == 2 })
+}
+
+// TestCrashReporter_ForgetsCanceledRequests guards against a request that is charged for a crash long after it was
+// canceled.
+func TestCrashReporter_ForgetsCanceledRequests(t *testing.T) {
+	d, s := newDeciders(t)
+	s.Canceled(workers.Worker{ID: "alive"}, lostRun(1))
+	eventually(t, "the canceled request is forgotten", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.canceled) == 0
+	})
+	d.mu.Lock()
+	d.ended["alive"] = true
+	d.mu.Unlock()
+	s.Lost(workers.Worker{ID: "alive"}, lostRun(2))
+	eventually(t, "the crash is reported", func() bool { return len(d.reportedWorkers("e1")) > 0 })
+	must.Eq(t, []quarantine.LostRequest{lostRun(2)}, d.reports["e1"][0].Crashes[0].LostRequests)
+}
+
 func TestCrashReporter_SkipsRequestsThatFinished(t *testing.T) {
 	d, s := newDeciders(t)
 	s.opts.Guard.MarkFinished(quarantine.Fingerprint{1})
--- a/serving/crash.go
+++ b/serving/crash.go
@@ -14,6 +14,8 @@
 type CrashReporter interface {
 	// Lost records that a worker's answer to a request broke off.
 	Lost(w workers.Worker, r quarantine.LostRequest)
+	// Canceled records that a request was canceled at a worker since it is held back.
+	Canceled(w workers.Worker, r quarantine.LostRequest)
 	// Produced records output on parts of prompts that are held back.
 	Produced(outputs []quarantine.Output)
 }
@@ -97,15 +99,29 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f, known := e.fingerprint()
+	lost, known := e.lostRequest()
 	if !known {
 		return
 	}
-	lost := quarantine.LostRequest{Fingerprint: f, Stage: e.stage, Resent: len(e.tried) > 1, Parts: e.partFingerprints()}
 	e.server.opts.Crashes.Lost(target.Worker, lost)
 	e.awaitsVerdict = e.server.opts.Guard.Suspected(lost.Parts)
 }
 
+// reportCanceled reports that the attempt at a target was canceled since the request is held back. The worker may
+// have begun it, and crash all the same.
+func (e *exchange) reportCanceled(target Target) {
+	if lost, known := e.lostRequest(); known {
+		e.server.opts.Crashes.Canceled(target.Worker, lost)
+	}
+}
+
+// lostRequest returns the request as it was when its attempt ended early, false while the fingerprint key isn't
+// available.
+func (e *exchange) lostRequest() (quarantine.LostRequest, bool) {
+	f, known := e.fingerprint()
+	return quarantine.LostRequest{Fingerprint: f, Stage: e.stage, Resent: len(e.tried) > 1, Parts: e.partFingerprints()}, known
+}
+
 // verdictDelay is how long the deciders take to judge a crash: its reports, the check whether the
 // worker has ended, and the hold.
 const verdictDelay = 400 * time.Millisecond
--- a/serving/crash_test.go
+++ b/serving/crash_test.go
@@ -18,8 +18,13 @@
 
 // crashRecorder records the answers that broke off.
 type crashRecorder struct {
-	runs    []quarantine.LostRequest
-	outputs []quarantine.Output
+	runs     []quarantine.LostRequest
+	canceled []quarantine.LostRequest
+	outputs  []quarantine.Output
+}
+
+func (b *crashRecorder) Canceled(_ workers.Worker, r quarantine.LostRequest) {
+	b.canceled = append(b.canceled, r)
 }
 
 func (b *crashRecorder) Lost(_ workers.Worker, r quarantine.LostRequest) { b.runs = append(b.runs, r) }
@@ -275,7 +280,7 @@
 
 // TestServe_AttemptThatWaitsIsCanceledByAHold guards against a worker that crashes as it begins a
 // request which was held back while it waited there. Attempts of other requests go on, and the worker
-// isn't blamed.
+// isn't blamed. The request is reported as canceled, as the worker may crash all the same.
 func TestServe_AttemptThatWaitsIsCanceledByAHold(t *testing.T) {
 	var f *fleet
 	waitForCancel := func(a Attempt) (*Reply, error) {
@@ -290,8 +295,11 @@
 	must.StrContains(t, w.Body.String(), heldPartReason)
 	must.SliceLen(t, 1, f.regions)
 	must.SliceEmpty(t, b.runs)
+	must.SliceLen(t, 1, b.canceled)
+	must.SliceLen(t, 2, b.canceled[0].Parts)
+	must.EqOp(t, quarantine.Queued, b.canceled[0].Stage)
 
-	f, _, _ = newGuardedFleet(catalog.Stream, func(a Attempt) (*Reply, error) {
+	f, b, _ = newGuardedFleet(catalog.Stream, func(a Attempt) (*Reply, error) {
 		holdPart(f, "b2")
 		f.server.CancelHeld()
 		must.NoError(t, f.sendContext.Err())
@@ -299,6 +307,7 @@
 	})
 	w, _ = f.askWith("a1", "b3")
 	must.EqOp(t, http.StatusOK, w.Code)
+	must.SliceEmpty(t, b.canceled)
 }
 
 // TestServe_RetryOfASuspectAwaitsTheVerdict guards against a second worker that crashes while the
--- a/serving/failed.go
+++ b/serving/failed.go
@@ -20,6 +20,7 @@
 	held := errors.Is(context.Cause(ctx), errHeld)
 	if held {
 		e.logFailedAttempt(target, errHeld)
+		e.reportCanceled(target)
 		if f := e.checkHold(); f != nil {
 			return false, f
 		}
