quarantine: Hold back no part whose crashes a narrower part explains

Cause: while few workers are left nothing is completed, so a part that all share looks like one that crashes workers. It was charged more than the deadly part where sound requests had begun and the deadly one still waited (the weight of such crashes is lower, and they wait for 0.4 s): it was held back alone. Class: the absence of a success taken as evidence where nobody could succeed.

Change: a part isn't held back for crashes that another one explains: one lost in at least three quarters of them, with which fewer of the requests lost there came, with nearly the same charge, and with which nothing was completed since. A prompt that has both is held back by both parts.

Evidence: TestParts_NarrowerPartExplainsCrashes fails before (the shared part alone is held back).

A test asks that a deadly part with rare ones beside it is held back after three.

--- a/quarantine/part_tally.go
+++ b/quarantine/part_tally.go
@@ -92,6 +92,8 @@
 	crashes                       []*crash
 	charge                        float64
 	workers                       []string
+	// counted is the way of counting that the charge comes from.
+	counted *crashTally
 	// waits is set if the charge will justify a hold later.
 	waits bool
 }
@@ -140,7 +142,7 @@
 		t.waits = true
 	}
 	if charge > t.charge {
-		t.charge, t.workers = charge, by.workers
+		t.charge, t.workers, t.counted = charge, by.workers, by
 	}
 }
 
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -211,7 +211,7 @@
 	for _, s := range b.suspectSets(tallies) {
 		switch {
 		case b.isCovered(s.Parts):
-		case !b.isAsked(s.Parts, now):
+		case !b.isAsked(s.Parts, tallies, now):
 			b.parts.pending = true
 		default:
 			return s, true
@@ -245,11 +245,12 @@
 	return NewPartSet(ask...)
 }
 
-// isAsked reports whether all daemons have had time to report output on the parts of a set.
-func (b *Board) isAsked(s PartSet, now time.Time) bool {
+// isAsked reports whether all daemons have had time to report output on the parts of a set that are asked about.
+func (b *Board) isAsked(s PartSet, tallies map[Fingerprint]*partTally, now time.Time) bool {
 	return !slices.ContainsFunc(s, func(f Fingerprint) bool {
 		at, found := b.parts.asked[f]
-		return !found || now.Sub(at) < askDelay
+		suspected := tallies[f] != nil && tallies[f].charge >= askCharge
+		return suspected && !found || found && now.Sub(at) < askDelay
 	})
 }
 
@@ -259,13 +260,14 @@
 // lost at nearly every crash.
 func (b *Board) suspectSets(tallies map[Fingerprint]*partTally) []SuspectSet {
 	sets := map[Fingerprint]SuspectSet{}
+	narrower := b.narrowerLookup(tallies)
 	top := 0.0
 	for _, c := range b.crashes {
 		if !c.judged || c.repeated || c.attributedParts != nil {
 			continue
 		}
 		for _, r := range c.suspectedRuns() {
-			if s := worstParts(r.Parts, tallies); len(s.Parts) > 0 {
+			if s := worstParts(r.Parts, tallies).narrow(r.Parts, narrower); len(s.Parts) > 0 {
 				sets[s.Parts.Fingerprint()] = s
 				top = max(top, s.Charge)
 			}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -234,6 +234,40 @@
 	must.MapEmpty(t, s.board.held)
 }
 
+// TestParts_NarrowerPartExplainsCrashes guards against holding back a part that all requests share, since no request
+// is completed while few workers are left: at each crash sound requests had begun, and the deadly one still waited.
+func TestParts_NarrowerPartExplainsCrashes(t *testing.T) {
+	s := newTestBoard()
+	var held []PartSet
+	for n := range 3 {
+		lost := []LostRequest{lostAt(Queued, n, shared, deadly), lostAt(Begun, 10+n, shared)}
+		s.board.Report(Crash{Worker: fmt.Sprint("w", n), Reporter: "e1", At: s.now, LostRequests: lost}, s.now)
+		s.board.EvaluateParts(s.now)
+		s.now = s.now.Add(simultaneousCrashes)
+	}
+	for range 10 {
+		s.board.Evaluate(s.now)
+		for _, h := range s.board.EvaluateParts(s.now).Hold {
+			held = append(held, h.Parts)
+		}
+		s.now = s.now.Add(judgeDelay / 3)
+	}
+	must.SliceNotEmpty(t, held)
+	for _, parts := range held {
+		must.SliceContains(t, parts, print(deadly))
+	}
+}
+
+// TestParts_PartWithRareOnesBesideItIsHeld checks that a part which crashes workers is held back though all requests
+// with it have further parts, each in fewer of them and in fewer of the crashes.
+func TestParts_PartWithRareOnesBesideItIsHeld(t *testing.T) {
+	s := newTestBoard()
+	for n := range 2 {
+		s.crashWith(lostWith(n, deadly, 510+n), lostWith(10+n, deadly, 530+n))
+	}
+	must.Eq(t, []PartSet{partSet(deadly)}, s.crashWith(lostWith(3, deadly, 520), lostWith(13, deadly, 521)))
+}
+
 // TestParts_SettledPartExplainsNoCrash checks that a request that crashes workers is held back after three, though
 // others with a part of their own were lost at each: requests with that part are settled meanwhile.
 func TestParts_SettledPartExplainsNoCrash(t *testing.T) {
