quarantine, KNOWN-RED: Count crashes that follow from one another

Cause: crashes within 100 ms count once, as when a rack fails. But a request that crashes one worker is sent to the next within milliseconds, and crashes that as well. So it took three waves, five seconds.

Evidence: the trace of a red run: six workers end between 23.954 and 23.962, three at 26.11, two at 28.26; the part is held back at 28.948 with a charge of 3, one for each wave.

Change: a crash counts for a part though others came at nearly the same time if the request was resent, was lost in one of those, and no request with the part is known to have been completed ever, while one with another of its parts was.

Why it holds: a machine loss that spreads from rack to rack resends requests too, but with parts that have been completed; and a fleet that has completed nothing yet has no such parts (TestParts_RacksThatFailOneAfterAnotherHoldNothing). Requests of a crash are judged in a fixed order now, so that random histories give the same figures on each run.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -38,8 +38,8 @@
 // request.
 func (c *crash) isAttributed() bool { return c.attributed || c.attributedParts != nil }
 
-// suspectedRuns returns the lost requests whose parts the crash counts against: all of them, or the held
-// request or those with the held parts that the crash is attributed to.
+// suspectedRuns returns the lost requests whose parts the crash counts against, in the order of their fingerprints:
+// all of them, or the held request or those with the held parts that the crash is attributed to.
 func (c *crash) suspectedRuns() []LostRequest {
 	var runs []LostRequest
 	for _, r := range c.requests {
@@ -51,6 +51,7 @@
 			runs = append(runs, r)
 		}
 	}
+	slices.SortFunc(runs, func(a, b LostRequest) int { return compare(a.Fingerprint, b.Fingerprint) })
 	return runs
 }
 
--- a/quarantine/part_tally.go
+++ b/quarantine/part_tally.go
@@ -36,6 +36,7 @@
 			continue
 		}
 		for _, r := range c.suspectedRuns() {
+			resent := r.Resent && b.anyCompleted(r.Parts)
 			for _, f := range r.Parts {
 				if c.attributedParts != nil && !slices.Contains(c.attributedParts, f) {
 					continue
@@ -45,7 +46,7 @@
 					t = &partTally{progress: b.parts.outputs[f]}
 					tallies[f] = t
 				}
-				t.add(c, r)
+				t.add(c, r, resent)
 			}
 		}
 	}
@@ -55,6 +56,11 @@
 	return tallies
 }
 
+// anyCompleted reports whether a request with one of some parts is known to have been completed.
+func (b *Board) anyCompleted(parts []Fingerprint) bool {
+	return slices.ContainsFunc(parts, func(f Fingerprint) bool { return !b.parts.outputs[f].completed.IsZero() })
+}
+
 // recentCrashes are the numbers of crashes within crashRateSpan, usualRestartTime and stormWindow.
 type recentCrashes struct{ span, restarting, window int }
 
@@ -98,21 +104,24 @@
 	waits bool
 }
 
-// add counts a crash under a request with the part. The requests of one crash are added one after another.
-func (t *partTally) add(c *crash, r LostRequest) {
+// add counts a crash under a request with the part. The requests of one crash are added one after another. The
+// request may have been resent from another worker, and be known to have parts with which others were completed: if
+// none with this part ever was, crashes that follow from one another count each.
+func (t *partTally) add(c *crash, r LostRequest, resent bool) {
+	resent = resent && t.progress.completed.IsZero()
 	if len(t.crashes) == 0 || t.crashes[len(t.crashes)-1] != c {
 		t.crashes = append(t.crashes, c)
 	}
 	if c.at.After(t.progress.settled) {
 		if r.Stage == Begun {
-			t.begun.add(c, r.Fingerprint)
+			t.begun.add(c, r.Fingerprint, resent)
 		}
 		if r.Stage != Settled {
-			t.unsettled.add(c, r.Fingerprint)
+			t.unsettled.add(c, r.Fingerprint, resent)
 		}
 	}
 	if c.at.After(t.progress.completed) {
-		t.uncompleted.add(c, r.Fingerprint)
+		t.uncompleted.add(c, r.Fingerprint, resent)
 	}
 }
 
@@ -160,39 +169,52 @@
 	charge  float64
 	first   time.Time // of the first crash that counts
 	crashes []*crash  // those that count
-	// requests is how many crashes each request was lost in, and before the most that a request of
-	// the last crash was lost in earlier.
-	requests map[Fingerprint]int
+	// requests is how each request was lost, and before the most crashes that a request of the last crash was
+	// lost in earlier.
+	requests map[Fingerprint]losses
 	before   int
 	workers  []string
 }
 
+// losses are the crashes that one request was lost in.
+type losses struct {
+	crashes int
+	last    time.Time
+}
+
 // add counts a crash under a request. One that was lost in earlier crashes explains this one, also if
-// others were lost beside it.
-func (t *crashTally) add(c *crash, request Fingerprint) {
+// others were lost beside it. Crashes at nearly the same time count once, unless the request may have caused both: it
+// was resent, and lost in the crash before.
+func (t *crashTally) add(c *crash, request Fingerprint, resent bool) {
 	if t.requests == nil {
-		t.requests = map[Fingerprint]int{}
+		t.requests = map[Fingerprint]losses{}
 	}
+	lost := t.requests[request]
 	if !t.isLast(c) {
-		if t.countedNear(c) {
-			t.requests[request] = max(t.requests[request], 1)
+		follows := resent && c.at.Sub(lost.last).Abs() < simultaneousCrashes
+		if !follows && t.countedNear(c) {
+			t.requests[request] = losses{max(lost.crashes, 1), c.at}
 			return
 		}
-		if len(t.crashes) == 0 || c.at.Before(t.first) {
-			t.first = c.at
-		}
-		t.crashes = append(t.crashes, c)
-		t.before = 0
-		t.charge += crashCharge(0)
-		if len(t.workers) < maxWorkers {
-			t.workers = append(t.workers, c.worker)
-		}
+		t.count(c)
+	}
+	t.requests[request] = losses{lost.crashes + 1, c.at}
+	if lost.crashes > t.before {
+		t.charge += crashCharge(lost.crashes) - crashCharge(t.before)
+		t.before = lost.crashes
+	}
+}
+
+// count counts a crash.
+func (t *crashTally) count(c *crash) {
+	if len(t.crashes) == 0 || c.at.Before(t.first) {
+		t.first = c.at
 	}
-	before := t.requests[request]
-	t.requests[request]++
-	if before > t.before {
-		t.charge += crashCharge(before) - crashCharge(t.before)
-		t.before = before
+	t.crashes = append(t.crashes, c)
+	t.before = 0
+	t.charge += crashCharge(0)
+	if len(t.workers) < maxWorkers {
+		t.workers = append(t.workers, c.worker)
 	}
 }
 
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -300,6 +300,51 @@
 	must.SliceEmpty(t, s.crashWith(lostWith(4, shared)))
 }
 
+// crashInTurn ends six workers within milliseconds, each second one under the request that was lost with the one
+// before and was sent again. It returns which sets of parts are held back within two seconds.
+func (s *testBoard) crashInTurn(parts func(n int) []int) []PartSet {
+	for n := range 6 {
+		lost := lostAt(Queued, n/2, parts(n/2)...)
+		lost.Resent = n%2 == 1
+		beside := lostAt(Queued, 10+n, shared)
+		s.board.Report(Crash{Worker: fmt.Sprint("w", n), Reporter: "e1", At: s.now, LostRequests: []LostRequest{lost, beside}}, s.now)
+		s.now = s.now.Add(simultaneousCrashes / 50)
+	}
+	var held []PartSet
+	for range 20 {
+		s.board.Evaluate(s.now)
+		for _, h := range s.board.EvaluateParts(s.now).Hold {
+			held = append(held, h.Parts)
+		}
+		s.now = s.now.Add(simultaneousCrashes)
+	}
+	return held
+}
+
+// TestParts_CrashesThatFollowFromAnotherCount guards against a part that crashes all workers of a small fleet at
+// once, again and again: each request is sent to the next worker within milliseconds, and simultaneous crashes
+// counted once.
+func TestParts_CrashesThatFollowFromAnotherCount(t *testing.T) {
+	s := newTestBoard()
+	s.output(shared)
+	held := s.crashInTurn(func(n int) []int { return []int{shared, deadly, 510 + n} })
+	must.SliceNotEmpty(t, held)
+	for _, parts := range held {
+		must.SliceContains(t, parts, print(deadly))
+	}
+}
+
+// TestParts_RacksThatFailOneAfterAnotherHoldNothing guards against holding back a part because requests that were lost
+// with one rack were sent to the next, which failed at nearly the same time: a part with which requests were completed
+// before, or any part of a fleet that hasn't completed a request yet.
+func TestParts_RacksThatFailOneAfterAnotherHoldNothing(t *testing.T) {
+	s := newTestBoard()
+	s.output(shared)
+	must.SliceEmpty(t, s.crashInTurn(func(n int) []int { return []int{shared, 510 + n} }))
+	s = newTestBoard()
+	must.SliceEmpty(t, s.crashInTurn(func(n int) []int { return []int{shared, other, 510 + n} }))
+}
+
 func TestParts_OutputAfterTheHoldClears(t *testing.T) {
 	s := newTestBoard()
 	for n := range 3 {
