--- a/quarantine/parts_histories_test.go
+++ b/quarantine/parts_histories_test.go
@@ -24,12 +24,16 @@
 	judgeStep = 50 * time.Millisecond
 	// suspectDelay is how long a daemon delays the retry of a suspected request.
 	suspectDelay = 400 * time.Millisecond
+	// cancellationWatch is how long daemons report canceled requests with a crash of their worker.
+	cancellationWatch = 2 * time.Second
 )
 
 type partRun struct {
 	id, daemon, sends int
 	parts             []Fingerprint
 	deadly, settled   bool
+	// canceledAt is when it was canceled since it is held back, and not heeded by its worker; 0 if it wasn't.
+	canceledAt time.Duration
 	// sentAt is when it was sent, startsAt when the worker starts it, and crashesAt when it crashes the worker.
 	sentAt, startsAt, crashesAt time.Duration
 }
@@ -103,10 +107,14 @@
 	moment         crashMoment
 	// noticeDelay is how long it takes until daemons notice that a worker has ended.
 	noticeDelay time.Duration
+	// firstParts and midParts are how many parts of each kind prompts have.
+	firstParts, midParts int
+	// unheeded is set if workers run requests that were canceled all the same.
+	unheeded bool
 }
 
 func newPartHistory(seed uint64, slots int, moment crashMoment) *partHistory {
-	h := &partHistory{moment: moment, rand: rand.New(rand.NewPCG(seed, 2)), board: NewBoard()}
+	h := &partHistory{moment: moment, rand: rand.New(rand.NewPCG(seed, 2)), board: NewBoard(), firstParts: firstParts, midParts: midParts}
 	for range slots {
 		h.slots = append(h.slots, &partSlot{})
 	}
@@ -131,7 +139,7 @@
 func (h *partHistory) arrive(deadly bool) {
 	h.ids++
 	u := partRun{id: h.ids, daemon: h.rand.IntN(daemons), deadly: deadly}
-	u.parts = []Fingerprint{print(0x100 + h.rand.IntN(firstParts)), print(0x1000 + h.rand.IntN(midParts))}
+	u.parts = []Fingerprint{print(0x100 + h.rand.IntN(h.firstParts)), print(0x1000 + h.rand.IntN(h.midParts))}
 	if deadly {
 		u.parts = append(u.parts, print(deadlyMid))
 	} else {
@@ -175,6 +183,9 @@
 	p.generation++
 	runs := map[int][]LostRequest{}
 	for _, u := range lost {
+		if u.canceledAt > 0 && h.now-u.canceledAt > cancellationWatch {
+			continue
+		}
 		r := LostRequest{Fingerprint: print(0x10000 + u.id), Stage: h.stage(u), Resent: u.sends%sendsPerTry == 0, Parts: u.parts}
 		r.Fingerprint[2] = byte(u.id >> 8)
 		runs[u.daemon] = append(runs[u.daemon], r)
@@ -192,7 +203,7 @@
 		})
 	}
 	for _, u := range lost {
-		if u.sends < sendsPerTry*triesPerCaller {
+		if u.canceledAt == 0 && u.sends < sendsPerTry*triesPerCaller {
 			again := *u
 			if u.sends%sendsPerTry == 0 {
 				again.daemon = h.rand.IntN(daemons)
@@ -231,13 +242,20 @@
 		g.ApplyRows(rows)
 	}
 	for _, p := range h.slots {
-		p.running = slices.DeleteFunc(p.running, func(u *partRun) bool {
-			_, held := h.guards[u.daemon].HeldParts(u.parts)
-			return held && h.stage(u) < Producing
-		})
+		p.running = slices.DeleteFunc(p.running, h.cancel)
 	}
 }
 
+// cancel cancels a request if it is held back and waits for its first event. It reports whether its worker heeds that.
+func (h *partHistory) cancel(u *partRun) bool {
+	_, held := h.guards[u.daemon].HeldParts(u.parts)
+	canceled := held && u.canceledAt == 0 && h.stage(u) < Producing
+	if canceled {
+		u.canceledAt = h.now
+	}
+	return canceled && !h.unheeded
+}
+
 func (h *partHistory) judge() {
 	h.board.SetWorkers(len(h.slots))
 	h.board.Evaluate(h.clock())
@@ -286,7 +304,7 @@
 	kept := p.running[:0]
 	for _, u := range p.running {
 		deadlyEnd = deadlyEnd || u.deadly && h.now >= u.crashesAt
-		if !u.settled && h.stage(u) == Settled {
+		if u.canceledAt == 0 && !u.settled && h.stage(u) == Settled {
 			u.settled = true
 			outputs := h.guards[u.daemon].MarkOutput(u.parts)
 			h.later(func() { h.report(outputs) })
@@ -295,6 +313,9 @@
 			kept = append(kept, u)
 			continue
 		}
+		if u.canceledAt > 0 {
+			continue
+		}
 		outputs := h.guards[u.daemon].MarkPartsCompleted(u.parts)
 		h.later(func() { h.report(outputs) })
 	}
@@ -376,3 +397,39 @@
 		}
 	}
 }
+
+// TestPartHistories_SmallFleetGoesOnServing guards against holding back a part that all prompts share: all six workers
+// crash under the deadly one again and again, so that no request is completed for seconds, and workers crash under
+// requests that were canceled when they were held back.
+func TestPartHistories_SmallFleetGoesOnServing(t *testing.T) {
+	const histories, seconds, slots, arrivals = 8, 20, 6, 1
+	const maxSends, contact, warmUp = 3, 3 * time.Second, 4 * time.Second
+	for _, moment := range crashMoments {
+		for _, notice := range notices {
+			for _, unheeded := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, heeded %t", moment.name, notice.name, !unheeded), func(t *testing.T) {
+					t.Parallel()
+					sent, refused := 0, 0
+					for seed := range uint64(histories) {
+						h := newPartHistory(seed, slots, moment)
+						h.noticeDelay = notice.delay
+						h.firstParts, h.midParts, h.unheeded = 1, 4, unheeded
+						deadlyChance := []float64{0.04, 0.2}[seed%2]
+						for n := range int(seconds * time.Second / step) {
+							chance := deadlyChance
+							if n < int(warmUp/step) {
+								chance = 0
+							}
+							h.tick(arrivals, chance, 0)
+						}
+						sent = max(sent, h.sentAfter(contact))
+						refused += h.refused
+					}
+					t.Logf("%d sent late at most; %d sound requests refused", sent, refused)
+					t.Run("sent late", func(t *testing.T) { must.LessEq(t, maxSends, sent) })
+					t.Run("sound ones", func(t *testing.T) { must.Zero(t, refused) })
+				})
+			}
+		}
+	}
+}
