--- a/quarantine/narrower.go
+++ b/quarantine/narrower.go
@@ -18,14 +18,40 @@
 	others int
 }
 
-// narrowerParts returns the parts that explain the crashes that count against a part, and that fewer of the requests
-// lost there have.
-func (b *Board) narrowerParts(f Fingerprint, tallies map[Fingerprint]*partTally) []Fingerprint {
-	t := tallies[f]
+// comparison compares the parts of some tallies with one another.
+type comparison struct {
+	board   *Board
+	tallies map[Fingerprint]*partTally
+	// lost are the results of lostRequestsByPart, narrowerParts those of narrower, each evaluated at most once.
+	lost          map[*crash]map[Fingerprint]int
+	narrowerParts map[Fingerprint][]Fingerprint
+}
+
+func (b *Board) newComparison(tallies map[Fingerprint]*partTally) *comparison {
+	return &comparison{board: b, tallies: tallies, lost: map[*crash]map[Fingerprint]int{}, narrowerParts: map[Fingerprint][]Fingerprint{}}
+}
+
+// narrower returns the parts that explain the crashes that count against a part, and that fewer of the requests lost
+// there have.
+func (m *comparison) narrower(f Fingerprint) []Fingerprint {
+	list, found := m.narrowerParts[f]
+	if !found {
+		list = m.findNarrower(f)
+		m.narrowerParts[f] = list
+	}
+	return list
+}
+
+func (m *comparison) findNarrower(f Fingerprint) []Fingerprint {
+	t := m.tallies[f].counted
 	seen := map[Fingerprint]*appearance{}
-	for _, c := range t.counted.crashes {
-		lost := b.lostRequestsByPart(c)
+	for _, c := range t.crashes {
+		lost := m.lostRequestsByPart(c)
 		for p, n := range lost {
+			other := m.tallies[p]
+			if other == nil || other.uncompleted.charge < t.charge-nearlyTied {
+				continue // the same few requests were lost again and again
+			}
 			if seen[p] == nil {
 				seen[p] = &appearance{}
 			}
@@ -34,25 +60,31 @@
 	}
 	var list []Fingerprint
 	for p, a := range seen {
-		other := tallies[p]
-		if other == nil || other.uncompleted.charge < t.counted.charge-nearlyTied {
-			continue // the same few requests were lost again and again
-		}
-		if a.requests < a.others && float64(a.crashes) >= narrowerShare*float64(len(t.counted.crashes)) {
+		if a.requests < a.others && float64(a.crashes) >= narrowerShare*float64(len(t.crashes)) {
 			list = append(list, p)
 		}
 	}
 	return list
 }
 
+// lostRequestsByPart returns how many requests with each part were lost in a crash and in those that count once with
+// it. Parts with which a request was completed since are left out.
+func (m *comparison) lostRequestsByPart(c *crash) map[Fingerprint]int {
+	lost, found := m.lost[c]
+	if !found {
+		lost = m.board.lostRequestsByPart(c)
+		m.lost[c] = lost
+	}
+	return lost
+}
+
 func (a *appearance) add(requests, others int) {
 	a.crashes++
 	a.requests += requests
 	a.others += others
 }
 
-// lostRequestsByPart returns how many requests with each part were lost in a crash and in those that count once with
-// it. Parts with which a request was completed since are left out.
+// lostRequestsByPart implements comparison.lostRequestsByPart.
 func (b *Board) lostRequestsByPart(c *crash) map[Fingerprint]int {
 	lost := map[Fingerprint]int{}
 	for _, near := range b.crashesNear(c) {
@@ -91,26 +123,13 @@
 	return runs
 }
 
-// narrowerLookup returns narrowerParts for the parts of some tallies, each evaluated at most once.
-func (b *Board) narrowerLookup(tallies map[Fingerprint]*partTally) func(Fingerprint) []Fingerprint {
-	found := map[Fingerprint][]Fingerprint{}
-	return func(f Fingerprint) []Fingerprint {
-		list, known := found[f]
-		if !known {
-			list = b.narrowerParts(f, tallies)
-			found[f] = list
-		}
-		return list
-	}
-}
-
 // narrow returns a set of suspected parts of a prompt, along with those of its parts that explain their crashes. The
 // set is empty if only parts that the prompt doesn't have do.
-func (s SuspectSet) narrow(parts []Fingerprint, narrower func(Fingerprint) []Fingerprint) SuspectSet {
+func (s SuspectSet) narrow(parts []Fingerprint, m *comparison) SuspectSet {
 	explained := 0
 	set := slices.Clone(s.Parts)
 	for _, f := range s.Parts {
-		others := narrower(f)
+		others := m.narrower(f)
 		within := slices.DeleteFunc(slices.Clone(others), func(p Fingerprint) bool { return !slices.Contains(parts, p) })
 		if len(others) > 0 && len(within) == 0 {
 			explained++
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -260,14 +260,14 @@
 // lost at nearly every crash.
 func (b *Board) suspectSets(tallies map[Fingerprint]*partTally) []SuspectSet {
 	sets := map[Fingerprint]SuspectSet{}
-	narrower := b.narrowerLookup(tallies)
+	comparison := b.newComparison(tallies)
 	top := 0.0
 	for _, c := range b.crashes {
 		if !c.judged || c.repeated || c.attributedParts != nil {
 			continue
 		}
 		for _, r := range c.suspectedRuns() {
-			if s := worstParts(r.Parts, tallies).narrow(r.Parts, narrower); len(s.Parts) > 0 {
+			if s := worstParts(r.Parts, tallies).narrow(r.Parts, comparison); len(s.Parts) > 0 {
 				sets[s.Parts.Fingerprint()] = s
 				top = max(top, s.Charge)
 			}
