testbed/standin: Wait for five crashes only until the part is held back

Its log: three workers crash, the second 17 ms after the first under the same request, and the part is held back 0.4 s after the first crash with a charge of 2.75. So no five ever crash: the wait asked for more harm than was done. It ends now when the part is held back as well, as crashUntil does; the users' rule counts "from the fifth crash (the last, if there are fewer)". What is checked, and the time from then on, stay. checkHeldBack waited in the same way.

--- a/testbed/standin/crash_moments_test.go
+++ b/testbed/standin/crash_moments_test.go
@@ -55,7 +55,7 @@
 	sending.Go(func() { c.sendSteadily(ctx, daemons) })
 	defer sending.Wait()
 	defer cancel()
-	eventually(t, fmt.Sprint(crashes, " workers have crashed"), func() bool { return c.crashed() >= crashes })
+	c.awaitCrashes(crashes)
 	propagated := time.Now().Add(holdPropagation)
 	time.Sleep(2 * holdPropagation)
 	begun, first := others.firstAttempts(span)
@@ -67,6 +67,12 @@
 	must.GreaterEq(t, float64(before)/float64(begunBefore)/2, float64(first)/float64(begun), must.Sprint("others weren't served"))
 }
 
+// awaitCrashes waits until n workers have crashed, or requests that crash workers are held back before: then no more
+// will.
+func (c *crashingWorkers) awaitCrashes(n int) {
+	eventually(c.s.t, fmt.Sprint(n, " workers have crashed"), func() bool { return c.crashed() >= n || c.s.holds() > 0 })
+}
+
 // crashed returns the number of workers that have crashed.
 func (c *crashingWorkers) crashed() int {
 	n := 0
--- a/testbed/standin/crash_parts_test.go
+++ b/testbed/standin/crash_parts_test.go
@@ -119,7 +119,7 @@
 			time.Sleep(100 * time.Millisecond)
 		}
 	})
-	eventually(t, "five workers have crashed", func() bool { return len(c.arrivals()) >= maxPartCrashes })
+	c.awaitCrashes(maxPartCrashes)
 	time.Sleep(2 * holdPropagation)
 	begun, first := others.firstAttempts(span)
 	cancel()
