testbed/standin: Cut a daemon off that reads from its own frontend

TestCrash_ForwardedPartAtAnyMoment was red in 3 of 4 runs at load 23 to 30, each in its set-up: "requests are forwarded". By the logs the daemon lost the history of the workers' table while groups formed and read it anew from a daemon of its data hall, whose rows have the workers' own addresses in place of the proxies that the test cuts; so it went on serving directly. The other tests of links put each daemon in a hall of its own, where it reads from the store. This one does now.

--- a/testbed/standin/crash_moments_test.go
+++ b/testbed/standin/crash_moments_test.go
@@ -166,7 +166,8 @@
 		c := newDeadlyPart(s, crash)
 		links, closeLinks := NewLinks()
 		t.Cleanup(closeLinks)
-		cutOff := s.startAs(Setup{FirstStart: true, Frontend: s.store.NewLinkedFrontend(links)})
+		// Alone in its data hall it learns of workers from its frontend, not from a daemon that has other links.
+		cutOff := s.startAs(Setup{FirstStart: true, Hall: secondHall, Frontend: s.store.NewLinkedFrontend(links)})
 		c.startServed()
 		links.Cut()
 		eventually(t, "requests are forwarded", func() bool { return s.servedFraction(cutOff) == 1 && strings.Contains(cutOff.Log(), "forwarded_to") })
