serving: Log how late a retry is written and read

Nothing told how long after it was counted a retry reaches a worker, so that retries which arrive late could not be told from ones that nobody counts. Each retry now leaves a line, retry_sent, with the time from its count to the write (waited), from there to the head of its answer or its end (unanswered), and the outcome; two histograms hold the same times. No decision changes. Tests of serving, platform and common/conns: green.

--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -283,7 +283,11 @@
 func (e *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, target Target, left time.Duration, watch *watch) (retryable bool, f *fault) {
 	s := e.server
 	sent := s.opts.Now()
-	reply, err := s.answers.send(e.newAttempt(target, left, e.lastEvent, e.lostOnKept), cancel, func(a Attempt) (*Reply, error) { return s.opts.Upstream.Send(ctx, a) })
+	sending := e.newSending(target, e.retryCounted())
+	a := e.newAttempt(target, left, e.lastEvent, e.lostOnKept)
+	a.Started = sending.started
+	reply, err := s.answers.send(a, cancel, func(a Attempt) (*Reply, error) { return s.opts.Upstream.Send(ctx, a) })
+	sending.finished(err)
 	e.lostOnKept = false
 	if err != nil {
 		e.countSending(err)
@@ -313,6 +317,14 @@
 	return e.relayBuffered(ctx, cancel, target, reply)
 }
 
+// retryCounted returns when the retry of the next sending was counted, zero if it needs none.
+func (e *exchange) retryCounted() time.Time {
+	if e.sent == 0 {
+		return time.Time{}
+	}
+	return e.spentAt
+}
+
 // newAttempt returns an attempt that goes on after an event, on a new connection if fresh is set.
 func (e *exchange) newAttempt(target Target, left time.Duration, lastEvent string, fresh bool) Attempt {
 	a := Attempt{
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -90,10 +90,13 @@
 		if left < minAttemptTime {
 			return true, e.expired(ctx)
 		}
+		sending := e.newSending(Target{Key: "peer " + p.Name}, e.retryCounted())
 		a := e.newAttempt(Target{}, left, e.lastEvent, e.lostOnKept)
+		a.Started = sending.started
 		reply, err := s.answers.send(a, cancel, func(a Attempt) (*Reply, error) {
 			return s.opts.Forwarder.Forward(ctx, p, service, Forward{Attempt: a, Attempts: e.maxAttempts() - e.sent, ConfigVersion: e.inForce.Catalog.Version()})
 		})
+		sending.finished(err)
 		var notSent *NotSentError
 		switch {
 		case errors.As(err, &notSent):
--- a/serving/move.go
+++ b/serving/move.go
@@ -138,7 +138,11 @@
 	if left < minAttemptTime {
 		return nil, context.DeadlineExceeded
 	}
-	reply, err := s.answers.send(e.newAttempt(m.target, left, m.after, false), m.cancel, func(a Attempt) (*Reply, error) { return s.opts.Upstream.Send(m.ctx, a) })
+	sending := e.newSending(m.target, r.spent)
+	a := e.newAttempt(m.target, left, m.after, false)
+	a.Started = sending.started
+	reply, err := s.answers.send(a, m.cancel, func(a Attempt) (*Reply, error) { return s.opts.Upstream.Send(m.ctx, a) })
+	sending.finished(err)
 	if err != nil {
 		w.recordMoveError(m, err)
 		return nil, err
--- a/serving/record.go
+++ b/serving/record.go
@@ -44,6 +44,10 @@
 	oldEvidence map[catalog.Verdict]*metrics.Counter
 	firstEvent  *metrics.Histogram
 	duration    *metrics.Histogram
+	// retryWait is how long after it was counted a retry was written, retryUnanswered how long its target then
+	// showed nothing.
+	retryWait       *metrics.Histogram
+	retryUnanswered *metrics.Histogram
 }
 
 // NewCounters registers the counters in a set and returns them.
@@ -68,6 +72,9 @@
 		warned:        set.NewCounter("pointpass_group_warnings_total"),
 		firstEvent:    set.NewHistogram("pointpass_first_event_seconds"),
 		duration:      set.NewHistogram("pointpass_request_seconds"),
+
+		retryWait:       set.NewHistogram("pointpass_retry_wait_seconds"),
+		retryUnanswered: set.NewHistogram("pointpass_retry_unanswered_seconds"),
 	}
 }
 
--- a/serving/request.go
+++ b/serving/request.go
@@ -61,6 +61,8 @@
 	Once bool
 	// Fresh sends the request on a new connection that may be used again.
 	Fresh bool
+	// Started is called right before the request is written to a connection, nil for none.
+	Started func()
 	// Head is called with the bytes and lines of the head of the answer as they arrive, nil for none. An error ends the
 	// attempt.
 	Head func(bytes, lines int) error
