--- a/testbed/standin/crash.go
+++ b/testbed/standin/crash.go
@@ -129,6 +129,7 @@
 	// ended is set once new connections are answered no more, resets if they are reset.
 	ended, resets bool
 	silent        []net.Conn
+	process       standstill
 }
 
 // endAnswers makes the port reset new connections, or keep them without an answer.
@@ -143,8 +144,12 @@
 func (p *port) Accept() (net.Conn, error) {
 	for {
 		conn, err := p.Listener.Accept()
-		if err != nil || !p.drops(conn) {
-			return conn, err
+		p.process.await()
+		if err != nil {
+			return nil, err
+		}
+		if !p.drops(conn) {
+			return &heldConn{Conn: conn, process: &p.process}, nil
 		}
 	}
 }
--- a/testbed/standin/retries.go
+++ b/testbed/standin/retries.go
@@ -18,6 +18,8 @@
 type retryArrivals struct {
 	seen           map[string]bool
 	first, retries []time.Time
+	// sent is when callers sent requests, empty if only arrivals are known.
+	sent []time.Time
 	// worst is the window with the most retries beyond the allowed ones, or the fewest below.
 	worst RetryWindow
 }
@@ -30,8 +32,17 @@
 
 func (w RetryWindow) excess() float64 { return float64(w.Retries) - w.Allowed }
 
-// checkRetry checks rule BUDGET for a request that reaches a worker. Requests that never arrive
-// aren't counted, so that the check is stricter than the rule.
+// recordSent records that a caller sends a request for a service. The rule counts it from then on, also if it
+// never arrives.
+func (c *Checker) recordSent(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.arrivals(service)
+	a.sent = append(a.sent, time.Now())
+}
+
+// checkRetry checks rule BUDGET for a request that reaches a worker. Unless recordSent was called, requests that
+// never arrive aren't counted, so that the check is stricter than the rule.
 func (c *Checker) checkRetry(service, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -43,9 +54,13 @@
 		return
 	}
 	a.retries = append(a.retries, now)
+	known := a.first
+	if len(a.sent) > 0 {
+		known = a.sent
+	}
 	requests := 0
 	for _, earlier := range []time.Duration{0, retryWindow / 2, retryWindow} {
-		requests = max(requests, countWithin(a.first, now.Add(-earlier)))
+		requests = max(requests, countWithin(known, now.Add(-earlier)))
 	}
 	w := RetryWindow{Retries: countWithin(a.retries, now), Allowed: retryRatio*float64(requests) + c.retryExtra}
 	if w.excess() > 0 {
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -146,6 +146,7 @@
 		w.store.checker.setOpen(w.group, false)
 	}
 	w.mu.Unlock()
+	w.Resume()
 	w.server.CloseClientConnections()
 	w.server.Close()
 }
