common/conns: Count the bytes of a write that hasn't returned

Callers could get a request run twice, and workers a repeat that no budget knows: Send counts written bytes after the connection has ended, and a write that had handed its bytes to the kernel added them only when its goroutine ran again. A connection that ends in between, by the worker's close or the end of the request's context, made the request one of which nothing was sent; it then goes to another worker without a retry. Found by reading; a process that stands still or runs at a fifth of a core widens the gap. Bytes count from the start of the write, and are taken back where it fails. TestConn_WriteUnderWayCounts fails before (0 bytes for 4 while the write is under way). No run of real processes has shown such a repeat.

--- a/common/conns/conn.go
+++ b/common/conns/conn.go
@@ -50,10 +50,12 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. Its bytes count as written from its start: they may reach the other side before it
+// returns.
 func (c *countedConn) Write(data []byte) (int, error) {
+	c.written.Add(int64(len(data)))
 	n, err := c.Conn.Write(data)
-	c.written.Add(int64(n))
+	c.written.Add(int64(n - len(data)))
 	return n, err
 }
 
