serving, retry: Count retries until their arrival is past

Operators saw more repeats at workers than the budget allows; their callers' requests reached workers that were about to be overrun. Cause: a retry counted from when it was decided on, for the window and 0.5 s. What was counted in one window and read in a later one, by a worker that stood still, stood beside what was counted in that window. The class: a right that is dated by its grant and bounded by its use.

A retry now counts until one window after the arrival it stands for is past. Trail follows a request's sendings: of n that were read, n-1 are repeats, whichever came first, so that the sending left behind at a silent worker is the repeat when that worker reads it. A head, or the worker's end of the connection, shows that a sending is past; one that ended without either waits in Unread until its worker answers a request written later, 30 s at the most. The age of a retry is checked in one place right before the write (sending.started), for plain, streamed, moved and forwarded requests: before, connections and moves came after the check, or had none. Retries that nothing was sent for are given back.

TestWindow_* and TestShare_* record arrivals SendDelay after the count, as they assumed before; their checks are unchanged. Fakes of upstreams call Started, as the real one does.

--- a/common/conns/conn.go
+++ b/common/conns/conn.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 type countedConn struct {
 	net.Conn
 	read, written atomic.Int64
+	// ended is set once the other side has ended the connection.
+	ended atomic.Bool
 	// head meters the head of the response that is awaited, nil if none is.
 	head atomic.Pointer[headMeter]
 }
@@ -42,6 +45,7 @@
 func (c *countedConn) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
 	c.read.Add(int64(n))
+	c.noteEnd(err)
 	if head := c.head.Load(); head != nil {
 		if refused := head.add(into[:n]); refused != nil {
 			return 0, refused
@@ -56,9 +60,17 @@
 	c.written.Add(int64(len(data)))
 	n, err := c.Conn.Write(data)
 	c.written.Add(int64(n - len(data)))
+	c.noteEnd(err)
 	return n, err
 }
 
+// noteEnd records whether an error says that the other side has ended the connection.
+func (c *countedConn) noteEnd(err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		c.ended.Store(true)
+	}
+}
+
 // keepAliveMargin is how long before the end that a server names for idle connections one is closed, so
 // that no request crosses the server's close.
 const keepAliveMargin = 500 * time.Millisecond
--- a/common/conns/conn_test.go
+++ b/common/conns/conn_test.go
@@ -1,9 +1,12 @@
 package conns
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -44,3 +47,45 @@
 		must.EqOp(t, c.want, conn.counts().written)
 	}
 }
+
+// TestPool_StartedMayRefuse guards against a request that is written though its caller no longer wants that, and against
+// a connection that is lost with it.
+func TestPool_StartedMayRefuse(t *testing.T) {
+	s := newServer(t, func(int, int) string { return okResponse })
+	p := newPool(t)
+	refused := errors.New("too late")
+	for _, fresh := range []bool{true, false, false} {
+		_, err := ask(t, p, s.addr, http.MethodGet, Sending{Fresh: fresh, Started: func(bool) error { return refused }})
+		must.ErrorIs(t, err, refused)
+		var failed *SendError
+		must.True(t, errors.As(err, &failed) && !failed.Sent)
+	}
+	_, err := ask(t, p, s.addr, http.MethodGet, Sending{})
+	must.NoError(t, err)
+	must.EqOp(t, 1, s.requests.Load())
+	must.EqOp(t, 1, s.connections.Load())
+}
+
+// TestPool_EndedByTheOtherSide guards against a request that is taken for one that nobody reads any more since its
+// connection was closed here.
+func TestPool_EndedByTheOtherSide(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(n, _ int) string {
+		if n > 0 {
+			<-release
+		}
+		return ""
+	})
+	p := newPool(t)
+	var failed *SendError
+	_, err := ask(t, p, s.addr, http.MethodGet, Sending{})
+	must.True(t, errors.As(err, &failed) && failed.Sent && failed.Ended)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.addr+"/x", nil)
+	must.NoError(t, err)
+	_, err = p.Send(req, Sending{})
+	close(release)
+	must.True(t, errors.As(err, &failed) && failed.Sent)
+	must.False(t, failed.Ended)
+}
--- a/common/conns/pool.go
+++ b/common/conns/pool.go
@@ -57,8 +57,8 @@
 	// Fresh sends it on a new connection.
 	Fresh bool
 	// Started is called before the request is written, nil for none. kept reports whether the connection
-	// had been used before.
-	Started func(kept bool)
+	// had been used before. After an error nothing is written.
+	Started func(kept bool) error
 	// Head is called with the bytes and lines of the head of the response as they arrive, nil for none. An error ends
 	// the connection.
 	Head func(bytes, lines int) error
@@ -70,7 +70,9 @@
 	Sent bool
 	// Kept is set if the connection had been used before.
 	Kept bool
-	Err  error
+	// Ended is set if the other side has ended the connection: what it hasn't read of it, it never will.
+	Ended bool
+	Err   error
 }
 
 // Error implements error.
@@ -98,7 +100,10 @@
 			return nil, &SendError{Err: err}
 		}
 		if s.Started != nil {
-			s.Started(c.kept)
+			if err := s.Started(c.kept); err != nil {
+				p.giveBack(c)
+				return nil, &SendError{Err: err}
+			}
 		}
 		before := c.raw.counts()
 		if s.Head != nil {
@@ -122,7 +127,7 @@
 			p.recordLoss(c.addr)
 		}
 		if sent || !c.kept || !rewind(req) {
-			return nil, &SendError{Sent: sent, Kept: c.kept, Err: err}
+			return nil, &SendError{Sent: sent, Kept: c.kept, Ended: c.raw.ended.Load(), Err: err}
 		}
 	}
 }
@@ -203,9 +208,16 @@
 	if d.err != nil {
 		return
 	}
-	d.c.cc.Release()
-	d.c.lifetime = p.opts.IdleTimeout
-	p.put(d.c)
+	p.giveBack(d.c)
+}
+
+// giveBack keeps a connection that was reserved for a request that isn't sent.
+func (p *Pool) giveBack(c *conn) {
+	c.cc.Release()
+	if !c.kept {
+		c.lifetime = p.opts.IdleTimeout
+	}
+	p.put(c)
 }
 
 // await returns a channel that gets an idle connection to an address: one that has become idle since the caller
--- a/retry/share_test.go
+++ b/retry/share_test.go
@@ -49,6 +49,9 @@
 	// requests and retries are the times of all of them, over all daemons; retries are those of
 	// arrival.
 	requests, retries []time.Time
+	// still is until when half of the workers stand still, and unread are the retries that they will read then.
+	still  time.Time
+	unread []*Retry
 }
 
 // simDaemon is a daemon of a simulated deployment. It isn't running if window is nil.
@@ -103,12 +106,24 @@
 // run lets time pass.
 func (d *deployment) run(t time.Duration) {
 	for until := d.now.Add(t); d.now.Before(until); d.now = d.now.Add(step) {
+		if !d.now.Before(d.still) {
+			d.readAll()
+		}
 		for _, s := range d.daemons {
 			d.runDaemon(s)
 		}
 	}
 }
 
+// readAll lets the workers read what they haven't read yet.
+func (d *deployment) readAll() {
+	for _, r := range d.unread {
+		d.retries = append(d.retries, d.now)
+		r.Read(d.now)
+	}
+	d.unread = nil
+}
+
 // runDaemon lets a daemon do what is due. Clients send to it also while it isn't running.
 func (d *deployment) runDaemon(s *simDaemon) {
 	if s.window != nil && !s.ends.IsZero() && d.now.After(s.ends) {
@@ -148,8 +163,18 @@
 // serve handles a request at a daemon, and retries it as often as possible if requests fail.
 func (d *deployment) serve(s *simDaemon) {
 	s.window.Request(d.now)
-	for d.failing && s.window.Spend(d.now, s.share.Of(d.allowance, d.now).Allowance) {
-		d.retries = append(d.retries, d.now.Add(time.Duration(d.random.Int64N(int64(SendDelay)))))
+	for d.failing {
+		r, ok := s.window.Spend(d.now, s.share.Of(d.allowance, d.now).Allowance)
+		if !ok {
+			return
+		}
+		if d.now.Before(d.still) && d.random.IntN(2) == 0 {
+			d.unread = append(d.unread, r)
+			continue
+		}
+		arrival := d.now.Add(time.Duration(d.random.Int64N(int64(SendDelay))))
+		d.retries = append(d.retries, arrival)
+		r.Read(arrival)
 	}
 }
 
@@ -305,9 +330,14 @@
 
 // change makes one random change. Copies are earlier contents of the table.
 func (d *deployment) change(random *rand.Rand, copies *[]map[string]uint64) {
+	d.changeBy(random.IntN(12), random, copies)
+}
+
+// changeBy makes a random change of a kind.
+func (d *deployment) changeBy(kind int, random *rand.Rand, copies *[]map[string]uint64) {
 	s := d.daemons[random.IntN(len(d.daemons))]
 	span := time.Duration(random.IntN(12_000)) * time.Millisecond
-	switch random.IntN(12) {
+	switch kind {
 	case 0:
 		for _, s := range d.daemons {
 			d.kill(s)
@@ -339,3 +369,67 @@
 	}
 	*copies = append(*copies, maps.Clone(d.rows))
 }
+
+// lateHistories are kinds of changes beside which workers stand still, for longest at the most.
+var lateHistories = []struct {
+	name    string
+	changes []int
+	longest time.Duration
+}{
+	{"nothing else", nil, 20 * time.Second},
+	{"daemons stand still, too", []int{4}, 20 * time.Second},
+	{"views are missing", []int{5, 7}, 20 * time.Second},
+	{"rows are missing", []int{6, 8, 9}, 20 * time.Second},
+	{"load moves", []int{11}, 9 * time.Second},
+	{"daemons are killed", []int{0, 1}, 20 * time.Second},
+	{"daemons join", []int{10}, 9 * time.Second},
+	{"daemons stop", []int{2}, 9 * time.Second},
+	{"all of these", []int{0, 1, 2, 4, 5, 6, 7, 8, 9, 10, 11}, 9 * time.Second},
+	{"for long, load moves", []int{11}, 20 * time.Second},
+	{"for long, daemons join", []int{10}, 20 * time.Second},
+	{"for long, daemons stop", []int{2}, 20 * time.Second},
+	{"for very long", nil, 60 * time.Second},
+}
+
+// TestShare_LateArrivals guards against retries that workers read in a later window than they were counted in, since
+// they stood still, beside changes of the daemons, of what they see of each other, and of their load.
+func TestShare_LateArrivals(t *testing.T) {
+	const seeds = 80
+	for _, h := range lateHistories {
+		t.Run(h.name, func(t *testing.T) {
+			for _, a := range []Allowance{total, ratioOnly, extraOnly} {
+				for seed := range uint64(seeds) {
+					d := newDeployment(2 + int(seed%6))
+					d.allowance = a
+					d.random = rand.New(rand.NewPCG(seed, 0))
+					d.runLate(h.changes, h.longest)
+					must.EqOp(t, 0, d.excess(), must.Sprint("allowance: ", a, ", seed: ", seed))
+				}
+			}
+		})
+	}
+}
+
+// runLate makes changes of the given kinds while workers stand still again and again, for longest at the most.
+func (d *deployment) runLate(changes []int, longest time.Duration) {
+	d.failing = false
+	d.settle()
+	copies := []map[string]uint64{maps.Clone(d.rows)}
+	for range 30 {
+		d.failing = d.random.IntN(3) > 0
+		if !d.now.Before(d.still) {
+			d.readAll()
+			d.still = d.now.Add(time.Duration(d.random.Int64N(int64(longest))))
+		}
+		if len(changes) > 0 {
+			d.changeBy(changes[d.random.IntN(len(changes))], d.random, &copies)
+		}
+		d.run(time.Duration(d.random.IntN(10_000)) * time.Millisecond)
+		for _, s := range d.daemons {
+			if s.window == nil {
+				d.start(s)
+			}
+		}
+	}
+	d.readAll()
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -9,9 +9,8 @@
 const (
 	// windowSlots is the number of slots in which the requests of a window are counted.
 	windowSlots = 20
-	// SendDelay is how long after it was counted a retry may reach a worker. Retries count for so
-	// much longer than the window and requests for so much shorter, so that the allowance also
-	// holds by the times of arrival.
+	// SendDelay is how long a worker whose process runs takes to read what has reached its machine. Requests count
+	// for so much shorter than the window, so that a retry which arrives so much later still belongs to them.
 	SendDelay = 500 * time.Millisecond
 )
 
@@ -31,8 +30,8 @@
 	length time.Duration
 	// slots count the requests.
 	slots [windowSlots]windowSlot
-	// retries are the times of the retries, which the allowance keeps few.
-	retries []time.Time
+	// retries are those that count, which the allowance keeps few.
+	retries []*Retry
 }
 
 type windowSlot struct {
@@ -51,16 +50,25 @@
 }
 
 // Spend counts a retry if the allowance has room for it, and reports whether it had. The
-// allowance may change from call to call.
-func (w *Window) Spend(now time.Time, a Allowance) bool {
+// allowance may change from call to call. The retry counts until the window has passed since its arrival, or since
+// MaxUnread if that isn't recorded.
+func (w *Window) Spend(now time.Time, a Allowance) (*Retry, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.resize(now, a.Window)
 	if !w.room(now, a) {
-		return false
+		return nil, false
 	}
-	w.retries = append(w.retries, now)
-	return true
+	r := &Retry{window: w, spent: now}
+	w.retries = append(w.retries, r)
+	return r, true
+}
+
+// drop makes a retry count no more.
+func (w *Window) drop(r *Retry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries = slices.DeleteFunc(w.retries, func(other *Retry) bool { return other == r })
 }
 
 // Usage is what a budget decision was based on: the requests and retries within the window, and
@@ -86,7 +94,7 @@
 	return w.room(now, a)
 }
 
-// resize changes the length of the window. The retries in it count as made now and its requests
+// resize changes the length of the window. The retries in it count as arrived now and its requests
 // are dropped, so that a change allows too few retries for one window rather than too many. The
 // caller holds the lock.
 func (w *Window) resize(now time.Time, length time.Duration) {
@@ -96,8 +104,10 @@
 	w.dropOldRetries(now)
 	w.length = length
 	w.slots = [windowSlots]windowSlot{}
-	for i := range w.retries {
-		w.retries[i] = now
+	for _, r := range w.retries {
+		if !r.read.IsZero() {
+			r.read = now
+		}
 	}
 }
 
@@ -116,11 +126,7 @@
 
 // dropOldRetries drops the retries that have left the window. The caller holds the lock.
 func (w *Window) dropOldRetries(now time.Time) {
-	old := 0
-	for old < len(w.retries) && now.Sub(w.retries[old]) >= w.length+SendDelay {
-		old++
-	}
-	w.retries = slices.Delete(w.retries, 0, old)
+	w.retries = slices.DeleteFunc(w.retries, func(r *Retry) bool { return !r.counts(now, w.length) })
 }
 
 // requests returns the number of requests within the window less SendDelay. The caller holds the
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -13,17 +13,17 @@
 	a := Allowance{Ratio: 0.2, Extra: 3, Window: 10 * time.Second}
 	w := NewWindow(a.Window)
 	for range 3 {
-		must.True(t, w.Spend(now, a))
+		must.True(t, spend(w, now, a))
 	}
 	must.False(t, w.Room(now, a))
-	must.False(t, w.Spend(now, a))
+	must.False(t, spend(w, now, a))
 	for range 5 {
 		w.Request(now)
 	}
 	must.True(t, w.Room(now, a))
-	must.True(t, w.Spend(now, a))
-	must.False(t, w.Spend(now, a))
-	must.True(t, w.Spend(now.Add(11*time.Second), a), must.Sprint("earlier retries have left the window"))
+	must.True(t, spend(w, now, a))
+	must.False(t, spend(w, now, a))
+	must.True(t, spend(w, now.Add(11*time.Second), a), must.Sprint("earlier retries have left the window"))
 }
 
 // TestWindow_StaysWithinTheAllowance checks that within any span of the window's length the
@@ -38,7 +38,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "retry") {
-				if w.Spend(now, a) {
+				if spend(w, now, a) {
 					retries = append(retries, now)
 				}
 				continue
@@ -59,8 +59,8 @@
 	a := Allowance{Extra: 1, Window: total.Window}
 	for offset := time.Duration(0); offset < a.Window; offset += 10 * time.Millisecond {
 		w := NewWindow(a.Window)
-		must.True(t, w.Spend(noon.Add(offset), a))
-		must.False(t, w.Spend(noon.Add(offset+a.Window+SendDelay-time.Millisecond), a), must.Sprint("offset: ", offset))
+		must.True(t, spend(w, noon.Add(offset), a))
+		must.False(t, spend(w, noon.Add(offset+a.Window+SendDelay-time.Millisecond), a), must.Sprint("offset: ", offset))
 	}
 }
 
@@ -74,23 +74,32 @@
 		w.Request(now)
 	}
 	for range 2 {
-		must.True(t, w.Spend(now, a))
+		must.True(t, spend(w, now, a))
 	}
 	now = now.Add(time.Second)
 	a.Window = 4 * time.Second
-	must.False(t, w.Spend(now, a))
+	must.False(t, spend(w, now, a))
 	must.False(t, w.Room(now.Add(4*time.Second), a))
 	must.True(t, w.Room(now.Add(4*time.Second+SendDelay), a))
 	now = now.Add(5 * time.Second)
 	for range 2 {
-		must.True(t, w.Spend(now, a))
+		must.True(t, spend(w, now, a))
 	}
 	a.Window = 20 * time.Second
 	now = now.Add(time.Second)
-	must.False(t, w.Spend(now, a))
+	must.False(t, spend(w, now, a))
 	must.True(t, w.Room(now.Add(20*time.Second+SendDelay), a), must.Sprint("no retry counts for longer than the window and its way to the worker"))
 }
 
+// spend counts a retry that arrives SendDelay later.
+func spend(w *Window, now time.Time, a Allowance) bool {
+	r, ok := w.Spend(now, a)
+	if ok {
+		r.Read(now.Add(SendDelay))
+	}
+	return ok
+}
+
 func since(times []time.Time, from time.Time) int {
 	n := 0
 	for _, at := range times {
@@ -105,7 +114,7 @@
 func TestWindow_ShortWindow(t *testing.T) {
 	w := NewWindow(10 * time.Nanosecond)
 	w.Request(time.Now())
-	w.Spend(time.Now(), Allowance{Window: 10 * time.Nanosecond})
+	spend(w, time.Now(), Allowance{Window: 10 * time.Nanosecond})
 }
 
 // TestWindow_TimeOutOfRange guards against a machine whose time of day is not set, or far away.
--- a/serving/budget_test.go
+++ b/serving/budget_test.go
@@ -22,10 +22,10 @@
 	s := NewServer(Options{Allowance: func() retry.Allowance {
 		return retry.Allowance{Ratio: 0, Extra: extra, Window: 10 * time.Second}
 	}})
-	must.True(t, s.spendRetry("llm", noon))
+	must.True(t, spendRetry(s, "llm", noon))
 	extra = 10
 	spent := 1
-	for s.spendRetry("llm", noon) {
+	for spendRetry(s, "llm", noon) {
 		spent++
 	}
 	must.EqOp(t, 10, spent)
--- a/serving/exchange.go
+++ b/serving/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pointpass/pointpass/admission"
@@ -75,8 +76,9 @@
 	ctx      context.Context
 	reserved *reservation
 	next     *move
-	// spentAt is when the last retry was counted.
-	spentAt    time.Time
+	// sendings are those of the request to workers and peers, and the retries counted for them; see trail.
+	sendings   *retry.Trail
+	trailOnce  sync.Once
 	firstEvent time.Time
 	lastEvent  string
 	resumed    int
@@ -95,10 +97,6 @@
 	minAttemptTime = 30 * time.Millisecond
 )
 
-// maxSpendAge is how long before it is sent a retry may have been counted. One of a process that stood still
-// meanwhile counts again, as it arrives in another window.
-const maxSpendAge = 100 * time.Millisecond
-
 // errStalled is the cancellation cause of an attempt whose target sends nothing.
 var errStalled = errors.New("target sent nothing within the timeout")
 
@@ -126,6 +124,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, e.deadline.Add(-deadlineMargin), context.DeadlineExceeded)
 	defer cancel()
 	e.ctx = ctx
+	defer e.trail().End()
 	defer e.dropReserved()
 	for {
 		if e.server.opts.Reach.Silenced(e.service.Name) {
@@ -156,7 +155,7 @@
 		if !e.awaitVerdict(ctx) {
 			return e.expired(ctx)
 		}
-		if e.sent > 0 && e.reserved == nil && !e.spendRetry() {
+		if e.reserved == nil && e.trail().NeedsRetry() && !e.spendRetry() {
 			return e.giveUp(f)
 		}
 	}
@@ -180,7 +179,6 @@
 		return Target{}, f
 	}
 	e.reserved = nil
-	e.spentAt = r.spent
 	return r.target, nil
 }
 
@@ -203,21 +201,27 @@
 // spendRetry counts a retry against the budget of the service, and reports whether the budget had
 // room for it.
 func (e *exchange) spendRetry() bool {
-	s, now := e.server, e.server.opts.Now()
+	now := e.server.opts.Now()
 	if e.spendRetryAt(now) {
-		e.spentAt = now
 		return true
 	}
+	e.recordOverBudget(now)
+	return false
+}
+
+// recordOverBudget records that the request isn't retried since the budget has no room.
+func (e *exchange) recordOverBudget(now time.Time) {
+	s := e.server
 	usage := s.budget(e.service.Name).Usage(now, s.opts.Allowance())
 	e.overBudget = &usage
 	s.opts.Counters.overBudget.Inc()
-	return false
 }
 
 // spendRetryAt is spendRetry for an attempt that the request doesn't depend on.
 func (e *exchange) spendRetryAt(now time.Time) bool {
-	spent := e.server.spendRetry(e.service.Name, now)
+	r, spent := e.server.spendRetry(e.service.Name, now)
 	if spent {
+		e.trail().Add(r)
 		e.server.opts.Counters.retried(e.service.Name)
 	}
 	return spent
@@ -262,9 +266,6 @@
 	if left < minAttemptTime {
 		return false, e.expired(ctx)
 	}
-	if e.sent > 0 && s.opts.Now().Sub(e.spentAt) > maxSpendAge && !e.spendRetry() {
-		return false, e.giveUp(&fault{status: http.StatusBadGateway, reason: "the answer of the worker is lost", aborted: e.answerStarted})
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	e.recordSent(s.opts.Now(), target)
@@ -283,12 +284,16 @@
 func (e *exchange) send(ctx context.Context, cancel context.CancelCauseFunc, target Target, left time.Duration, watch *watch) (retryable bool, f *fault) {
 	s := e.server
 	sent := s.opts.Now()
-	sending := e.newSending(target, e.retryCounted())
+	sending := e.newSending(target)
 	a := e.newAttempt(target, left, e.lastEvent, e.lostOnKept)
 	a.Started = sending.started
 	reply, err := s.answers.send(a, cancel, func(a Attempt) (*Reply, error) { return s.opts.Upstream.Send(ctx, a) })
 	sending.finished(err)
 	e.lostOnKept = false
+	if errors.Is(err, errRetryOverdue) {
+		e.recordOverBudget(s.opts.Now())
+		return false, e.giveUp(&fault{status: http.StatusBadGateway, reason: "the answer of the worker is lost", aborted: e.answerStarted})
+	}
 	if err != nil {
 		e.countSending(err)
 		var lost *LostError
@@ -317,14 +322,6 @@
 	return e.relayBuffered(ctx, cancel, target, reply)
 }
 
-// retryCounted returns when the retry of the next sending was counted, zero if it needs none.
-func (e *exchange) retryCounted() time.Time {
-	if e.sent == 0 {
-		return time.Time{}
-	}
-	return e.spentAt
-}
-
 // newAttempt returns an attempt that goes on after an event, on a new connection if fresh is set.
 func (e *exchange) newAttempt(target Target, left time.Duration, lastEvent string, fresh bool) Attempt {
 	a := Attempt{
@@ -332,7 +329,6 @@
 		Worker:    target.Worker,
 		Priority:  e.route.Priority,
 		Timeout:   left,
-		Left:      func() time.Duration { return e.deadline.Sub(e.server.opts.Now()) },
 		LastEvent: lastEvent,
 		Once:      !e.route.IsRepeatable(),
 		Fresh:     fresh,
--- a/serving/fleet_test.go
+++ b/serving/fleet_test.go
@@ -68,6 +68,9 @@
 
 func (f *fleet) Send(ctx context.Context, a Attempt) (*Reply, error) {
 	f.sendContext = ctx
+	if _, err := a.Started(); err != nil {
+		return nil, &NotSentError{Err: err}
+	}
 	f.regions = append(f.regions, fleetHalls[a.Worker.Hall])
 	next := f.handlers[0]
 	if len(f.handlers) > 1 {
--- a/serving/forward.go
+++ b/serving/forward.go
@@ -90,15 +90,18 @@
 		if left < minAttemptTime {
 			return true, e.expired(ctx)
 		}
-		sending := e.newSending(Target{Key: "peer " + p.Name}, e.retryCounted())
+		sending := e.newSending(Target{Key: "peer " + p.Name})
 		a := e.newAttempt(Target{}, left, e.lastEvent, e.lostOnKept)
 		a.Started = sending.started
 		reply, err := s.answers.send(a, cancel, func(a Attempt) (*Reply, error) {
 			return s.opts.Forwarder.Forward(ctx, p, service, Forward{Attempt: a, Attempts: e.maxAttempts() - e.sent, ConfigVersion: e.inForce.Catalog.Version()})
 		})
-		sending.finished(err)
+		sending.forwarded(reply, err)
 		var notSent *NotSentError
 		switch {
+		case errors.Is(err, errRetryOverdue):
+			e.recordOverBudget(s.opts.Now())
+			return true, e.giveUp(&fault{status: http.StatusBadGateway, reason: "the answer of the worker is lost", aborted: e.answerStarted})
 		case errors.As(err, &notSent):
 			if ctx.Err() != nil {
 				return true, e.expired(ctx)
--- a/serving/latesend_test.go
+++ b/serving/latesend_test.go
@@ -32,9 +32,15 @@
 		w, _ := f.ask()
 		must.EqOp(t, 200, w.Code, must.Sprint(c.frozen))
 		left := 0
-		for f.server.spendRetry("s", now) {
+		for spendRetry(f.server, "s", now) {
 			left++
 		}
 		must.EqOp(t, c.left, left, must.Sprint(c.frozen))
 	}
 }
+
+// spendRetry counts a retry for a service, and reports whether the budget had room for it.
+func spendRetry(s *Server, service string, now time.Time) bool {
+	_, spent := s.spendRetry(service, now)
+	return spent
+}
--- a/serving/move.go
+++ b/serving/move.go
@@ -43,11 +43,8 @@
 	}
 }
 
-// reservation is a target with a request counted there, and the retry for it.
-type reservation struct {
-	target Target
-	spent  time.Time
-}
+// reservation is a target with a request counted there. The request has a retry for it.
+type reservation struct{ target Target }
 
 // reserve takes all that another attempt needs: an attempt of the request, a retry of the service, and a place
 // at a target. The caller holds the lock.
@@ -59,7 +56,7 @@
 	}
 	targets, _ := e.allowedTargets()
 	excluded := append([]string(nil), w.tried...)
-	spent := false
+	spent := e.trail().HasUnused()
 	for {
 		target, found := s.opts.Balancer.Choose(targets, excluded, false, now)
 		if !found {
@@ -71,7 +68,7 @@
 		}
 		spent = true
 		if s.opts.Placement.Admit(e.placementRequest(), target.Worker).Allowed() {
-			return &reservation{target: target, spent: now}, true
+			return &reservation{target: target}, true
 		}
 		s.opts.Balancer.Done(target.Key)
 		excluded = append(excluded, target.Key)
@@ -138,11 +135,14 @@
 	if left < minAttemptTime {
 		return nil, context.DeadlineExceeded
 	}
-	sending := e.newSending(m.target, r.spent)
+	sending := e.newSending(m.target)
 	a := e.newAttempt(m.target, left, m.after, false)
 	a.Started = sending.started
 	reply, err := s.answers.send(a, m.cancel, func(a Attempt) (*Reply, error) { return s.opts.Upstream.Send(m.ctx, a) })
 	sending.finished(err)
+	if errors.Is(err, errRetryOverdue) {
+		return nil, errNoRoom
+	}
 	if err != nil {
 		w.recordMoveError(m, err)
 		return nil, err
--- a/serving/request.go
+++ b/serving/request.go
@@ -50,10 +50,8 @@
 	Worker   workers.Worker
 	Customer string
 	Priority int
-	// Timeout is how long the worker may take, and Left what is left of that when the request is
-	// written, nil if it doesn't change.
+	// Timeout is how long the worker may take.
 	Timeout time.Duration
-	Left    func() time.Duration
 	// LastEvent is the id of the event after which a stream resumes.
 	LastEvent string
 	// Once is set if the request may not run twice. It is sent on a new connection that is closed
@@ -61,8 +59,9 @@
 	Once bool
 	// Fresh sends the request on a new connection that may be used again.
 	Fresh bool
-	// Started is called right before the request is written to a connection, nil for none.
-	Started func()
+	// Started is called right before the request is written to a connection, nil for none. It returns what is left of
+	// Timeout. After an error the request isn't written.
+	Started func() (left time.Duration, err error)
 	// Head is called with the bytes and lines of the head of the answer as they arrive, nil for none. An error ends the
 	// attempt.
 	Head func(bytes, lines int) error
@@ -112,6 +111,8 @@
 	Err error
 	// Kept is set if the connection had been used before.
 	Kept bool
+	// Ended is set if the worker has ended the connection: what it hasn't read by then, it never will.
+	Ended bool
 }
 
 // Error describes the error.
--- a/serving/server.go
+++ b/serving/server.go
@@ -116,6 +116,9 @@
 	watches      watches
 	answers      *answerBuffers
 
+	// unread are the sendings that workers may still read.
+	unread *retry.Unread
+
 	mu      sync.Mutex
 	budgets map[string]*retry.Window
 	windows map[load.Model]*admission.Window
@@ -135,6 +138,7 @@
 		end:          end,
 		answers:      newAnswerBuffers(memory),
 		opts:         opts,
+		unread:       retry.NewUnread(),
 		budgets:      map[string]*retry.Window{},
 		windows:      map[load.Model]*admission.Window{},
 		unknownHalls: map[string]bool{},
@@ -253,7 +257,7 @@
 }
 
 // spendRetry counts a retry for a service, and reports whether the budget had room for it.
-func (s *Server) spendRetry(service string, now time.Time) bool {
+func (s *Server) spendRetry(service string, now time.Time) (*retry.Retry, bool) {
 	return s.budget(service).Spend(now, s.opts.Allowance())
 }
 
--- a/serving/silence_test.go
+++ b/serving/silence_test.go
@@ -48,7 +48,12 @@
 // upstreamFunc is an upstream of one function.
 type upstreamFunc func(ctx context.Context, a Attempt) (*Reply, error)
 
-func (f upstreamFunc) Send(ctx context.Context, a Attempt) (*Reply, error) { return f(ctx, a) }
+func (f upstreamFunc) Send(ctx context.Context, a Attempt) (*Reply, error) {
+	if _, err := a.Started(); err != nil {
+		return nil, &NotSentError{Err: err}
+	}
+	return f(ctx, a)
+}
 
 // serveStreams sends requests to a server at once, and returns their answers; "" stands for one that was
 // broken off.
--- a/serving/watch_test.go
+++ b/serving/watch_test.go
@@ -46,6 +46,7 @@
 // newStreamServer returns a server of one model with two groups.
 func newStreamServer(t *testing.T, upstream Upstream) *Server {
 	t.Helper()
+	sends := func(ctx context.Context, a Attempt) (*Reply, error) { return upstream.Send(ctx, a) }
 	service := catalog.Service{Name: "llm", Runtime: &catalog.Runtime{Models: []catalog.Model{{Name: "m", Size: 2}}}}
 	route := catalog.Route{Name: "ask", Host: "a.example", Prefix: "/", Kind: catalog.Stream, Resumable: true, Attempts: 2, Public: true, Shares: []catalog.Share{{Service: "llm", Weight: 1}}}
 	var catalogs catalog.Holder
@@ -57,7 +58,7 @@
 		Guard:          quarantine.NewGuard(time.Now),
 		AnswerObserver: throttle.New("x", throttle.NewTracker(metrics.NewSet(), &log.Logger{Level: log.PanicLevel})),
 		Placement:      placement.NewDecider(nil, placement.NoRamp{}, placement.NoThrottle{}, time.Now), WaitFresh: func(context.Context) {},
-		Catalogs: &catalogs, Workers: registry.View, Upstream: upstream, Balancer: NewBalancer("z1"),
+		Catalogs: &catalogs, Workers: registry.View, Upstream: upstreamFunc(sends), Balancer: NewBalancer("z1"),
 		Counters: NewCounters(metrics.NewSet()), Evidence: func() catalog.EvidencePolicy { return catalog.NewEvidencePolicy(time.Minute, time.Minute) },
 		Allowance:    func() retry.Allowance { return retry.Allowance{Extra: 10, Window: time.Second} },
 		RecordDemand: func(load.Model, time.Duration) {},
--- a/testbed/standin/budget_late_test.go
+++ b/testbed/standin/budget_late_test.go
@@ -51,6 +51,9 @@
 	for time.Now().Before(until) {
 		random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 		chosen := list[:len(list)/2]
+		if length == 0 {
+			chosen = nil
+		}
 		for _, w := range chosen {
 			w.StandStill()
 		}
@@ -86,6 +89,7 @@
 	{"large, streams, 6 s", "llm", 135, 6 * time.Second, 8, 48},
 	{"large, streams, 9 s", "llm", 135, 9 * time.Second, 8, 48},
 	{"large, plain, 6 s", "app", 135, 6 * time.Second, 8, 16},
+	{"none", "app", 20, 0, 3, 4},
 }
 
 // TestBudget_WorkersThatStandStill guards against retries that count in the window in which they were sent, and reach
