serving: Round Retry-After up

Callers who returned as they were told could be refused once more: 2,988.402 ms were sent as 2.988, and a caller was back 0.1 ms before the pause of its workers ended. Seen once in TestPause_OfAllWorkersIsReported (503 for 200), traced by its log lines. Times are rounded up to a millisecond. TestFault_RetryAfterIsRoundedUp fails before.

--- a/serving/giveup_test.go
+++ b/serving/giveup_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -58,3 +59,14 @@
 	})
 	must.EqOp(t, http.StatusGatewayTimeout, w.Code)
 }
+
+// TestFault_RetryAfterIsRoundedUp guards against callers who return as they are told, and a moment too early.
+func TestFault_RetryAfterIsRoundedUp(t *testing.T) {
+	for d, want := range map[time.Duration]string{
+		2988402368 * time.Nanosecond: "2.989", time.Nanosecond: "0.001", 400 * time.Millisecond: "0.400", time.Hour: "3600.000",
+	} {
+		w := httptest.NewRecorder()
+		writeFault(w, &fault{status: http.StatusServiceUnavailable, retryAfter: d})
+		must.EqOp(t, want, w.Header().Get("Retry-After"))
+	}
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -283,9 +283,15 @@
 	return &fault{status: http.StatusServiceUnavailable, reason: errStopping.Error(), retryAfter: stoppingRetryDelay}
 }
 
+// retryAfterText returns a delay in seconds with three decimals, rounded up: who returns too early is refused again.
+func retryAfterText(d time.Duration) string {
+	ms := (d + time.Millisecond - 1) / time.Millisecond
+	return strconv.FormatFloat(float64(ms)/1000, 'f', 3, 64)
+}
+
 func writeFault(w http.ResponseWriter, f *fault) {
 	if f.retryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 3, 64))
+		w.Header().Set("Retry-After", retryAfterText(f.retryAfter))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(f.reason)+1))
