--- /dev/null
+++ b/testbed/standin/cuthead_test.go
@@ -0,0 +1,129 @@
+package standin
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/common/conns/connstest"
+)
+
+// ownFields stands for the fields that every answer of a worker has.
+const ownFields = "X-Own: x\r\n"
+
+// checkWhole checks that a caller got a whole answer or none: a success has all of the worker's body.
+func (s *testCluster) checkWhole(what string, a Request, r Reply) {
+	s.t.Helper()
+	if r.Err != nil || r.Status/100 != 2 {
+		return
+	}
+	if strings.HasPrefix(a.Path, "/ask/") {
+		must.True(s.t, completeStream(a.ID, r), must.Sprint(what, ": ", r.Body))
+		return
+	}
+	must.StrHasPrefix(s.t, "answer to "+a.ID+" of ", r.Body, must.Sprint(what))
+}
+
+// askEach sends requests of each kind, and returns how many of those that may be repeated got a whole answer.
+func (s *testCluster) askEach(d *Daemon, what string, n int) (served, repeatable int) {
+	for range n {
+		for _, path := range []string{"/get/x", "/post/x", "/ask/q"} {
+			a := s.newRequest(http.MethodPost, path)
+			a.Header = streamHeader()
+			r := d.Send(s.t.Context(), a)
+			s.checkWhole(what, a, r)
+			if path == "/post/x" {
+				must.LessEq(s.t, 1, len(s.runs(a.ID)), must.Sprint(what))
+				continue
+			}
+			repeatable++
+			if r.Err == nil && r.Status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	return served, repeatable
+}
+
+// forEachCutHead lets workers break off the heads of their answers in each form.
+func forEachCutHead(list []*Worker, check func(what string)) {
+	for form, c := range connstest.CutHeads(ownFields) {
+		pieces, resets := form%2 == 0, form%3 == 0
+		for _, w := range list {
+			w.SetCutHead(form, pieces, resets)
+		}
+		check(fmt.Sprintf("%s, in pieces %v, reset %v", c.Name, pieces, resets))
+	}
+	for _, w := range list {
+		w.SetSpoil(NotSpoiled)
+	}
+}
+
+// TestAnswers_HeadsThatBreakOff guards against an answer that ends within its head, or right after it, and reaches the
+// caller as a whole one with an empty or short body: of requests that may be repeated, that run at most once, and of
+// streams, also ones that are resumed.
+func TestAnswers_HeadsThatBreakOff(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, 6)
+	for i := range s.config.Routes {
+		s.config.Routes[i].Attempts = 3
+	}
+	s.store.Apply(s.config)
+	s.store.Checker().SetRetryExtra(budgetExtra)
+	d := s.startAs(Setup{FirstStart: true, RetryExtra: budgetExtra})
+	s.awaitGroups(3)
+	s.awaitShares()
+	heads := s.openGroupHeads()
+	served, repeatable := 0, 0
+	ask := func(what string) {
+		more, of := s.askEach(d, what, 3)
+		served, repeatable = served+more, repeatable+of
+	}
+	forEachCutHead([]*Worker{s.workers["a0"], heads[0]}, ask)
+	heads[1].SetFault(CutsStream) // what it has begun is resumed at the one that breaks off
+	forEachCutHead([]*Worker{heads[0]}, ask)
+	t.Log(served, " of ", repeatable, " answered")
+	must.GreaterEq(t, repeatable*9/10, served, must.Sprint("other workers answer"))
+}
+
+// TestAnswers_HeadsOfMovesThatBreakOff guards against a stream that is moved from a silent worker to one whose answer
+// ends within its head, and then lacks events or looks complete.
+func TestAnswers_HeadsOfMovesThatBreakOff(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, 4)
+	s.store.Checker().SetRetryExtra(budgetExtra)
+	d := s.startAs(Setup{FirstStart: true, RetryExtra: budgetExtra})
+	s.awaitGroups(2)
+	s.awaitShares()
+	heads := s.openGroupHeads()
+	heads[0].SetFault(StopsMidStream)
+	forEachCutHead([]*Worker{heads[1]}, func(what string) {
+		a := s.newStreamRequest()
+		a.Timeout = 2500 * time.Millisecond
+		s.checkWhole(what, a, d.Send(t.Context(), a))
+	})
+}
+
+// TestAnswers_HeadsForwardedThatBreakOff guards against an answer that ends within its head at the daemon that runs a
+// request for another one.
+func TestAnswers_HeadsForwardedThatBreakOff(t *testing.T) {
+	t.Parallel()
+	s := newTestCluster(t, 4)
+	s.store.Checker().SetRetryExtra(budgetExtra)
+	links := s.cutDaemons(1)
+	s.awaitGroups(2)
+	s.awaitServed(s.daemons...)
+	links.Cut()
+	s.awaitServed(s.daemons[0])
+	served, repeatable := 0, 0
+	forEachCutHead([]*Worker{s.workers["a0"], s.openGroupHeads()[0]}, func(what string) {
+		more, of := s.askEach(s.daemons[0], what, 2)
+		served, repeatable = served+more, repeatable+of
+	})
+	t.Log(served, " of ", repeatable, " answered")
+	must.Positive(t, served)
+}
--- a/testbed/standin/spoiled.go
+++ b/testbed/standin/spoiled.go
@@ -51,6 +51,8 @@
 	LongEvent
 	// LongAnswer sends a whole answer of LongAnswerBytes.
 	LongAnswer
+	// BreaksHead ends its connection within the head of an answer, as SetCutHead says.
+	BreaksHead
 )
 
 // keptPeriod is how many requests of a kept connection EndsKept answers until it closes one.
@@ -134,6 +136,10 @@
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\npart", own)
 		return true
 	}
+	if spoil == BreaksHead {
+		w.breakHead(conn, own)
+		return true
+	}
 	if parts, held := heldAnswers[spoil]; held {
 		w.sendHeld(conn, strings.ReplaceAll(parts.before, "%s", own), strings.ReplaceAll(parts.after, "%s", own))
 		return true
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -105,6 +105,7 @@
 	// spoil is how the worker spoils its answers. endless are the answers without end that have ended,
 	// and endlessOpen counts those that haven't.
 	spoil       Spoil
+	cutHead     cutHead
 	endless     []Endless
 	endlessOpen int
 }
