testbed/standin: Let workers stand still beside all other changes

TestBudget_LateSeries is TestBudget_Series with workers that stand still, some or all, for up to 8 s: retries arrive late beside kills, stops, freezes, lost rows, an older store. Requests count when they are sent, since many arrive late or never.

--- a/testbed/standin/budget_series_test.go
+++ b/testbed/standin/budget_series_test.go
@@ -25,6 +25,8 @@
 	random    *rand.Rand
 	frontends []*Frontend
 	until     time.Time
+	// late is set if workers stand still, too.
+	late bool
 }
 
 // TestBudget_Series lets the workers lose every answer, plain and streamed, while daemons are killed, stopped,
@@ -36,13 +38,24 @@
 	for seed := *budgetSeed; seed < *budgetSeed+*budgetSeeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			runBudgetSeries(t, rand.New(rand.NewPCG(seed, seed)))
+			runBudgetSeries(t, rand.New(rand.NewPCG(seed, seed)), false)
 		})
 	}
 }
 
-func runBudgetSeries(t *testing.T, random *rand.Rand) {
-	p := &budgetSeries{s: newTestCluster(t, 4), random: random}
+// TestBudget_LateSeries is TestBudget_Series with workers that stand still for seconds, some or all of them, and then read
+// what has reached their machines.
+func TestBudget_LateSeries(t *testing.T) {
+	for seed := *budgetSeed; seed < *budgetSeed+*budgetSeeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			runBudgetSeries(t, rand.New(rand.NewPCG(seed, seed)), true)
+		})
+	}
+}
+
+func runBudgetSeries(t *testing.T, random *rand.Rand, late bool) {
+	p := &budgetSeries{s: newTestCluster(t, 4), random: random, late: late}
 	s := p.s
 	for i := range s.config.Routes {
 		s.config.Routes[i].Attempts = 3
@@ -62,12 +75,16 @@
 	s.setFaults(DropsResponses, "a0", "a1", "a2")
 	s.setFaults(CutsStream, "m0", "m1", "m2", "m3")
 	interval := time.Duration(30+random.IntN(120)) * time.Millisecond
-	stopPlain := s.startSteadyCallers("/get/x", interval)
-	stopStreams := s.startSteadyCallers("/ask/q", 2*interval)
+	stopPlain := p.startCallers("app", "/get/x", interval)
+	stopStreams := p.startCallers("llm", "/ask/q", 2*interval)
 	rest := time.Duration(1 + random.IntN(6))
 	p.until = time.Now().Add(*budgetDuration)
 	var running sync.WaitGroup
-	for _, series := range []func(r *rand.Rand){p.changeDaemons, p.changeStore, p.changeRows} {
+	all := []func(r *rand.Rand){p.changeDaemons, p.changeStore, p.changeRows}
+	if late {
+		all = append(all, p.changeWorkers)
+	}
+	for _, series := range all {
 		r := rand.New(rand.NewPCG(random.Uint64(), 0))
 		running.Go(func() {
 			for time.Now().Before(p.until) {
@@ -85,6 +102,33 @@
 	must.Positive(t, s.store.Checker().Retries("app"))
 }
 
+// startCallers starts callers of a service at each daemon. Where workers stand still, requests count when they are sent,
+// as many arrive late or never.
+func (p *budgetSeries) startCallers(service, path string, interval time.Duration) (stop func()) {
+	if !p.late {
+		return p.s.startSteadyCallers(path, interval)
+	}
+	random := rand.New(rand.NewPCG(p.random.Uint64(), 0))
+	return p.s.startOpenLoop(random, service, path, float64(len(p.s.daemons))/interval.Seconds())
+}
+
+// changeWorkers lets some workers, or all, stand still for a while.
+func (p *budgetSeries) changeWorkers(r *rand.Rand) {
+	var still []*Worker
+	for _, w := range p.s.workers {
+		if r.IntN(2) == 0 {
+			still = append(still, w)
+		}
+	}
+	for _, w := range still {
+		w.StandStill()
+	}
+	time.Sleep(2 * upTo4s(r))
+	for _, w := range still {
+		w.Resume()
+	}
+}
+
 // upTo4s returns a random time.
 func upTo4s(r *rand.Rand) time.Duration { return time.Duration(r.Int64N(int64(4 * time.Second))) }
 
