quota, retry: Count daemons that vanished for as long as their retries may arrive

More retries than allowed could arrive after daemons stop: the others take over the part of one that vanished 19.5 s later, and what it sent to workers that stand still may arrive beside theirs.

--- a/quota/roster.go
+++ b/quota/roster.go
@@ -22,6 +22,8 @@
 // Roster tracks which daemons may send their parts. It is safe for concurrent use.
 type Roster struct {
 	self string
+	// linger is for how much longer a daemon that has vanished counts in Count.
+	linger time.Duration
 	// margin is the time within which active daemons have to count each other, maxAge the
 	// maximum age of the newest view.
 	margin, maxAge time.Duration
@@ -45,6 +47,12 @@
 	return &Roster{self: self, margin: margin, maxAge: maxAge, gone: map[string]time.Time{}}
 }
 
+// Linger makes daemons that have vanished count for longer in Count: what they sent may be read so much later.
+func (r *Roster) Linger(d time.Duration) *Roster {
+	r.linger = d
+	return r
+}
+
 // goneRetention is how long a daemon counts after its row is gone, and the minimum time
 // for which views have to come without a gap.
 func (r *Roster) goneRetention() time.Duration { return r.maxAge + r.margin }
@@ -89,7 +97,7 @@
 		}
 	}
 	for name, at := range r.gone {
-		if _, back := rows[name]; back || now.Sub(at) > r.goneRetention() {
+		if _, back := rows[name]; back || now.Sub(at) > r.goneRetention()+r.linger {
 			delete(r.gone, name)
 		}
 	}
@@ -144,7 +152,7 @@
 	}
 	count = len(r.rows)
 	for _, at := range r.gone {
-		if now.Sub(at) <= r.goneRetention() {
+		if now.Sub(at) <= r.goneRetention()+r.linger {
 			count++
 		}
 	}
--- a/retry/share.go
+++ b/retry/share.go
@@ -29,7 +29,7 @@
 
 // NewShare returns the share of the daemon named self for allowances with a window.
 func NewShare(self string, window time.Duration) *Share {
-	return &Share{roster: quota.NewRoster(self, window+SendDelay+driftMargin, MaxViewAge), window: window}
+	return &Share{roster: quota.NewRoster(self, window+SendDelay+driftMargin, MaxViewAge).Linger(MaxUnread), window: window}
 }
 
 // Window returns the window of the allowances that the share is for.
