retry: Limit the retries that are yet to be read

More retries than allowed could arrive after the load has fallen: those that workers which stand still are yet to read were allowed by the load of their time, and all of them may arrive in one window of less.

--- a/retry/window.go
+++ b/retry/window.go
@@ -12,6 +12,9 @@
 	// SendDelay is how long a worker whose process runs takes to read what has reached its machine. Requests count
 	// for so much shorter than the window, so that a retry which arrives so much later still belongs to them.
 	SendDelay = 500 * time.Millisecond
+	// unreadFraction is the fraction of the ratio that retries which are yet to be read may use. They may be read when
+	// the load has fallen to as much of what it was.
+	unreadFraction = 0.5
 )
 
 // Allowance limits the retries within a sliding window to a ratio of the requests in it plus a
@@ -71,11 +74,16 @@
 	w.retries = slices.DeleteFunc(w.retries, func(other *Retry) bool { return other == r })
 }
 
-// Usage is what a budget decision was based on: the requests and retries within the window, and
-// how many retries are allowed for them.
+// Usage is what a budget decision was based on: the requests and retries within the window, and how many retries are
+// allowed for them; and how many of the retries are yet to be read, and may be.
 type Usage struct {
-	Requests, Retries int
-	Limit             float64
+	Requests, Retries, Unread int
+	Limit, UnreadLimit        float64
+}
+
+// hasRoom reports whether another retry is allowed.
+func (u Usage) hasRoom() bool {
+	return float64(u.Retries+1) <= u.Limit && float64(u.Unread+1) <= u.UnreadLimit
 }
 
 // Usage returns the current usage.
@@ -113,15 +121,21 @@
 
 // room implements Room. The caller holds the lock.
 func (w *Window) room(now time.Time, a Allowance) bool {
-	u := w.usage(now, a)
-	return float64(u.Retries+1) <= u.Limit
+	return w.usage(now, a).hasRoom()
 }
 
 // usage implements Usage. The caller holds the lock.
 func (w *Window) usage(now time.Time, a Allowance) Usage {
 	w.dropOldRetries(now)
 	requests := w.requests(now)
-	return Usage{Requests: requests, Retries: len(w.retries), Limit: a.Ratio*float64(requests) + a.Extra}
+	earned := a.Ratio * float64(requests)
+	u := Usage{Requests: requests, Retries: len(w.retries), Limit: earned + a.Extra, UnreadLimit: max(unreadFraction*earned+a.Extra, 1)}
+	for _, r := range w.retries {
+		if r.read.IsZero() {
+			u.Unread++
+		}
+	}
+	return u
 }
 
 // dropOldRetries drops the retries that have left the window. The caller holds the lock.
--- a/serving/record.go
+++ b/serving/record.go
@@ -203,7 +203,7 @@
 		entry = entry.Str("forwarded_to", e.forwardedTo).Str("forwarded_by", logged(e.forwardedBy))
 	}
 	if u := e.overBudget; u != nil {
-		entry = entry.Int("budget_requests", u.Requests).Int("budget_retries", u.Retries).Float64("budget_limit", u.Limit)
+		entry = entry.Int("budget_requests", u.Requests).Int("budget_retries", u.Retries).Float64("budget_limit", u.Limit).Int("budget_unread", u.Unread).Float64("budget_unread_limit", u.UnreadLimit)
 	}
 	if f != nil {
 		entry = entry.Str("reason", text.Cut(reason, maxLoggedErrorBytes)).Bool("aborted", f.aborted).Bool("caller_gone", ctx.Err() != nil).Bool("over_budget", e.overBudget != nil).Dur("retry_after", f.retryAfter)
