--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -441,3 +441,17 @@
 		s.board.EvaluateParts(s.now)
 	}
 }
+
+// TestParts_CompletedPartThatCrashesAllIsHeld guards against a part with which requests were completed before, and that
+// then crashes all workers of a small fleet at once: more than five crashes, after which it has to be held back.
+func TestParts_CompletedPartThatCrashesAllIsHeld(t *testing.T) {
+	s := newTestBoard()
+	s.output(shared)
+	s.output(deadly)
+	s.now = s.now.Add(3 * time.Second)
+	var lost []LostRequest
+	for n := range 6 {
+		lost = append(lost, lostAt(Begun, n, shared, deadly))
+	}
+	must.Eq(t, []PartSet{partSet(deadly)}, s.crashAtOnce(lost...))
+}
--- a/testbed/standin/crash_moments_test.go
+++ b/testbed/standin/crash_moments_test.go
@@ -140,22 +140,31 @@
 
 // TestCrash_PlainRequestAtAnyMoment guards against the same for a request to plain workers.
 func TestCrash_PlainRequestAtAnyMoment(t *testing.T) {
+	forEachCrash(t, []string{"waiting", "before_the_head", "after_the_head"}, checkPlainCrash)
+}
+
+// TestCrash_PlainRequestAtAnyEnd guards against the same for plain workers that don't refuse connections after their end:
+// no health check shows that they have ended.
+func TestCrash_PlainRequestAtAnyEnd(t *testing.T) {
+	forEachCrash(t, []string{"refuses_late", "resets", "silent"}, checkPlainCrash)
+}
+
+// checkPlainCrash checks that a request that crashes plain workers is held back.
+func checkPlainCrash(t *testing.T, crash Crash) {
 	const body = "it crashes workers"
-	forEachCrash(t, []string{"waiting", "before_the_head", "after_the_head"}, func(t *testing.T, crash Crash) {
-		s := newTestCluster(t, 8)
-		c := &crashingWorkers{s: s, service: "app", crash: crash, deadly: func(r Run) bool { return r.Body == body }}
-		c.newDeadly = func() Request {
-			a := s.newRequest(http.MethodPost, "/post/x")
-			a.Body = body
-			return a
-		}
-		for _, id := range []string{"a0", "a1"} {
-			c.adopt(s.workers[id])
-		}
-		c.startServed()
-		others := startCallersOf(s, 3, "/get/x", func(string, int) http.Header { return nil })
-		c.checkHeldBack(others, maxCrashes, s.daemons...)
-	})
+	s := newTestCluster(t, 8)
+	c := &crashingWorkers{s: s, service: "app", crash: crash, deadly: func(r Run) bool { return r.Body == body }}
+	c.newDeadly = func() Request {
+		a := s.newRequest(http.MethodPost, "/post/x")
+		a.Body = body
+		return a
+	}
+	for _, id := range []string{"a0", "a1"} {
+		c.adopt(s.workers[id])
+	}
+	c.startServed()
+	others := startCallersOf(s, 3, "/get/x", func(string, int) http.Header { return nil })
+	c.checkHeldBack(others, maxCrashes, s.daemons...)
 }
 
 // TestCrash_ForwardedPartAtAnyMoment guards against the same for prompts that share a part and come by way of a
