--- a/retry/trail.go
+++ b/retry/trail.go
@@ -65,6 +65,7 @@
 	return t.needsRetry()
 }
 
+// needsRetry is NeedsRetry for a caller that holds the lock.
 func (t *Trail) needsRetry() bool { return len(t.retries) < t.begun }
 
 // HasUnused reports whether a retry was counted that no sending uses.
@@ -134,10 +135,9 @@
 	t := s.trail
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s.past {
+	if !s.settle() {
 		return
 	}
-	s.past = true
 	t.read++
 	if arrived := t.read - 1; arrived > 0 {
 		t.retries[arrived-1].Read(at)
@@ -149,9 +149,14 @@
 	t := s.trail
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s.past {
-		return
+	if s.settle() {
+		t.begun--
 	}
+}
+
+// settle makes the sending one that is past, and reports whether it wasn't yet. The caller holds the lock of the trail.
+func (s *Sending) settle() bool {
+	first := !s.past
 	s.past = true
-	t.begun--
+	return first
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -12,8 +12,8 @@
 	// SendDelay is how long a worker whose process runs takes to read what has reached its machine. Requests count
 	// for so much shorter than the window, so that a retry which arrives so much later still belongs to them.
 	SendDelay = 500 * time.Millisecond
-	// unreadFraction is the fraction of the ratio that retries which are yet to be read may use. They may be read when
-	// the load has fallen to as much of what it was.
+	// unreadFraction is the fraction of a ratio that retries which are yet to be read may use: all of them may be read
+	// in one window, after the load has fallen.
 	unreadFraction = 0.5
 )
 
--- a/testbed/standin/cold_test.go
+++ b/testbed/standin/cold_test.go
@@ -20,15 +20,7 @@
 // TestCold_AllDaemonsKeepTheBound guards against a cold worker that receives more than its
 // bound, also after all daemons have restarted at once. The checker counts the requests.
 func TestCold_AllDaemonsKeepTheBound(t *testing.T) {
-	s := newTestCluster(t, 0)
-	s.config.Version++
-	s.config.Services[0].ColdS = 60
-	s.config.Services[0].ColdPerS = 18
-	s.store.Apply(s.config)
-	for i := range coldDaemons {
-		s.start(i == 0)
-	}
-	s.addWorker("cold", "app", "").SetCold(time.Minute)
+	s, _ := newColdCluster(t)
 	stop := s.startCallers("/get/x", coldCallers)
 	eventually(t, "the cold worker gets requests", func() bool { return s.store.Checker().ColdArrivals("cold") > minColdArrivals })
 	stop()
@@ -39,6 +31,21 @@
 	eventually(t, "the cold worker gets requests after the restart", func() bool { return s.store.Checker().ColdArrivals("cold") > before+minColdArrivals })
 }
 
+// newColdCluster starts daemons and a cold worker, "cold".
+func newColdCluster(t *testing.T) (*testCluster, *Worker) {
+	s := newTestCluster(t, 0)
+	s.config.Version++
+	s.config.Services[0].ColdS = 60
+	s.config.Services[0].ColdPerS = 18
+	s.store.Apply(s.config)
+	for i := range coldDaemons {
+		s.start(i == 0)
+	}
+	cold := s.addWorker("cold", "app", "")
+	cold.SetCold(time.Minute)
+	return s, cold
+}
+
 // restartAll kills all daemons and starts them again under their names.
 func (s *testCluster) restartAll() {
 	for _, d := range s.daemons {
--- a/testbed/standin/late_limits_test.go
+++ b/testbed/standin/late_limits_test.go
@@ -43,16 +43,7 @@
 // the requests that daemons sent it meanwhile count as sent long ago.
 func TestCold_WorkerThatStandsStill(t *testing.T) {
 	t.Parallel()
-	s := newTestCluster(t, 0)
-	s.config.Version++
-	s.config.Services[0].ColdS = 60
-	s.config.Services[0].ColdPerS = 18
-	s.store.Apply(s.config)
-	for i := range coldDaemons {
-		s.start(i == 0)
-	}
-	cold := s.addWorker("cold", "app", "")
-	cold.SetCold(time.Minute)
+	s, cold := newColdCluster(t)
 	defer s.startCallers("/get/x", 4*coldCallers)()
 	eventually(t, "the cold worker gets requests", func() bool { return s.store.Checker().ColdArrivals("cold") > minColdArrivals })
 	standStillAgain(cold)
