--- a/retry/share_test.go
+++ b/retry/share_test.go
@@ -52,6 +52,8 @@
 	// still is until when half of the workers stand still, and unread are the retries that they will read then.
 	still  time.Time
 	unread []*Retry
+	// queued is set if requests to a daemon that stands still wait for it. They are lost otherwise.
+	queued bool
 }
 
 // simDaemon is a daemon of a simulated deployment. It isn't running if window is nil.
@@ -62,6 +64,8 @@
 	// perSecond is the rate of its requests.
 	perSecond float64
 	due       float64
+	// waiting is the number of requests that wait for the daemon.
+	waiting int
 	// cut is until when it gets no views, frozen until when it stands still, and ends when it ends
 	// after a stop.
 	cut, frozen, ends time.Time
@@ -139,9 +143,13 @@
 	}
 	for s.due += s.perSecond * step.Seconds(); s.due >= 1; s.due-- {
 		d.requests = append(d.requests, d.now)
-		if up {
-			d.serve(s)
-		}
+		s.waiting++
+	}
+	if s.window == nil || !up && !d.queued {
+		s.waiting = 0
+	}
+	for ; up && s.waiting > 0; s.waiting-- {
+		d.serve(s)
 	}
 }
 
@@ -388,8 +396,12 @@
 	{"for very long", nil, 60 * time.Second},
 	{"for long, load moves, by chance", []int{11}, 20 * time.Second},
 	{"for long, daemons stop, by chance", []int{2}, 20 * time.Second},
+	{waitingRequests, []int{4}, 20 * time.Second},
 }
 
+// waitingRequests is the kind of change in which requests wait for daemons that stand still.
+const waitingRequests = "requests wait for daemons that stand still"
+
 // lateHistory is a kind of change.
 type lateHistory struct {
 	name    string
@@ -411,6 +423,7 @@
 					d := newDeployment(2 + int(seed%6))
 					d.allowance = a
 					d.random = rand.New(rand.NewPCG(seed, 0))
+					d.queued = h.name == waitingRequests
 					d.runLate(h.changes, h.longest)
 					must.EqOp(t, 0, d.excess(), must.Sprint("allowance: ", a, ", seed: ", seed))
 				}
