common/conns: Don't take a reset for the end of a response

What callers saw: a worker answered a long upload at once with a status, no length and a part of its body, and reset the connection while the upload was still being written. The part reached the caller as a complete answer.

Cause: such a body ends with its connection. Linux reports a reset once. If the write under way gets ECONNRESET, the read after it returns 0 bytes, which is the end that a close in order gives. Nobody asked the write.

TestAnswers_ResetUnderUploads and TestAnswers_ResetUnderForwardedUploads, real daemons: red before with the body "answer to ".

Change: the connections of a pool return io.EOF only if no write has failed. At an end, a write under way is broken off by a deadline and waited for, since it may have taken the error and not returned yet. Timeouts of the connection (ETIMEDOUT and others) are failures for the same reason.

Why it holds: an error of a connection goes either to a read, which fails then, or to a write, which records it before it gives up the lock that the end waits for. EPIPE doesn't count. The kernel sets it for a reset that arrives after the other side had ended the connection in order: all of the answer had arrived, so it wasn't reset on its way. A worker that answers early, ends in order and doesn't read on is therefore served, as are ones with a length, in chunks, or that read on (TestPool_EarlyResponses, TestAnswers_EarlyOnes, green before and after). Nothing waits for longer than before: a connection whose response has ended this way was closed at once, and its upload with it.

All readers of workers', engines' and peers' answers share the pool.

--- a/common/conns/conn.go
+++ b/common/conns/conn.go
@@ -3,13 +3,10 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -17,7 +14,7 @@
 type conn struct {
 	addr string
 	cc   *http.ClientConn
-	raw  *countedConn
+	raw  *checkedConn
 	// kept is set once the connection has been idle in the pool.
 	kept bool
 	// lifetime is how long it may be idle, as of its last response, and timer ends that.
@@ -25,52 +22,6 @@
 	timer    *time.Timer
 }
 
-// countedConn counts the bytes of a connection.
-type countedConn struct {
-	net.Conn
-	read, written atomic.Int64
-	// ended is set once the other side has ended the connection.
-	ended atomic.Bool
-	// head meters the head of the response that is awaited, nil if none is.
-	head atomic.Pointer[headMeter]
-}
-
-type counts struct{ read, written int64 }
-
-func (c *countedConn) counts() counts {
-	return counts{read: c.read.Load(), written: c.written.Load()}
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(into []byte) (int, error) {
-	n, err := c.Conn.Read(into)
-	c.read.Add(int64(n))
-	c.noteEnd(err)
-	if head := c.head.Load(); head != nil {
-		if refused := head.add(into[:n]); refused != nil {
-			return 0, refused
-		}
-	}
-	return n, err
-}
-
-// Write implements net.Conn. Its bytes count as written from its start: they may reach the other side before it
-// returns.
-func (c *countedConn) Write(data []byte) (int, error) {
-	c.written.Add(int64(len(data)))
-	n, err := c.Conn.Write(data)
-	c.written.Add(int64(n - len(data)))
-	c.noteEnd(err)
-	return n, err
-}
-
-// noteEnd records whether an error says that the other side has ended the connection.
-func (c *countedConn) noteEnd(err error) {
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		c.ended.Store(true)
-	}
-}
-
 // keepAliveMargin is how long before the end that a server names for idle connections one is closed, so
 // that no request crosses the server's close.
 const keepAliveMargin = 500 * time.Millisecond
--- a/common/conns/conn_test.go
+++ b/common/conns/conn_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -34,7 +37,7 @@
 		want int64
 	}{{4, nil, 4}, {3, errors.New("ended"), 3}, {0, errors.New("ended"), 0}} {
 		slow := &slowConn{handed: make(chan struct{}), returns: make(chan struct{}), n: c.n, err: c.err}
-		conn := &countedConn{Conn: slow}
+		conn := &checkedConn{Conn: slow}
 		written := make(chan struct{})
 		go func() {
 			defer close(written)
@@ -48,6 +51,54 @@
 	}
 }
 
+// endedConn reads an end while a write is under way, which returns an error once it is broken off.
+type endedConn struct {
+	net.Conn
+	writing, brokenOff chan struct{}
+	err                error
+}
+
+func (c *endedConn) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *endedConn) Write([]byte) (int, error) {
+	close(c.writing)
+	<-c.brokenOff
+	return 0, c.err
+}
+
+func (c *endedConn) SetWriteDeadline(time.Time) error {
+	close(c.brokenOff)
+	return nil
+}
+
+// TestConn_FailuresAreNoEnds guards against a failure of the connection that a write gets, and that reads as the end
+// of a response.
+func TestConn_FailuresAreNoEnds(t *testing.T) {
+	for _, c := range []struct{ written, read error }{
+		{syscall.ECONNRESET, syscall.ECONNRESET},
+		{syscall.ETIMEDOUT, syscall.ETIMEDOUT},
+		{syscall.EHOSTUNREACH, syscall.EHOSTUNREACH},
+		{syscall.EPIPE, io.EOF},
+		{os.ErrDeadlineExceeded, io.EOF},
+		{nil, io.EOF},
+	} {
+		ended := &endedConn{writing: make(chan struct{}), brokenOff: make(chan struct{})}
+		if c.written != nil {
+			ended.err = &net.OpError{Op: "write", Err: c.written}
+		}
+		conn := &checkedConn{Conn: ended}
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			conn.Write([]byte("body"))
+		}()
+		<-ended.writing
+		_, err := conn.Read(make([]byte, 1))
+		must.ErrorIs(t, err, c.read, must.Sprint(c.written))
+		<-written
+	}
+}
+
 // TestPool_StartedMayRefuse guards against a request that is written though its caller no longer wants that, and against
 // a connection that is lost with it.
 func TestPool_StartedMayRefuse(t *testing.T) {
--- a/common/conns/pool.go
+++ b/common/conns/pool.go
@@ -305,7 +305,7 @@
 		raw.Close()
 		return nil, errNotByPool
 	}
-	c.raw = &countedConn{Conn: raw}
+	c.raw = &checkedConn{Conn: raw}
 	return c.raw, nil
 }
 
--- a/testbed/standin/answer.go
+++ b/testbed/standin/answer.go
@@ -62,6 +62,9 @@
 	if grouped {
 		w.store.checker.checkRun(group, model, members)
 	}
+	if w.answerEarly(rw, r) {
+		return
+	}
 	run := w.startRun(r)
 	if w.spoilAnswer(rw, r, run) {
 		return
@@ -125,15 +128,20 @@
 	return w.deadly != nil && w.deadly(*run)
 }
 
-// startRun records a request as running.
+// startRun reads a request and records it as running.
 func (w *Worker) startRun(r *http.Request) *Run {
 	body, _ := io.ReadAll(r.Body)
+	return w.recordRun(r, string(body))
+}
+
+// recordRun records a request as running, with what was read of its body.
+func (w *Worker) recordRun(r *http.Request, body string) *Run {
 	ms, _ := strconv.Atoi(r.Header.Get(headerDeadline))
 	run := &Run{
 		ID:        r.Header.Get(headerAttemptID),
 		Path:      r.URL.RequestURI(),
 		Tenant:    r.Header.Get(headerTenant),
-		Body:      string(body),
+		Body:      body,
 		Header:    r.Header.Clone(),
 		LastEvent: r.Header.Get("Last-Event-Id"),
 		TimeLeft:  time.Duration(ms) * time.Millisecond,
--- a/testbed/standin/spoiled.go
+++ b/testbed/standin/spoiled.go
@@ -131,7 +131,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.Close()
-	own := headerAttemptID + ": " + run.ID + "\r\n" + headerSignature + ": sig-" + w.id + "-" + run.ID + "\r\n"
+	own := w.ownFields(run.ID)
 	if spoil == BreaksBody {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 100\r\n\r\npart", own)
 		return true
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -104,10 +104,13 @@
 	crashed bool
 	// spoil is how the worker spoils its answers. endless are the answers without end that have ended,
 	// and endlessOpen counts those that haven't.
-	spoil       Spoil
-	cutHead     cutHead
-	endless     []Endless
-	endlessOpen int
+	spoil   Spoil
+	cutHead cutHead
+	// early is the answer that is sent before a request's body was read, nil for none.
+	early                       *Early
+	earlyRequests, earlyAnswers int
+	endless                     []Endless
+	endlessOpen                 int
 }
 
 // NewWorker starts a worker with an entry in the store, and returns it with a function that
