common/conns: Refuse responses whose heads aren't HTTP

What callers saw: a worker's answer whose head held a name with a blank, as in "Content-Length : 26" or "X Wrong: y", or a line that begins with a blank. They got it without that line, and where the line said where the body ends, with bytes that weren't the worker's body. An HTTP/1.0 answer in chunks came with the chunks' lines in its body.

Cause: net/http keeps a name with a blank as a name of its own, joins a line that begins with a blank to the value before it, and drops the codings of HTTP/1.0. Once it has parsed the head, the last two can't be seen any more.

Control bytes and other bytes that no name or value may have were refused before; those cases stay as tests.

Change: the meter that counts the bytes of heads sees them all, so it checks their lines, too: names and values by httpguts, and no Transfer-Encoding where the version of the response has none (RFC 9112, 5.1, 5.2 and 6.1). A meter is set for each request, not only where somebody counts heads. Whether a head is an interim one is found as net/http finds it: it skips blanks before the status, and the meter took "HTTP/1.1 103" for the last head.

Why it holds: a line is checked before the bytes that end the head are handed on, so net/http never completes such a head, and the answer counts as lost: it is asked for again elsewhere or answered 502. Interim heads pass the same way. Trailers don't: they aren't part of what callers get.

--- a/common/conns/checked.go
+++ b/common/conns/checked.go
@@ -11,14 +11,14 @@
 	"time"
 )
 
-// checkedConn is a connection to a server. It counts its bytes, and tells the end of what the server sends from a
-// failure of the connection.
+// checkedConn is a connection to a server. It counts its bytes, checks the heads of responses, and tells the end of what
+// the server sends from a failure of the connection.
 type checkedConn struct {
 	net.Conn
 	read, written atomic.Int64
 	// ended is set once the other side has ended the connection.
 	ended atomic.Bool
-	// head meters the head of the response that is awaited, nil if none is.
+	// head checks the head of the response that is awaited, nil if none is.
 	head atomic.Pointer[headMeter]
 
 	// writing is held during a write. writeErr is the failure of the connection that a write has reported.
--- a/common/conns/pool.go
+++ b/common/conns/pool.go
@@ -106,9 +106,7 @@
 			}
 		}
 		before := c.raw.counts()
-		if s.Head != nil {
-			c.raw.head.Store(&headMeter{arrived: s.Head})
-		}
+		c.raw.head.Store(&headMeter{arrived: s.Head})
 		resp, err := c.cc.RoundTrip(req)
 		c.raw.head.Store(nil)
 		if err == nil && !IsFinal(resp.StatusCode) {
--- /dev/null
+++ b/engine/faultyhead_test.go
@@ -0,0 +1,36 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/pointpass/pointpass/common/conns/connstest"
+)
+
+// lostAnswer checks that the bytes of an engine count as a lost answer.
+func lostAnswer(t *testing.T, name, text string) {
+	t.Helper()
+	sender, closeSender := NewSender()
+	defer closeSender()
+	for _, once := range []bool{false, true} {
+		s := startServer(t, func(_ int, conn net.Conn) {
+			io.WriteString(conn, text)
+			conn.Close()
+		})
+		_, err := sender.Send(context.Background(), post(s.addr, once))
+		var lost *LostError
+		must.True(t, errors.As(err, &lost), must.Sprint(name, ": ", err))
+	}
+}
+
+// TestSender_FaultyHeads guards against an answer of an engine whose head isn't HTTP.
+func TestSender_FaultyHeads(t *testing.T) {
+	for _, c := range connstest.FaultyHeads("X-Own: x\r\n", "body") {
+		lostAnswer(t, c.Name, c.Text)
+	}
+}
--- a/testbed/standin/cuthead_test.go
+++ b/testbed/standin/cuthead_test.go
@@ -15,17 +15,20 @@
 // ownFields stands for the fields that every answer of a worker has.
 const ownFields = "X-Own: x\r\n"
 
-// checkWhole checks that a caller got a whole answer or none: a success has all of the worker's body.
+// checkWhole checks that a caller got a whole answer of a worker or none: a success, and a failure that has a worker's
+// signature, have the worker's body and nothing else.
 func (s *testCluster) checkWhole(what string, a Request, r Reply) {
 	s.t.Helper()
-	if r.Err != nil || r.Status/100 != 2 {
+	if r.Err != nil || r.Status/100 != 2 && r.Header.Get(headerSignature) == "" {
 		return
 	}
 	if strings.HasPrefix(a.Path, "/ask/") {
 		must.True(s.t, completeStream(a.ID, r), must.Sprint(what, ": ", r.Body))
 		return
 	}
-	must.StrHasPrefix(s.t, "answer to "+a.ID+" of ", r.Body, must.Sprint(what))
+	worker, found := strings.CutPrefix(r.Body, "answer to "+a.ID+" of ")
+	must.True(s.t, found, must.Sprint(what, ": ", r.Body))
+	must.MapContainsKey(s.t, s.workers, worker, must.Sprint(what, ": ", r.Body))
 }
 
 // askEach sends requests of each kind, and returns how many of those that may be repeated got a whole answer.
--- a/testbed/standin/early_test.go
+++ b/testbed/standin/early_test.go
@@ -35,19 +35,6 @@
 	return a, d.Send(s.t.Context(), a)
 }
 
-// checkUpload checks that an answer which appears to be a worker's and complete is whole.
-func (s *testCluster) checkUpload(what string, a Request, r Reply) {
-	s.t.Helper()
-	if r.Err != nil || r.Header.Get(headerSignature) == "" {
-		return
-	}
-	if strings.HasPrefix(a.Path, "/ask/") {
-		must.True(s.t, completeStream(a.ID, r), must.Sprint(what, ": ", r.Body))
-		return
-	}
-	must.StrHasPrefix(s.t, "answer to "+a.ID+" of ", r.Body, must.Sprint(what))
-}
-
 // earlyAnswers returns how many requests workers have answered early.
 func earlyAnswers(list []*Worker) int {
 	n := 0
@@ -92,7 +79,7 @@
 		for range tries {
 			for _, path := range []string{"/get/x", "/post/x", "/ask/q"} {
 				a, r := s.upload(d, path)
-				s.checkUpload(fmt.Sprintf("%+v", e), a, r)
+				s.checkWhole(fmt.Sprintf("%+v", e), a, r)
 				if path == "/post/x" {
 					must.LessEq(t, 1, len(s.runs(a.ID)))
 				}
@@ -104,7 +91,7 @@
 		heads[1].SetFault(fault) // what it has begun is resumed at the other group, or moved there
 		for range tries {
 			a, r := s.upload(d, "/ask/q")
-			s.checkUpload(fmt.Sprint("fault ", fault), a, r)
+			s.checkWhole(fmt.Sprint("fault ", fault), a, r)
 		}
 	}
 	t.Log(earlyAnswers(early[:2]), " plain answers and ", earlyAnswers(early[2:]), " streams broken off")
@@ -134,7 +121,7 @@
 		for range tries {
 			for _, path := range []string{"/get/x", "/post/x", "/ask/q"} {
 				a, r := s.upload(s.daemons[0], path)
-				s.checkUpload(fmt.Sprintf("%+v", e), a, r)
+				s.checkWhole(fmt.Sprintf("%+v", e), a, r)
 			}
 		}
 	}
@@ -151,10 +138,10 @@
 	s := newUploadCluster(t, 0)
 	d := s.start(true)
 	early := []*Worker{s.workers["a0"], s.workers["a1"], s.workers["a2"], s.workers["a3"]}
-	const whole = "answer to %s of an early worker" // with an id of 16 digits, 45 bytes
+	const whole = "answer to %s of a0" // with an id of 16 digits, 32 bytes
 	for _, e := range []Early{
-		{Head: "HTTP/1.1 200 OK\r\nContent-Length: 45\r\n", Body: whole, End: ReadsOn},
-		{Head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", Body: "2d\r\n" + whole + "\r\n0\r\n\r\n", End: ReadsOn},
+		{Head: "HTTP/1.1 200 OK\r\nContent-Length: 32\r\n", Body: whole, End: ReadsOn},
+		{Head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", Body: "20\r\n" + whole + "\r\n0\r\n\r\n", End: ReadsOn},
 		{Head: "HTTP/1.1 200 OK\r\n", Body: whole, End: ReadsOn, Pause: 5 * time.Millisecond},
 		{Head: "HTTP/1.1 200 OK\r\n", Body: whole, End: EndsAndReadsOn},
 		{Head: "HTTP/1.1 200 OK\r\n", Body: whole, End: EndsAndStops},
@@ -167,7 +154,7 @@
 			for _, path := range []string{"/get/x", "/post/x"} {
 				a, r := s.upload(d, path)
 				must.EqOp(t, http.StatusOK, r.Status, must.Sprintf("%+v", e))
-				s.checkUpload(fmt.Sprintf("%+v", e), a, r)
+				s.checkWhole(fmt.Sprintf("%+v", e), a, r)
 			}
 		}
 	}
--- a/testbed/standin/spoiled.go
+++ b/testbed/standin/spoiled.go
@@ -53,6 +53,8 @@
 	LongAnswer
 	// BreaksHead ends its connection within the head of an answer, as SetCutHead says.
 	BreaksHead
+	// RawAnswer answers with given bytes, as SetRawAnswer says.
+	RawAnswer
 )
 
 // keptPeriod is how many requests of a kept connection EndsKept answers until it closes one.
@@ -140,6 +142,10 @@
 		w.breakHead(conn, own)
 		return true
 	}
+	if spoil == RawAnswer {
+		w.writeRawAnswer(conn, run)
+		return true
+	}
 	if parts, held := heldAnswers[spoil]; held {
 		w.sendHeld(conn, strings.ReplaceAll(parts.before, "%s", own), strings.ReplaceAll(parts.after, "%s", own))
 		return true
--- a/testbed/standin/worker.go
+++ b/testbed/standin/worker.go
@@ -104,8 +104,9 @@
 	crashed bool
 	// spoil is how the worker spoils its answers. endless are the answers without end that have ended,
 	// and endlessOpen counts those that haven't.
-	spoil   Spoil
-	cutHead cutHead
+	spoil     Spoil
+	cutHead   cutHead
+	rawAnswer rawAnswer
 	// early is the answer that is sent before a request's body was read, nil for none.
 	early                       *Early
 	earlyRequests, earlyAnswers int
