platform, engine, testbed: Test statuses of no final answer on all paths

Held already: an answer with the status 000, 001, 099, 101, -20, +20 or 200OK counts as lost in conns.Pool (IsFinal). The tests were for plain answers of workers only. Now they are for peers', engines' and forwarded answers, for streams, also resumed and moved ones, and for requests that run at most once.

--- a/engine/faultyhead_test.go
+++ b/engine/faultyhead_test.go
@@ -34,3 +34,10 @@
 		lostAnswer(t, c.Name, c.Text)
 	}
 }
+
+// TestSender_StatusesOfNoFinalAnswer checks that an answer whose status can't be sent to a caller counts as lost.
+func TestSender_StatusesOfNoFinalAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "-20", "+20", "200OK"} {
+		lostAnswer(t, status, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 4\r\n\r\nbody")
+	}
+}
--- a/testbed/standin/rawanswer_test.go
+++ b/testbed/standin/rawanswer_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,7 +10,10 @@
 	"github.com/pointpass/pointpass/common/conns/connstest"
 )
 
-// forEachFaultyAnswer lets workers answer with each faulty head.
+// oddStatuses are no statuses of final answers.
+var oddStatuses = []string{"000", "001", "099", "101", "-20", "+20", "200OK"}
+
+// forEachFaultyAnswer lets workers answer with each faulty head and each odd status.
 func forEachFaultyAnswer(list []*Worker, check func(what string)) {
 	answer := func(text func(fields, body string) string, pieces bool) {
 		for _, w := range list {
@@ -20,12 +24,20 @@
 		answer(func(fields, body string) string { return connstest.FaultyHeads(fields, body)[form].Text }, form%2 == 0)
 		check(c.Name)
 	}
+	for i, status := range oddStatuses {
+		for _, reason := range []string{"", " Odd"} {
+			answer(func(fields, body string) string {
+				return fmt.Sprintf("HTTP/1.1 %s%s\r\n%sContent-Length: %d\r\n\r\n%s", status, reason, fields, len(body), body)
+			}, i%2 == 0)
+			check("status " + status + reason)
+		}
+	}
 	for _, w := range list {
 		w.SetSpoil(NotSpoiled)
 	}
 }
 
-// TestAnswers_FaultyHeads guards against an answer whose head isn't HTTP,
+// TestAnswers_FaultyHeads guards against an answer whose head isn't HTTP, or whose status is that of no final answer,
 // and that reaches the caller, without the faulty line or with a wrong body: of requests that may be repeated, that run
 // at most once, and of streams, also ones that are resumed or moved.
 func TestAnswers_FaultyHeads(t *testing.T) {
