common/conns: Check the answers of the store, of peers and to orders as well

What callers could see: nothing was reported.

Cause: these clients use http.Transport on plain connections.

Change: conns.Checked gives an http.Transport the connections of a pool. The trace of net/http tells which one a request gets, so that its head is checked. A status that is none of a final response is an error there, too.

--- a/common/control/token.go
+++ b/common/control/token.go
@@ -10,6 +10,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/pointpass/pointpass/common/conns"
 	"github.com/pointpass/pointpass/common/meter"
 )
 
@@ -19,7 +20,7 @@
 // function that closes its idle connections.
 func NewClient(token string, dial meter.DialFunc) (*http.Client, func()) {
 	base := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
-	return &http.Client{Transport: &transport{token: token, base: base}}, base.CloseIdleConnections
+	return &http.Client{Transport: &transport{token: token, base: conns.Checked(base)}}, base.CloseIdleConnections
 }
 
 type transport struct {
--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 
+	"github.com/pointpass/pointpass/common/conns"
 	"github.com/pointpass/pointpass/common/meter"
 )
 
@@ -59,7 +60,7 @@
 // NewClient returns a client and a function that closes its idle connections.
 func NewClient(dial meter.DialFunc) (*Client, func()) {
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeaderBytes}
-	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	return &Client{http: &http.Client{Transport: conns.Checked(transport)}}, transport.CloseIdleConnections
 }
 
 // Status queries the state of an endpoint.
--- a/engine/faultyhead_test.go
+++ b/engine/faultyhead_test.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// TestClient_FaultyHeads guards against a report of an engine whose head isn't HTTP.
+func TestClient_FaultyHeads(t *testing.T) {
+	client, closeClient := NewClient(nil)
+	defer closeClient()
+	for _, c := range connstest.FaultyHeads("", `{"vm":"v"}`) {
+		_, err := client.Status(t.Context(), connstest.NewServer(t, c.Text))
+		must.Error(t, err, must.Sprint(c.Name))
+	}
+}
+
 // TestSender_StatusesOfNoFinalAnswer checks that an answer whose status can't be sent to a caller counts as lost.
 func TestSender_StatusesOfNoFinalAnswer(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "101", "-20", "+20", "200OK"} {
--- a/relay/rpc.go
+++ b/relay/rpc.go
@@ -11,6 +11,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"github.com/pointpass/pointpass/common/conns"
 	"github.com/pointpass/pointpass/common/units"
 	"github.com/pointpass/pointpass/rpc"
 	"github.com/pointpass/pointpass/store"
@@ -172,7 +173,7 @@
 		MaxResponseHeaderBytes: maxReplyHeadBytes,
 		DisableCompression:     true,
 	}
-	c := &Client{http: &http.Client{Transport: boundedTransport{transport}}, now: now, reportTimeout: reportTimeout, stubs: map[string]rpc.Relay{}}
+	c := &Client{http: &http.Client{Transport: boundedTransport{conns.Checked(transport)}}, now: now, reportTimeout: reportTimeout, stubs: map[string]rpc.Relay{}}
 	return c, transport.CloseIdleConnections
 }
 
--- a/table/client.go
+++ b/table/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pointpass/pointpass/common/conns"
 	"github.com/pointpass/pointpass/common/meter"
 	"github.com/pointpass/pointpass/fleet"
 )
@@ -32,7 +33,7 @@
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
 	c := &Client{
 		base: "http://" + addr,
-		http: &http.Client{Transport: transport, Timeout: timeout},
+		http: &http.Client{Transport: conns.Checked(transport), Timeout: timeout},
 	}
 	return c, transport.CloseIdleConnections
 }
