common/conns, testbed: Share what the new code and tests have in common

No change of behaviour: a connection is told to expect a head in one place, and the tests of broken answers share their set-ups.

--- a/common/conns/checked.go
+++ b/common/conns/checked.go
@@ -32,6 +32,11 @@
 	return counts{read: c.read.Load(), written: c.written.Load()}
 }
 
+// expectHead makes the next bytes that are read those of a head. arrived is called with them, nil for none.
+func (c *checkedConn) expectHead(arrived func(bytes, lines int) error) {
+	c.head.Store(&headMeter{arrived: arrived})
+}
+
 // Read implements net.Conn. The error is io.EOF only if the other side has ended the connection in order.
 func (c *checkedConn) Read(into []byte) (int, error) {
 	n, err := c.Conn.Read(into)
--- a/common/conns/pool.go
+++ b/common/conns/pool.go
@@ -106,7 +106,7 @@
 			}
 		}
 		before := c.raw.counts()
-		c.raw.head.Store(&headMeter{arrived: s.Head})
+		c.raw.expectHead(s.Head)
 		resp, err := c.cc.RoundTrip(req)
 		c.raw.head.Store(nil)
 		if err == nil && !IsFinal(resp.StatusCode) {
--- a/common/conns/reset_test.go
+++ b/common/conns/reset_test.go
@@ -56,15 +56,20 @@
 
 // upload sends a request with a long body and returns the body of the response.
 func upload(t *testing.T, rt http.RoundTripper, addr string) (string, error) {
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr+"/x", bytes.NewReader(make([]byte, uploadBytes)))
+	return roundTrip(t, rt, http.MethodPost, addr, bytes.NewReader(make([]byte, uploadBytes)))
+}
+
+// roundTrip sends a request and returns the body of the response.
+func roundTrip(t *testing.T, rt http.RoundTripper, method, addr string, body io.Reader) (string, error) {
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+addr+"/x", body)
 	must.NoError(t, err)
 	resp, err := rt.RoundTrip(req)
 	if err != nil {
 		return "", err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return string(body), err
+	text, err := io.ReadAll(resp.Body)
+	return string(text), err
 }
 
 // unframedHeads are heads of responses whose bodies end with their connections.
--- a/common/conns/transport.go
+++ b/common/conns/transport.go
@@ -30,7 +30,7 @@
 func (t *checkedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*checkedConn); ok {
-			c.head.Store(&headMeter{})
+			c.expectHead(nil)
 		}
 	}}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
--- a/common/conns/transport_test.go
+++ b/common/conns/transport_test.go
@@ -22,15 +22,7 @@
 
 // get sends a request and returns the body of the response.
 func get(t *testing.T, rt http.RoundTripper, addr string) (string, error) {
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+addr+"/x", nil)
-	must.NoError(t, err)
-	resp, err := rt.RoundTrip(req)
-	if err != nil {
-		return "", err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return string(body), err
+	return roundTrip(t, rt, http.MethodGet, addr, nil)
 }
 
 // TestChecked_FaultyHeads guards against a response whose head isn't HTTP, on new and on kept connections.
--- a/testbed/standin/cuthead_test.go
+++ b/testbed/standin/cuthead_test.go
@@ -52,6 +52,29 @@
 	return served, repeatable
 }
 
+// newRetryingCluster starts a cluster of three groups whose requests may be sent to three workers, and a daemon.
+func newRetryingCluster(t *testing.T) (*testCluster, *Daemon) {
+	s := newTestCluster(t, 6)
+	for i := range s.config.Routes {
+		s.config.Routes[i].Attempts = 3
+	}
+	s.store.Apply(s.config)
+	s.store.Checker().SetRetryExtra(budgetExtra)
+	d := s.startAs(Setup{FirstStart: true, RetryExtra: budgetExtra})
+	s.awaitGroups(3)
+	s.awaitShares()
+	return s, d
+}
+
+// startForwarding starts three daemons, the first of which reaches no worker, so that another one runs its requests.
+func (s *testCluster) startForwarding() {
+	links := s.cutDaemons(1)
+	s.awaitGroups(2)
+	s.awaitServed(s.daemons...)
+	links.Cut()
+	s.awaitServed(s.daemons[0])
+}
+
 // forEachCutHead lets workers break off the heads of their answers in each form.
 func forEachCutHead(list []*Worker, check func(what string)) {
 	for form, c := range connstest.CutHeads(ownFields) {
@@ -71,15 +94,7 @@
 // streams, also ones that are resumed.
 func TestAnswers_HeadsThatBreakOff(t *testing.T) {
 	t.Parallel()
-	s := newTestCluster(t, 6)
-	for i := range s.config.Routes {
-		s.config.Routes[i].Attempts = 3
-	}
-	s.store.Apply(s.config)
-	s.store.Checker().SetRetryExtra(budgetExtra)
-	d := s.startAs(Setup{FirstStart: true, RetryExtra: budgetExtra})
-	s.awaitGroups(3)
-	s.awaitShares()
+	s, d := newRetryingCluster(t)
 	heads := s.openGroupHeads()
 	served, repeatable := 0, 0
 	ask := func(what string) {
@@ -117,11 +132,7 @@
 	t.Parallel()
 	s := newTestCluster(t, 4)
 	s.store.Checker().SetRetryExtra(budgetExtra)
-	links := s.cutDaemons(1)
-	s.awaitGroups(2)
-	s.awaitServed(s.daemons...)
-	links.Cut()
-	s.awaitServed(s.daemons[0])
+	s.startForwarding()
 	served, repeatable := 0, 0
 	forEachCutHead([]*Worker{s.workers["a0"], s.openGroupHeads()[0]}, func(what string) {
 		more, of := s.askEach(s.daemons[0], what, 2)
--- a/testbed/standin/early_test.go
+++ b/testbed/standin/early_test.go
@@ -104,11 +104,7 @@
 	t.Parallel()
 	const tries = 3
 	s := newUploadCluster(t, 4)
-	links := s.cutDaemons(1)
-	s.awaitGroups(2)
-	s.awaitServed(s.daemons...)
-	links.Cut()
-	s.awaitServed(s.daemons[0])
+	s.startForwarding()
 	early := []*Worker{s.workers["a0"], s.workers["a1"], s.openGroupHeads()[0]}
 	for _, e := range []Early{
 		{Head: "HTTP/1.1 200 OK\r\n", Body: plainPart, Pause: time.Millisecond},
--- a/testbed/standin/rawanswer_test.go
+++ b/testbed/standin/rawanswer_test.go
@@ -42,15 +42,7 @@
 // at most once, and of streams, also ones that are resumed or moved.
 func TestAnswers_FaultyHeads(t *testing.T) {
 	t.Parallel()
-	s := newTestCluster(t, 6)
-	for i := range s.config.Routes {
-		s.config.Routes[i].Attempts = 3
-	}
-	s.store.Apply(s.config)
-	s.store.Checker().SetRetryExtra(budgetExtra)
-	d := s.startAs(Setup{FirstStart: true, RetryExtra: budgetExtra})
-	s.awaitGroups(3)
-	s.awaitShares()
+	s, d := newRetryingCluster(t)
 	heads := s.openGroupHeads()
 	served, repeatable := 0, 0
 	ask := func(what string) {
@@ -75,11 +67,7 @@
 	t.Parallel()
 	s := newTestCluster(t, 4)
 	s.store.Checker().SetRetryExtra(budgetExtra)
-	links := s.cutDaemons(1)
-	s.awaitGroups(2)
-	s.awaitServed(s.daemons...)
-	links.Cut()
-	s.awaitServed(s.daemons[0])
+	s.startForwarding()
 	served, repeatable := 0, 0
 	forEachFaultyAnswer([]*Worker{s.workers["a0"], s.openGroupHeads()[0]}, func(what string) {
 		more, of := s.askEach(s.daemons[0], what, 1)
