--- a/common/conns/connstest/faulty.go
+++ b/common/conns/connstest/faulty.go
@@ -27,6 +27,17 @@
 	{"a line that begins with a tab", "\tX-Wrong: y"},
 }
 
+// faultyFramings are fields of a body of four bytes that contradict each other or say nothing of its end.
+var faultyFramings = []FaultyHead{
+	{"two lengths", "Content-Length: 4\r\nContent-Length: 5\r\n"},
+	{"a length with a sign", "Content-Length: +4\r\n"},
+	{"a length below zero", "Content-Length: -4\r\n"},
+	{"a list of lengths", "Content-Length: 4, 5\r\n"},
+	{"another coding", "Transfer-Encoding: gzip\r\n"},
+	{"two codings", "Transfer-Encoding: gzip, chunked\r\n"},
+	{"codings on two lines", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"},
+}
+
 // FaultyHeads returns responses with the status 200. Fields are valid header lines that each of them begins with. Most
 // have the body, and bytes after it that a reader of a wrong length takes for a part of it.
 func FaultyHeads(fields, body string) []FaultyHead {
@@ -48,6 +59,9 @@
 		{"within an interim head", "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n" + status + fields + length + "\r\n" + body},
 		{"bare line ends", "HTTP/1.1 200 OK\n" + fields + "X-Wrong : y\n" + length + "\n" + body},
 	}
+	for _, framing := range faultyFramings {
+		list = append(list, FaultyHead{framing.Name, status + fields + framing.Text + "\r\n" + body})
+	}
 	for _, f := range faultyFields {
 		list = append(list, FaultyHead{f.Name, status + fields + f.Text + "\r\n" + length + "\r\n" + body})
 	}
