deps: Read reports of crashes under their lock in tests

The test read the map of reports while the reporter, which reports a crash again and to other daemons, wrote to it. The race is the test's; two other lines read the map in the same way. They read it under the lock now and check what they checked before.

--- a/deps/crashreporter_test.go
+++ b/deps/crashreporter_test.go
@@ -64,13 +64,16 @@
 	return nil
 }
 
-// firstCrash returns the first crash that was reported to a daemon.
-func (d *deciders) firstCrash(name string) quarantine.Crash {
+// firstReport returns the first report to a daemon.
+func (d *deciders) firstReport(name string) relay.CrashReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.reports[name][0].Crashes[0]
+	return d.reports[name][0]
 }
 
+// firstCrash returns the first crash that was reported to a daemon.
+func (d *deciders) firstCrash(name string) quarantine.Crash { return d.firstReport(name).Crashes[0] }
+
 // reportedWorkers returns the workers reported to a daemon as crashed.
 func (d *deciders) reportedWorkers(name string) []string {
 	d.mu.Lock()
@@ -157,8 +160,8 @@
 	for _, name := range []string{"e1", "e2"} {
 		eventually(t, "the crash is reported", func() bool { return len(d.reportedWorkers(name)) > 0 })
 		must.Eq(t, []string{"w1"}, d.reportedWorkers(name))
-		must.Eq(t, []quarantine.LostRequest{lostRun(2), lostRun(3)}, d.reports[name][0].Crashes[0].LostRequests)
-		must.EqOp(t, "e9", d.reports[name][0].Reporter)
+		must.Eq(t, []quarantine.LostRequest{lostRun(2), lostRun(3)}, d.firstCrash(name).LostRequests)
+		must.EqOp(t, "e9", d.firstReport(name).Reporter)
 	}
 	must.SliceEmpty(t, d.reportedWorkers("e3"))
 	eventually(t, "the live worker is counted", func() bool { return s.alive.Get() == 1 })
@@ -262,7 +265,7 @@
 	d.mu.Unlock()
 	s.Lost(workers.Worker{ID: "alive"}, lostRun(2))
 	eventually(t, "the crash is reported", func() bool { return len(d.reportedWorkers("e1")) > 0 })
-	must.Eq(t, []quarantine.LostRequest{lostRun(2)}, d.reports["e1"][0].Crashes[0].LostRequests)
+	must.Eq(t, []quarantine.LostRequest{lostRun(2)}, d.firstCrash("e1").LostRequests)
 }
 
 func TestCrashReporter_SkipsRequestsThatFinished(t *testing.T) {
